--- /dev/null
+++ b/runnerapi/runnerapi.go
@@ -0,0 +1,42 @@
+// Package runnerapi declares how a request is dispatched to a runner of an
+// endpoint and how its answer is verified.
+package runnerapi
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// Errors of a dispatch, wrapped with detail. Only the first three prove that
+// the request did not run.
+var (
+	ErrUnreachable = errors.New("runner unreachable before the request was sent")
+	ErrBusy        = errors.New("runner busy")
+	ErrLeaving     = errors.New("runner leaving")
+	ErrTimeout     = errors.New("no answer from runner in time")
+	ErrIncomplete  = errors.New("answer incomplete or not for this request")
+	ErrFailed      = errors.New("runner failed the request")
+)
+
+// Dispatch is one request to one runner.
+type Dispatch struct {
+	ID      string
+	Service string
+	Kind    string
+	Timeout time.Duration
+	Body    []byte
+}
+
+// Health is what a runner says of itself.
+type Health struct {
+	Leaving bool `json:"leaving"`
+	Running int  `json:"running"`
+}
+
+// Client dispatches requests to runners by address. An answer is whole and
+// belongs to the dispatch, or an error is returned.
+type Client interface {
+	Dispatch(ctx context.Context, address string, d Dispatch) ([]byte, error)
+	Health(ctx context.Context, address string) (Health, error)
+}
