Test that peer calls and drains keep requests whole

Cause: the peer protocol and the HTTP server had no tests of their own, and callers' accounts rest on two facts: an unsent call is told from one whose answer was lost, and a drain waits for requests in flight.

--- /dev/null
+++ b/httpserver/httpserver_test.go
@@ -0,0 +1,73 @@
+package httpserver
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// Guards against a drain that ends while a request is still being answered.
+func TestDrainWaitsForRequestInFlight(t *testing.T) {
+	entered, release := make(chan struct{}), make(chan struct{})
+	server, err := Start("127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		close(entered)
+		<-release
+		_, _ = io.WriteString(w, "done")
+	}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer server.Close()
+	got := make(chan string, 1)
+	go func() {
+		res, err := http.Post("http://"+server.Address(), "text/plain", strings.NewReader("x"))
+		if err != nil {
+			got <- err.Error()
+			return
+		}
+		defer res.Body.Close()
+		b, _ := io.ReadAll(res.Body)
+		got <- string(b)
+	}()
+	<-entered
+	short, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	if server.Drain(short) == nil {
+		t.Fatal("drain ended with a request in flight")
+	}
+	close(release)
+	if body := <-got; body != "done" {
+		t.Fatalf("answer was %q", body)
+	}
+	if err := server.Drain(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against a body over the limit that is buffered or handled.
+func TestOversizedBodyIsRefused(t *testing.T) {
+	handled := make(chan int, 1)
+	server, err := Start("127.0.0.1:0", http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		b, _ := io.ReadAll(r.Body)
+		handled <- len(b)
+	}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer server.Close()
+	res, err := http.Post("http://"+server.Address(), "text/plain", strings.NewReader(strings.Repeat("x", MaxBodyBytes+1)))
+	if err == nil {
+		res.Body.Close()
+		if res.StatusCode < 400 {
+			t.Errorf("status %d", res.StatusCode)
+		}
+	}
+	select {
+	case n := <-handled:
+		t.Errorf("handler ran with a body of %d bytes", n)
+	default:
+	}
+}
--- /dev/null
+++ b/peer/peer_test.go
@@ -0,0 +1,63 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"testing"
+
+	"bergamotstile/httpserver"
+	"bergamotstile/structs"
+)
+
+// echoService answers every call with what it was sent, or with a fixed reply.
+type echoService struct{ Service }
+
+func (echoService) Forward(_ context.Context, r *ForwardRequest) (*ForwardResponse, error) {
+	return &ForwardResponse{Answer: &structs.Answer{RequestID: r.Request.ID, Body: r.Request.Body}}, nil
+}
+
+func (echoService) Relay(_ context.Context, _ *RelayRequest) (*RelayResponse, error) {
+	return nil, errors.New("table closed")
+}
+
+// Guards against a codec or server that mixes up or truncates messages.
+func TestForwardCarriesWholeRequest(t *testing.T) {
+	server, err := httpserver.Start("127.0.0.1:0", NewHandler(echoService{}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer server.Close()
+	client := NewClient()
+	defer client.Close()
+	body := make([]byte, 1<<20)
+	body[len(body)-1] = 7
+	res, err := client.Forward(t.Context(), server.Address(), &ForwardRequest{Request: structs.Request{ID: "r1", Body: body}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if res.Answer.RequestID != "r1" || len(res.Answer.Body) != len(body) || res.Answer.Body[len(body)-1] != 7 {
+		t.Fatalf("answer has ID %q and %d bytes", res.Answer.RequestID, len(res.Answer.Body))
+	}
+}
+
+// Guards against reporting a call as unsent although the peer received it: the
+// caller would then be told not_run for work that ran.
+func TestErrorsTellUnsentFromUnknown(t *testing.T) {
+	server, err := httpserver.Start("127.0.0.1:0", NewHandler(echoService{}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	client := NewClient()
+	defer client.Close()
+	_, err = client.Relay(t.Context(), server.Address(), &RelayRequest{})
+	if !errors.Is(err, ErrOutcomeUnknown) {
+		t.Errorf("failed call: got %v, want ErrOutcomeUnknown", err)
+	}
+	address := server.Address()
+	server.Close()
+	client.Close()
+	_, err = client.Relay(t.Context(), address, &RelayRequest{})
+	if !errors.Is(err, ErrUnreachable) {
+		t.Errorf("closed server: got %v, want ErrUnreachable", err)
+	}
+}
