--- /dev/null
+++ b/history/check_test.go
@@ -0,0 +1,46 @@
+package history
+
+import (
+	"testing"
+
+	"bergamotstile/structs"
+)
+
+func billed(string) bool     { return true }
+func idempotent(string) bool { return false }
+
+// Guards against checkers that pass a history which breaks their property.
+func TestCheckersSeeViolations(t *testing.T) {
+	first := Span{Work: "w", Attempt: "w.1", Place: "a", Start: 1, End: 5}
+	again := Span{Work: "w", Attempt: "w.2", Place: "b", Start: 6, End: 9, Finished: true}
+	overlapping := again
+	overlapping.Start = 4
+	resumed := Span{Work: "w", Attempt: "w.2", Place: "b", Start: 6, End: 7, ResumedFrom: "c1"}
+	resumedAgain := Span{Work: "w", Attempt: "w.3", Place: "c", Start: 8, End: 9, ResumedFrom: "c1"}
+	notRun := Call{Work: "w", Outcome: structs.OutcomeNotRun}
+	cases := []struct {
+		name string
+		got  []Violation
+		want int
+	}{
+		{"sequential runs", CheckOnePlace([]Span{first, again}), 0},
+		{"overlapping runs", CheckOnePlace([]Span{first, overlapping}), 1},
+		{"billed work begun twice", CheckAtMostOnce([]Span{first, again}, billed), 1},
+		{"idempotent work begun twice", CheckAtMostOnce([]Span{first, again}, idempotent), 0},
+		{"billed work resumed", CheckAtMostOnce([]Span{first, resumed}, billed), 0},
+		{"billed work resumed twice", CheckResumeOnce([]Span{first, resumed, resumedAgain}, billed), 1},
+		{"idempotent work resumed after a crash", CheckResumeOnce([]Span{first, resumed, resumedAgain}, idempotent), 0},
+		{"false not run", CheckCalls([]Call{notRun}, []Span{first}), 1},
+		{"true not run", CheckCalls([]Call{notRun}, nil), 0},
+		{"not run, then answered", CheckCalls([]Call{notRun, {Work: "w", Answered: true}}, []Span{first}), 0},
+		{"ran before the call that was answered", CheckCalls([]Call{notRun, {Work: "w", Start: 2, Answered: true}}, []Span{first}), 1},
+		{"crossed answer", CheckCalls([]Call{{Work: "w", Answered: true, Got: "x", Want: "w"}}, nil), 1},
+		{"lost work", CheckNothingLost([]string{"w"}, []Span{first}), 1},
+		{"finished work", CheckNothingLost([]string{"w"}, []Span{first, again}), 0},
+	}
+	for _, c := range cases {
+		if len(c.got) != c.want {
+			t.Errorf("%s: %d violations, want %d: %v", c.name, len(c.got), c.want, c.got)
+		}
+	}
+}
