Add the request path from the caller API to a local runner

Callers need a path for latency-critical requests before the parts behind it are complete. This adds retry budgets per cause, the admission queue with fair turns and deadline prediction, the router with forwarding, in-flight keys, slots and the deadline rule, and the HTTP API with strict input checks.

Non-idempotent requests are refused with store_unavailable until durable claims are added. Admission and retry have no tests of their own yet.

--- /dev/null
+++ b/callerapi/respond.go
@@ -0,0 +1,50 @@
+package callerapi
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"bergamotstile/structs"
+)
+
+// refuse writes a refusal and counts it.
+func (a *api) refuse(w http.ResponseWriter, refusal *structs.Refusal) {
+	a.refuseWith(w, refusal.HTTPStatus(), refusal)
+}
+
+func (a *api) refuseMethod(w http.ResponseWriter, r *http.Request, m methods) {
+	var allowed []string
+	for name := range m {
+		allowed = append(allowed, name)
+	}
+	slices.Sort(allowed)
+	w.Header().Set("Allow", strings.Join(allowed, ", "))
+	a.refuseWith(w, http.StatusMethodNotAllowed, structs.NotRun(structs.ReasonBadRequest, "method %s is not allowed here", r.Method))
+}
+
+func (a *api) refuseWith(w http.ResponseWriter, status int, refusal *structs.Refusal) {
+	a.Metrics.Refused(refusal.Reason)
+	if refusal.RetryAfterMS > 0 {
+		// The header has whole seconds; rounding down would invite an early retry.
+		seconds := (refusal.RetryAfter() + time.Second - 1) / time.Second
+		w.Header().Set("Retry-After", strconv.FormatInt(int64(seconds), 10))
+	}
+	writeJSON(w, status, refusal)
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		status = http.StatusInternalServerError
+		body = []byte(`{"reason":"internal","outcome":"may_have_run"}`)
+	}
+	body = append(body, '\n')
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(status)
+	_, _ = w.Write(body)
+}
--- /dev/null
+++ b/callerapi/strict.go
@@ -0,0 +1,88 @@
+package callerapi
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+)
+
+// maxJSONDepth bounds the nesting of a message.
+const maxJSONDepth = 16
+
+// decodeStrict decodes one JSON object. Unknown fields, fields that appear
+// twice and trailing data are errors: a misspelt field must not be ignored.
+func decodeStrict(data []byte, v any) error {
+	if err := checkDuplicates(data); err != nil {
+		return err
+	}
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.DisallowUnknownFields()
+	if err := d.Decode(v); err != nil {
+		return err
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return errors.New("data after the JSON object")
+	}
+	return nil
+}
+
+// checkDuplicates refuses what encoding/json accepts silently: a field that
+// appears twice, and a message that is not an object.
+func checkDuplicates(data []byte) error {
+	d := json.NewDecoder(bytes.NewReader(data))
+	first, err := d.Token()
+	if err != nil {
+		return err
+	}
+	if first != json.Delim('{') {
+		return errors.New("not a JSON object")
+	}
+	return checkObject(d, 1)
+}
+
+func checkObject(d *json.Decoder, depth int) error {
+	seen := map[string]bool{}
+	for d.More() {
+		t, err := d.Token()
+		if err != nil {
+			return err
+		}
+		name, _ := t.(string)
+		// encoding/json matches field names without regard to case.
+		folded := string(bytes.ToLower([]byte(name)))
+		if seen[folded] {
+			return fmt.Errorf("field %q appears twice", name)
+		}
+		seen[folded] = true
+		if err := checkValue(d, depth); err != nil {
+			return err
+		}
+	}
+	_, err := d.Token()
+	return err
+}
+
+func checkValue(d *json.Decoder, depth int) error {
+	t, err := d.Token()
+	if err != nil {
+		return err
+	}
+	if depth >= maxJSONDepth {
+		return errors.New("nested too deeply")
+	}
+	switch t {
+	case json.Delim('{'):
+		return checkObject(d, depth+1)
+	case json.Delim('['):
+		for d.More() {
+			if err := checkValue(d, depth+1); err != nil {
+				return err
+			}
+		}
+		_, err = d.Token()
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/routing/settings.go
@@ -0,0 +1,108 @@
+package routing
+
+import (
+	"time"
+
+	"bergamotstile/admission"
+	"bergamotstile/retry"
+)
+
+// Settings are the limits of a router. A zero value takes its default.
+type Settings struct {
+	// RequestTimeoutMax bounds the deadline of every request.
+	RequestTimeoutMax time.Duration
+	// Lease is the duration of a shard's lease, which is how long a takeover
+	// lasts and so when a caller may retry.
+	Lease time.Duration
+	// AnswerRetention is how long the answer to a key is remembered.
+	AnswerRetention time.Duration
+	// Settle is added to a dispatch's deadline before the same key may be
+	// dispatched again. It covers the time that a dispatch spends on the way,
+	// since a runner counts its timeout from receipt.
+	Settle time.Duration
+	// WaitGrace is how much longer than its deadline a caller waits for the
+	// outcome of its attempt, so that it learns "not run" and not just "late".
+	WaitGrace time.Duration
+	// LeaseWait is how long a keyed request waits for a lease renewal that
+	// outlasts its deadline.
+	LeaseWait time.Duration
+	// LeasePoll is the interval at which it looks.
+	LeasePoll time.Duration
+	// Tick is the interval at which queues look for new runners.
+	Tick time.Duration
+	// BusyPause and UnreachablePause keep requests from a runner that refused
+	// one or could not be reached.
+	BusyPause        time.Duration
+	UnreachablePause time.Duration
+	// LeavingPause covers the time until the membership view drops a runner
+	// that answered that it is leaving.
+	LeavingPause time.Duration
+	// DefaultSlots and DefaultConnections apply to runners whose member line
+	// names none.
+	DefaultSlots       int
+	DefaultConnections int
+	// ReservedConnections of each runner are kept for each other instance.
+	ReservedConnections int
+	// MaxHops bounds how often a request is forwarded.
+	MaxHops int
+	// MaxKeys bounds the keys in flight and remembered.
+	MaxKeys int
+	// MaxRememberedBytes bounds the answers that are remembered.
+	MaxRememberedBytes int
+	// ClaimRing bounds the claim writes that wait, ClaimGroup those in one
+	// transaction.
+	ClaimRing  int
+	ClaimGroup int
+	// ClaimRetry is the pause between two tries of a write that the table did
+	// not accept, OutcomeGiveUp when the outcome of a claim is given up.
+	ClaimRetry    time.Duration
+	OutcomeGiveUp time.Duration
+	// InlineAnswerBytes is the largest answer that is kept in a claim row.
+	InlineAnswerBytes int
+	Admission         admission.Settings
+	Retry             retry.Settings
+}
+
+func (s Settings) withDefaults() Settings {
+	setDuration(&s.RequestTimeoutMax, 1500*time.Millisecond)
+	setDuration(&s.Lease, 3*time.Second)
+	setDuration(&s.AnswerRetention, 10*time.Second)
+	setDuration(&s.Settle, 100*time.Millisecond)
+	setDuration(&s.WaitGrace, 50*time.Millisecond)
+	setDuration(&s.LeaseWait, 200*time.Millisecond)
+	setDuration(&s.LeasePoll, 20*time.Millisecond)
+	setDuration(&s.Tick, 100*time.Millisecond)
+	setDuration(&s.BusyPause, 20*time.Millisecond)
+	setDuration(&s.UnreachablePause, 500*time.Millisecond)
+	setDuration(&s.LeavingPause, 3*time.Second)
+	setDuration(&s.ClaimRetry, 20*time.Millisecond)
+	setDuration(&s.OutcomeGiveUp, 30*time.Second)
+	setInt(&s.DefaultSlots, 8)
+	setInt(&s.DefaultConnections, 64)
+	setInt(&s.ReservedConnections, 2)
+	setInt(&s.MaxHops, 3)
+	setInt(&s.MaxKeys, 1<<16)
+	setInt(&s.MaxRememberedBytes, 8<<20)
+	setInt(&s.ClaimRing, 4096)
+	setInt(&s.ClaimGroup, 64)
+	setInt(&s.InlineAnswerBytes, 64<<10)
+	if s.Admission == (admission.Settings{}) {
+		s.Admission = admission.DefaultSettings()
+	}
+	if s.Retry == (retry.Settings{}) {
+		s.Retry = retry.DefaultSettings()
+	}
+	return s
+}
+
+func setDuration(d *time.Duration, value time.Duration) {
+	if *d == 0 {
+		*d = value
+	}
+}
+
+func setInt(n *int, value int) {
+	if *n == 0 {
+		*n = value
+	}
+}
