lifecycle: run work items from submit to outcome

Submitted work needs an owner that places, starts and ends it, with capacity held before a start and outcomes committed before they are acknowledged. One core per shard holds all state and does no I/O, so tests can drop, delay and reorder each call; one goroutine per duty was ruled out inside a shard because its interleavings could not be replayed from a seed.

--- /dev/null
+++ b/lifecycle/fakes_test.go
@@ -0,0 +1,392 @@
+package lifecycle
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/jonboulle/clockwork"
+
+	"bergamotstile/platform"
+	"bergamotstile/structs"
+	"bergamotstile/workerapi"
+)
+
+// memTable is an in-process table. fault, if set, is asked before each call.
+type memTable struct {
+	mu      sync.Mutex
+	version uint64
+	rows    map[string]platform.Row
+	commits []committed
+	delayed []platform.Transaction
+	fault   func(op string) tableFault
+}
+
+// committed is one transaction that took effect.
+type committed struct {
+	version uint64
+	tx      platform.Transaction
+}
+
+type tableFault int
+
+const (
+	tableFine       tableFault = iota
+	tableDown                  // no effect, and the caller knows
+	tableLostAnswer            // effect, but no answer
+	tableLostCall              // no effect, but the caller cannot know
+	tableDelayed               // effect at a later time, no answer
+)
+
+func newMemTable() *memTable {
+	return &memTable{rows: map[string]platform.Row{}}
+}
+
+func (m *memTable) ask(op string) tableFault {
+	if m.fault == nil {
+		return tableFine
+	}
+	return m.fault(op)
+}
+
+func (m *memTable) Read(_ context.Context, keys ...string) ([]platform.Row, error) {
+	if m.ask("read") != tableFine {
+		return nil, platform.ErrUnavailable
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var rows []platform.Row
+	for _, key := range keys {
+		if row, ok := m.rows[key]; ok {
+			rows = append(rows, row)
+		}
+	}
+	return rows, nil
+}
+
+func (m *memTable) Scan(_ context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	if m.ask("scan") != tableFine {
+		return nil, platform.ErrUnavailable
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var rows []platform.Row
+	for key, row := range m.rows {
+		if strings.HasPrefix(key, prefix) && key > after {
+			rows = append(rows, row)
+		}
+	}
+	slices.SortFunc(rows, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
+	return rows[:min(limit, len(rows))], nil
+}
+
+func (m *memTable) Commit(_ context.Context, tx platform.Transaction) (platform.CommitResult, error) {
+	fault := m.ask("commit")
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch fault {
+	case tableDown:
+		return platform.CommitResult{}, platform.ErrUnavailable
+	case tableLostCall:
+		return platform.CommitResult{}, platform.ErrOutcomeUnknown
+	case tableDelayed:
+		m.delayed = append(m.delayed, tx)
+		return platform.CommitResult{}, platform.ErrOutcomeUnknown
+	}
+	result, err := m.apply(tx)
+	if fault == tableLostAnswer {
+		return platform.CommitResult{}, platform.ErrOutcomeUnknown
+	}
+	return result, err
+}
+
+func (m *memTable) apply(tx platform.Transaction) (platform.CommitResult, error) {
+	for _, c := range tx.Conditions {
+		if have := m.rows[c.Key].Version; have != c.Version {
+			return platform.CommitResult{}, &platform.ConflictError{Key: c.Key, Version: have}
+		}
+	}
+	m.version++
+	for _, put := range tx.Puts {
+		m.rows[put.Key] = platform.Row{Key: put.Key, Version: m.version, Value: put.Value}
+	}
+	for _, key := range tx.Deletes {
+		delete(m.rows, key)
+	}
+	m.commits = append(m.commits, committed{m.version, tx})
+	return platform.CommitResult{Version: m.version}, nil
+}
+
+// deliverDelayed lets the i-th delayed transaction take effect, if it can.
+func (m *memTable) deliverDelayed(i int) {
+	tx := m.delayed[i]
+	m.delayed = slices.Delete(m.delayed, i, i+1)
+	_, _ = m.apply(tx)
+}
+
+func (m *memTable) item(shard structs.ShardID, id structs.WorkID) structs.WorkItem {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	row, ok := m.rows[workKey(shard, id)]
+	if !ok {
+		return structs.WorkItem{}
+	}
+	item, err := decodeItem(row)
+	if err != nil {
+		panic(err)
+	}
+	return item
+}
+
+// memObjects is an in-process object store.
+type memObjects struct {
+	mu   sync.Mutex
+	down bool
+	data map[string][]byte
+}
+
+func (m *memObjects) Put(_ context.Context, name string, data []byte) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.down {
+		return platform.ErrUnavailable
+	}
+	m.data[name] = data
+	return nil
+}
+
+func (m *memObjects) Get(_ context.Context, name string) ([]byte, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	data, ok := m.data[name]
+	switch {
+	case m.down:
+		return nil, platform.ErrUnavailable
+	case !ok:
+		return nil, platform.ErrNotFound
+	}
+	return data, nil
+}
+
+func (m *memObjects) Head(ctx context.Context, name string) (int64, error) {
+	data, err := m.Get(ctx, name)
+	return int64(len(data)), err
+}
+
+// fakeWorker starts whatever it is given and keeps its own record.
+type fakeWorker struct {
+	mu       sync.Mutex
+	clock    clockwork.Clock
+	name     string
+	boot     int
+	bootedAt int64
+	capacity structs.Resources
+	running  map[structs.AttemptID]*task
+	ended    map[structs.AttemptID]workerapi.Ended
+	stopped  map[structs.AttemptID]bool // tombstones and all ended attempts
+	epochs   map[structs.ShardID]uint64
+	objects  *memObjects
+	record   func(entry runEntry)
+}
+
+type task struct {
+	spec       structs.WorkSpec
+	checkpoint string
+	until      int64 // lease, in the worker's milliseconds
+	share      float64
+}
+
+// runEntry is one line of a worker's own record.
+type runEntry struct {
+	worker     string
+	attempt    structs.AttemptID
+	what       string // start, finished, failed, stopped, lapsed, killed
+	checkpoint string
+}
+
+func newFakeWorker(clock clockwork.Clock, name string, capacity structs.Resources, objects *memObjects, record func(runEntry)) *fakeWorker {
+	w := &fakeWorker{clock: clock, name: name, capacity: capacity, objects: objects, record: record}
+	w.restart()
+	return w
+}
+
+func (w *fakeWorker) uptime() int64 {
+	return w.clock.Now().UnixMilli() - w.bootedAt
+}
+
+// restart ends every task and forgets everything.
+func (w *fakeWorker) restart() {
+	for attempt := range w.running {
+		w.record(runEntry{worker: w.name, attempt: attempt, what: "killed"})
+	}
+	w.boot++
+	w.bootedAt = w.clock.Now().UnixMilli() - 1
+	w.running = map[structs.AttemptID]*task{}
+	w.ended = map[structs.AttemptID]workerapi.Ended{}
+	w.stopped = map[structs.AttemptID]bool{}
+	w.epochs = map[structs.ShardID]uint64{}
+}
+
+func (w *fakeWorker) bootID() string {
+	return fmt.Sprintf("%s-boot-%d", w.name, w.boot)
+}
+
+// lapse stops the tasks whose lease is over.
+func (w *fakeWorker) lapse() {
+	for attempt, t := range w.running {
+		if w.uptime() > t.until {
+			w.end(attempt, workerapi.Ended{State: workerapi.EndStopped, Detail: "lease lapsed"}, "lapsed")
+		}
+	}
+}
+
+func (w *fakeWorker) end(attempt structs.AttemptID, ended workerapi.Ended, what string) workerapi.Ended {
+	ended.Attempt = attempt
+	delete(w.running, attempt)
+	w.ended[attempt] = ended
+	w.stopped[attempt] = true
+	w.record(runEntry{worker: w.name, attempt: attempt, what: what, checkpoint: ended.Checkpoint})
+	return ended
+}
+
+func (w *fakeWorker) heartbeat(req workerapi.HeartbeatRequest) (workerapi.HeartbeatResponse, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lapse()
+	if req.Epoch < w.epochs[req.Shard] {
+		return workerapi.HeartbeatResponse{}, workerapi.ErrRefused
+	}
+	w.epochs[req.Shard] = req.Epoch
+	for _, attempt := range req.Acknowledged {
+		delete(w.ended, attempt)
+	}
+	resp := workerapi.HeartbeatResponse{BootID: w.bootID(), UptimeMS: w.uptime(), Capacity: w.capacity}
+	for attempt, t := range w.running {
+		t.until = w.uptime() + req.LeaseMS
+		resp.Running = append(resp.Running, workerapi.Running{Attempt: attempt, Size: t.spec.Size, Used: t.spec.Size})
+	}
+	for _, ended := range w.ended {
+		resp.Ended = append(resp.Ended, ended)
+	}
+	slices.SortFunc(resp.Running, func(a, b workerapi.Running) int { return strings.Compare(string(a.Attempt), string(b.Attempt)) })
+	slices.SortFunc(resp.Ended, func(a, b workerapi.Ended) int { return strings.Compare(string(a.Attempt), string(b.Attempt)) })
+	return resp, nil
+}
+
+func (w *fakeWorker) start(req workerapi.StartRequest) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lapse()
+	if _, running := w.running[req.Attempt]; running && req.BootID == w.bootID() {
+		return nil
+	}
+	if req.BootID != w.bootID() || w.uptime() > req.StartBeforeMS || w.stopped[req.Attempt] {
+		return workerapi.ErrRefused
+	}
+	w.running[req.Attempt] = &task{spec: req.Spec, checkpoint: req.Checkpoint, until: w.uptime() + req.LeaseMS, share: 1}
+	w.record(runEntry{worker: w.name, attempt: req.Attempt, what: "start", checkpoint: req.Checkpoint})
+	return nil
+}
+
+func (w *fakeWorker) stop(req workerapi.StopRequest) workerapi.StopResponse {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lapse()
+	resp := workerapi.StopResponse{BootID: w.bootID()}
+	if ended, ok := w.ended[req.Attempt]; ok {
+		resp.Ended = ended
+		return resp
+	}
+	t, running := w.running[req.Attempt]
+	ended := workerapi.Ended{Attempt: req.Attempt, State: workerapi.EndStopped}
+	switch {
+	case running:
+		if req.Checkpoint {
+			ended.Checkpoint = "checkpoint/" + string(req.Attempt)
+			if w.objects.Put(context.Background(), ended.Checkpoint, []byte(t.checkpoint)) != nil {
+				ended.Checkpoint = ""
+			}
+		}
+		resp.Ended = w.end(req.Attempt, ended, "stopped")
+	case !w.stopped[req.Attempt]:
+		w.stopped[req.Attempt] = true
+		ended.Unstarted = true
+		w.ended[req.Attempt] = ended
+		resp.Ended = ended
+	default:
+		resp.Ended = ended
+	}
+	return resp
+}
+
+// fleet reaches workers by name.
+type fleet struct {
+	workers map[string]*fakeWorker
+	fault   func(op, worker string) callFault
+}
+
+type callFault int
+
+const (
+	callFine       callFault = iota
+	callCut                  // not delivered
+	callLostAnswer           // delivered, no answer
+)
+
+func (f *fleet) reach(op, address string) (*fakeWorker, callFault) {
+	if f.fault == nil {
+		return f.workers[address], callFine
+	}
+	return f.workers[address], f.fault(op, address)
+}
+
+func (f *fleet) Heartbeat(_ context.Context, address string, req workerapi.HeartbeatRequest) (workerapi.HeartbeatResponse, error) {
+	w, fault := f.reach("heartbeat", address)
+	if w == nil || fault == callCut {
+		return workerapi.HeartbeatResponse{}, workerapi.ErrUnreachable
+	}
+	resp, err := w.heartbeat(req)
+	if fault == callLostAnswer {
+		return workerapi.HeartbeatResponse{}, workerapi.ErrOutcomeUnknown
+	}
+	return resp, err
+}
+
+func (f *fleet) Start(_ context.Context, address string, req workerapi.StartRequest) error {
+	w, fault := f.reach("start", address)
+	if w == nil || fault == callCut {
+		return workerapi.ErrUnreachable
+	}
+	err := w.start(req)
+	if fault == callLostAnswer {
+		return workerapi.ErrOutcomeUnknown
+	}
+	return err
+}
+
+func (f *fleet) Stop(_ context.Context, address string, req workerapi.StopRequest) (workerapi.StopResponse, error) {
+	w, fault := f.reach("stop", address)
+	if w == nil || fault == callCut {
+		return workerapi.StopResponse{}, workerapi.ErrUnreachable
+	}
+	resp := w.stop(req)
+	if fault == callLostAnswer {
+		return workerapi.StopResponse{}, workerapi.ErrOutcomeUnknown
+	}
+	return resp, nil
+}
+
+func (f *fleet) Throttle(_ context.Context, address string, req workerapi.ThrottleRequest) error {
+	w, fault := f.reach("throttle", address)
+	if w == nil || fault != callFine {
+		return workerapi.ErrUnreachable
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if t := w.running[req.Attempt]; t != nil {
+		t.share = req.Share
+	}
+	return nil
+}
--- /dev/null
+++ b/lifecycle/manager.go
@@ -0,0 +1,224 @@
+package lifecycle
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+
+	"bergamotstile/ring"
+	"bergamotstile/structs"
+)
+
+// Manager runs the work items of the shards that this instance owns and
+// accepts submits for any shard.
+type Manager struct {
+	cfg   Config
+	deps  Dependencies
+	clock clockwork.Clock
+
+	mu     sync.Mutex
+	shards map[structs.ShardID]*driver
+}
+
+// Intervals of the drivers.
+const (
+	// leasePoll is how often the manager looks for acquired shards.
+	leasePoll = 50 * time.Millisecond
+	// tickInterval is how often a core looks for what is due. Group commits
+	// wait at most that much longer than CommitWait.
+	tickInterval = 5 * time.Millisecond
+	// mailboxSize bounds the steps that wait for a core.
+	mailboxSize = 4096
+)
+
+// NewManager returns a manager that does nothing until Serve runs.
+func NewManager(cfg Config, deps Dependencies, clock clockwork.Clock) *Manager {
+	return &Manager{cfg: cfg.withDefaults(), deps: deps, clock: clock, shards: map[structs.ShardID]*driver{}}
+}
+
+// Serve follows the leases of this instance until ctx ends.
+func (m *Manager) Serve(ctx context.Context) error {
+	ticker := m.clock.NewTicker(leasePoll)
+	defer ticker.Stop()
+	defer m.stopAll()
+	for {
+		m.followLeases(ctx)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.Chan():
+		}
+	}
+}
+
+func (m *Manager) followLeases(ctx context.Context) {
+	for i := range m.cfg.Shards {
+		m.followLease(ctx, structs.ShardID{Domain: m.cfg.Domain, Index: i})
+	}
+}
+
+// followLease replaces the shard's core when the lease has another epoch. A
+// lease that lapsed but was not lost keeps its core, which then commits and
+// starts nothing.
+func (m *Manager) followLease(ctx context.Context, shard structs.ShardID) {
+	lease, held := m.deps.Leases.Held(shard)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	d := m.shards[shard]
+	if d != nil && d.ended() || d != nil && held && d.core.lease.Epoch != lease.Epoch {
+		d.cancel()
+		delete(m.shards, shard)
+		d = nil
+	}
+	if d != nil || !held {
+		return
+	}
+	d = newDriver(newCore(m.cfg, m.deps, m.clock, lease))
+	m.shards[shard] = d
+	logrus.Infof("lifecycle: shard %s acquired, epoch %d", shard, lease.Epoch)
+	go d.run(ctx)
+}
+
+func (m *Manager) stopAll() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for shard, d := range m.shards {
+		d.cancel()
+		delete(m.shards, shard)
+	}
+}
+
+// driver runs one core: its steps on one goroutine, its calls on others.
+type driver struct {
+	core    *core
+	mailbox *ring.Ring[func()]
+	slots   chan struct{}
+	done    chan struct{}
+	stop    chan struct{}
+	once    sync.Once
+}
+
+func newDriver(c *core) *driver {
+	return &driver{
+		core:    c,
+		mailbox: ring.New[func()](mailboxSize),
+		slots:   make(chan struct{}, c.cfg.MaxCalls),
+		done:    make(chan struct{}),
+		stop:    make(chan struct{}),
+	}
+}
+
+func (d *driver) cancel() {
+	d.once.Do(func() { close(d.stop) })
+}
+
+func (d *driver) ended() bool {
+	select {
+	case <-d.done:
+		return true
+	default:
+		return false
+	}
+}
+
+func (d *driver) run(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer close(d.done)
+	ticker := d.core.clock.NewTicker(tickInterval)
+	defer ticker.Stop()
+	var waiting []call
+	for !d.core.stopped {
+		select {
+		case <-ctx.Done():
+			d.core.stepDown()
+		case <-d.stop:
+			d.core.stepDown()
+		case step := <-d.mailbox.C():
+			step()
+		case <-ticker.Chan():
+			d.core.tick()
+		}
+		waiting = d.launch(ctx, append(waiting, d.core.takeCalls()...))
+	}
+}
+
+// launch runs the calls for which there are slots and returns the others.
+func (d *driver) launch(ctx context.Context, calls []call) []call {
+	for i, one := range calls {
+		select {
+		case d.slots <- struct{}{}:
+			go d.perform(ctx, one)
+		default:
+			return calls[i:]
+		}
+	}
+	return nil
+}
+
+func (d *driver) perform(ctx context.Context, one call) {
+	limited, cancel := context.WithTimeout(ctx, one.timeout)
+	step := one.run(limited)
+	cancel()
+	<-d.slots
+	d.post(ctx, step)
+}
+
+// post waits for room in the mailbox: the result of a call must not be lost.
+func (d *driver) post(ctx context.Context, step func()) {
+	for !d.mailbox.Offer(step) {
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.done:
+			return
+		case <-d.core.clock.After(tickInterval):
+		}
+	}
+}
+
+// ask runs a step on the core's goroutine and waits for its reply.
+func ask[T any](ctx context.Context, d *driver, step func(reply func(T, error))) (T, error) {
+	type answer struct {
+		value T
+		err   error
+	}
+	var none T
+	answers := make(chan answer, 1)
+	reply := func(value T, err error) {
+		select {
+		case answers <- answer{value, err}:
+		default:
+		}
+	}
+	if !d.mailbox.Offer(func() { step(reply) }) {
+		return none, structs.NotRun(structs.ReasonQueueFull, "shard %s is busy", d.core.lease.Shard)
+	}
+	select {
+	case a := <-answers:
+		return a.value, a.err
+	case <-d.done:
+	case <-ctx.Done():
+		return none, structs.MayHaveRun(structs.ReasonWriteUnresolved, "no answer from shard %s in time", d.core.lease.Shard)
+	}
+	select {
+	case a := <-answers:
+		return a.value, a.err
+	default:
+		return none, structs.MayHaveRun(structs.ReasonNotOwner, "shard %s has a new owner", d.core.lease.Shard)
+	}
+}
+
+// owned returns the driver of a shard that this instance serves.
+func (m *Manager) owned(shard structs.ShardID) (*driver, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	d := m.shards[shard]
+	if d == nil || d.ended() || !m.clock.Now().Before(m.deps.Leases.ServingUntil(shard)) {
+		return nil, structs.NotRun(structs.ReasonNotOwner, "shard %s is not owned here", shard)
+	}
+	return d, nil
+}
