Add declarations, settings, configuration store and commands

Cause: nothing read an operator's files or kept a configuration in force. This is the first working version of the five parts: strict JSON, declaration with checks and entries, settings with relations, the store over the platform's table, and the command line.

Ruled out: encoding/json with DisallowUnknownFields, which lets duplicate keys, keys in another case and null pass and names no paths.

Conclusion: usable by the other packages; the store has no tests yet.

--- /dev/null
+++ b/command/operate.go
@@ -0,0 +1,118 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+
+	"bergamotstile/declaration"
+	"bergamotstile/structs"
+)
+
+type checkCommand struct {
+	File     string `arg:"positional,required" placeholder:"FILE" help:"declaration"`
+	Settings string `arg:"--settings" placeholder:"FILE" help:"settings whose limits apply; they are checked as well"`
+}
+
+func (c *checkCommand) run(_ context.Context, _ Registry, out io.Writer) error {
+	limits := declaration.DefaultLimits()
+	if c.Settings != "" {
+		s, err := loadSettings(c.Settings)
+		if err != nil {
+			return err
+		}
+		limits = s.Limits()
+	}
+	d, err := loadDeclaration(c.File, limits)
+	if err != nil {
+		return err
+	}
+	printf(out, "%s: deployment %s is accepted\n", c.File, d.Name)
+	return nil
+}
+
+func loadDeclaration(path string, limits declaration.Limits) (*declaration.Deployment, error) {
+	data, err := readInput(path)
+	if err != nil {
+		return nil, err
+	}
+	d, err := declaration.Decode(data)
+	if err == nil {
+		err = d.Check(limits)
+	}
+	if err != nil {
+		return nil, refused("%s is refused:\n%v", path, err)
+	}
+	return d, nil
+}
+
+type applyCommand struct {
+	File     string `arg:"positional,required" placeholder:"FILE" help:"declaration"`
+	Entry    string `arg:"--entry,required" placeholder:"ADDRESS" help:"caller address of an entry instance"`
+	Operator string `arg:"--operator,required" placeholder:"NAME" help:"who applies it"`
+	Base     uint64 `arg:"--base" placeholder:"VERSION" help:"version that the file started from; the one in force if left out"`
+}
+
+// run leaves the check to the instance, whose settings may differ from the
+// defaults; only a file that cannot be decoded is refused here.
+func (c *applyCommand) run(ctx context.Context, _ Registry, out io.Writer) error {
+	if err := checkAddress("--entry", c.Entry); err != nil {
+		return err
+	}
+	if c.Operator == "" {
+		return misuse("--operator must not be empty")
+	}
+	data, err := readInput(c.File)
+	if err != nil {
+		return err
+	}
+	d, err := declaration.Decode(data)
+	if err != nil {
+		return refused("%s is refused:\n%v", c.File, err)
+	}
+	body := declaration.ApplyRequest{Operator: c.Operator, Base: c.Base, Declaration: *d}
+	var answer declaration.ApplyResponse
+	if err := call(ctx, c.Entry, http.MethodPost, "/v1/declarations", nil, body, &answer); err != nil {
+		return err
+	}
+	printf(out, "accepted as version %d\n", answer.Version)
+	return nil
+}
+
+type statusCommand struct {
+	ID    string `arg:"positional" placeholder:"ID" help:"work item; the instance if left out"`
+	Entry string `arg:"--entry,required" placeholder:"ADDRESS" help:"caller address of an entry instance"`
+}
+
+func (c *statusCommand) run(ctx context.Context, _ Registry, out io.Writer) error {
+	if err := checkAddress("--entry", c.Entry); err != nil {
+		return err
+	}
+	path := "/v1/status"
+	if c.ID != "" {
+		path = "/v1/work/" + url.PathEscape(c.ID)
+	}
+	var answer json.RawMessage
+	if err := call(ctx, c.Entry, http.MethodGet, path, nil, nil, &answer); err != nil {
+		return err
+	}
+	return printJSON(out, answer)
+}
+
+type cancelCommand struct {
+	ID    string `arg:"positional,required" placeholder:"ID" help:"work item"`
+	Entry string `arg:"--entry,required" placeholder:"ADDRESS" help:"caller address of an entry instance"`
+}
+
+func (c *cancelCommand) run(ctx context.Context, _ Registry, out io.Writer) error {
+	if err := checkAddress("--entry", c.Entry); err != nil {
+		return err
+	}
+	var answer structs.WorkStatus
+	if err := call(ctx, c.Entry, http.MethodDelete, "/v1/work/"+url.PathEscape(c.ID), nil, nil, &answer); err != nil {
+		return err
+	}
+	return printJSON(out, answer)
+}
--- /dev/null
+++ b/command/run.go
@@ -0,0 +1,164 @@
+package command
+
+import (
+	"context"
+	"errors"
+	"io"
+
+	"bergamotstile/settings"
+)
+
+type entryCommand struct {
+	Settings string `arg:"--settings,required" placeholder:"FILE" help:"settings of the instance"`
+}
+
+func (c *entryCommand) run(ctx context.Context, r Registry, _ io.Writer) error {
+	s, err := loadSettings(c.Settings)
+	if err != nil {
+		return err
+	}
+	if r.Entry == nil {
+		return notBuiltIn("entry")
+	}
+	return endOf(ctx, r.Entry(ctx, s))
+}
+
+// loadSettings tells a file that cannot be read from one that is refused.
+func loadSettings(path string) (*settings.Settings, error) {
+	data, err := readInput(path)
+	if err != nil {
+		return nil, err
+	}
+	s, err := settings.Decode(data)
+	if err == nil {
+		err = s.Check()
+	}
+	if err != nil {
+		return nil, refused("%s is refused:\n%v", path, err)
+	}
+	return s, nil
+}
+
+// endOf treats a stop on request as success.
+func endOf(ctx context.Context, err error) error {
+	if ctx.Err() != nil && errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// DemoOptions are the options of the demo.
+type DemoOptions struct {
+	Declaration string `arg:"--declaration" placeholder:"FILE" help:"deployment to run instead of the built-in one"`
+	Seed        int64  `arg:"--seed" default:"1" help:"seed of the load"`
+}
+
+func (c *DemoOptions) run(ctx context.Context, r Registry, out io.Writer) error {
+	if r.Demo == nil {
+		return notBuiltIn("demo")
+	}
+	return endOf(ctx, r.Demo(ctx, *c, out))
+}
+
+// BenchOptions are the options of the policy bench.
+type BenchOptions struct {
+	Deployment string `arg:"--deployment" default:"society" placeholder:"NAME" help:"society or lavigne"`
+	Seeds      int    `arg:"--seeds" default:"20" help:"number of seeds"`
+}
+
+func (c *BenchOptions) run(ctx context.Context, r Registry, out io.Writer) error {
+	if c.Seeds < 1 {
+		return misuse("--seeds must be at least 1")
+	}
+	if r.Bench == nil {
+		return notBuiltIn("bench")
+	}
+	return endOf(ctx, r.Bench(ctx, *c, out))
+}
+
+type standinCommand struct {
+	Platform *PlatformOptions `arg:"subcommand:platform" help:"table, object store and membership list"`
+	Worker   *WorkerOptions   `arg:"subcommand:worker" help:"a machine that runs tasks"`
+	Runner   *RunnerOptions   `arg:"subcommand:runner" help:"a process of an endpoint"`
+	Proxy    *ProxyOptions    `arg:"subcommand:proxy" help:"a TCP proxy that injects faults"`
+}
+
+func (c *standinCommand) run(context.Context, Registry, io.Writer) error {
+	return misuse("standin: one of platform, worker, runner or proxy is missing")
+}
+
+// PlatformOptions are the options of the platform's stand-in.
+type PlatformOptions struct {
+	Listen string `arg:"--listen,required" placeholder:"ADDRESS" help:"IP number and port to listen on"`
+}
+
+func (c *PlatformOptions) run(ctx context.Context, r Registry, out io.Writer) error {
+	if err := checkAddress("--listen", c.Listen); err != nil {
+		return err
+	}
+	if r.StandinPlatform == nil {
+		return notBuiltIn("standin platform")
+	}
+	return endOf(ctx, r.StandinPlatform(ctx, *c, out))
+}
+
+// WorkerOptions are the options of a worker's stand-in.
+type WorkerOptions struct {
+	Listen       string `arg:"--listen,required" placeholder:"ADDRESS" help:"IP number and port to listen on"`
+	Platform     string `arg:"--platform,required" placeholder:"ADDRESS" help:"address of the platform"`
+	Name         string `arg:"--name,required" help:"name on the membership list"`
+	Domain       string `arg:"--domain,required" help:"failure domain"`
+	Rack         string `arg:"--rack" help:"rack"`
+	CPUMilli     int64  `arg:"--cpu-milli" default:"32000" help:"processors in thousandths"`
+	MemoryMB     int64  `arg:"--memory-mb" default:"128000" help:"memory in MB"`
+	Accelerators int64  `arg:"--accelerators" default:"0" help:"number of accelerators"`
+}
+
+func (c *WorkerOptions) run(ctx context.Context, r Registry, out io.Writer) error {
+	if err := checkAddresses(map[string]string{"--listen": c.Listen, "--platform": c.Platform}); err != nil {
+		return err
+	}
+	if r.StandinWorker == nil {
+		return notBuiltIn("standin worker")
+	}
+	return endOf(ctx, r.StandinWorker(ctx, *c, out))
+}
+
+// RunnerOptions are the options of a runner's stand-in.
+type RunnerOptions struct {
+	Listen      string `arg:"--listen,required" placeholder:"ADDRESS" help:"IP number and port to listen on"`
+	Platform    string `arg:"--platform,required" placeholder:"ADDRESS" help:"address of the platform"`
+	Name        string `arg:"--name,required" help:"name on the membership list"`
+	Domain      string `arg:"--domain,required" help:"failure domain"`
+	Service     string `arg:"--service,required" help:"service that the runner answers for"`
+	Rack        string `arg:"--rack" help:"rack"`
+	Slots       int    `arg:"--slots" default:"8" help:"requests worked on at once"`
+	Connections int    `arg:"--connections" default:"64" help:"connections accepted"`
+	ServiceMS   int64  `arg:"--service-ms" default:"50" help:"time that a request takes"`
+}
+
+func (c *RunnerOptions) run(ctx context.Context, r Registry, out io.Writer) error {
+	if err := checkAddresses(map[string]string{"--listen": c.Listen, "--platform": c.Platform}); err != nil {
+		return err
+	}
+	if r.StandinRunner == nil {
+		return notBuiltIn("standin runner")
+	}
+	return endOf(ctx, r.StandinRunner(ctx, *c, out))
+}
+
+// ProxyOptions are the options of the fault-injecting proxy.
+type ProxyOptions struct {
+	Listen string `arg:"--listen,required" placeholder:"ADDRESS" help:"IP number and port to listen on"`
+	Target string `arg:"--target,required" placeholder:"ADDRESS" help:"address to pass connections on to"`
+}
+
+func (c *ProxyOptions) run(ctx context.Context, r Registry, out io.Writer) error {
+	if err := checkAddresses(map[string]string{"--listen": c.Listen, "--target": c.Target}); err != nil {
+		return err
+	}
+	if r.StandinProxy == nil {
+		return notBuiltIn("standin proxy")
+	}
+	return endOf(ctx, r.StandinProxy(ctx, *c, out))
+}
--- /dev/null
+++ b/command/submit.go
@@ -0,0 +1,76 @@
+package command
+
+import (
+	"context"
+	"io"
+	"net/http"
+
+	"bergamotstile/declaration"
+	"bergamotstile/structs"
+)
+
+type submitCommand struct {
+	Entry         string `arg:"--entry,required" placeholder:"ADDRESS" help:"caller address of an entry instance"`
+	Team          string `arg:"--team,required" help:"team that the work is for"`
+	Key           string `arg:"--key,required" help:"idempotency key; a repeated submit with the same key is the same work item"`
+	Job           string `arg:"--job,required" help:"declared kind of job"`
+	Domain        string `arg:"--domain" help:"failure domain; chosen by hash if left out"`
+	Class         string `arg:"--class" default:"normal" help:"urgent, normal or low"`
+	CPUMilli      int64  `arg:"--cpu-milli" help:"processors in thousandths; as declared if left out"`
+	MemoryMB      int64  `arg:"--memory-mb" help:"memory in MB; as declared if left out"`
+	Accelerators  int64  `arg:"--accelerators" help:"number of accelerators; as declared if left out"`
+	ExpectedRunMS int64  `arg:"--expected-run-ms" help:"expected run time; as declared if left out"`
+	MaxRunMS      int64  `arg:"--max-run-ms" help:"longest run time; as declared if left out"`
+	Payload       string `arg:"--payload" placeholder:"FILE" help:"input of the work"`
+}
+
+func (c *submitCommand) run(ctx context.Context, _ Registry, out io.Writer) error {
+	spec, err := c.spec()
+	if err != nil {
+		return err
+	}
+	headers := map[string]string{structs.HeaderIdempotencyKey: c.Key}
+	var answer structs.WorkStatus
+	if err := call(ctx, c.Entry, http.MethodPost, "/v1/work", headers, spec, &answer); err != nil {
+		return err
+	}
+	return printJSON(out, answer)
+}
+
+// spec builds what is submitted. Sizes and run times that are left out stay
+// zero, which stands for those of the declared job.
+func (c *submitCommand) spec() (structs.WorkSpec, error) {
+	if err := c.check(); err != nil {
+		return structs.WorkSpec{}, err
+	}
+	spec := structs.WorkSpec{
+		Team: c.Team, Key: c.Key, Job: c.Job, Kind: structs.KindBatch,
+		Class:  declaration.ClassName(c.Class).Class(),
+		Size:   structs.Resources{CPUMilli: c.CPUMilli, MemoryMB: c.MemoryMB, Accelerators: c.Accelerators},
+		Domain: c.Domain, ExpectedRunMS: c.ExpectedRunMS, MaxRunMS: c.MaxRunMS,
+	}
+	if c.Payload == "" {
+		return spec, nil
+	}
+	data, err := readInput(c.Payload)
+	spec.Payload = data
+	return spec, err
+}
+
+func (c *submitCommand) check() error {
+	if err := checkAddress("--entry", c.Entry); err != nil {
+		return err
+	}
+	if c.Team == "" || c.Key == "" || c.Job == "" {
+		return misuse("--team, --key and --job must not be empty")
+	}
+	switch declaration.ClassName(c.Class) {
+	case declaration.ClassUrgent, declaration.ClassNormal, declaration.ClassLow:
+	default:
+		return misuse("--class must be urgent, normal or low, not %q", c.Class)
+	}
+	if min(c.CPUMilli, c.MemoryMB, c.Accelerators, c.ExpectedRunMS, c.MaxRunMS) < 0 {
+		return misuse("sizes and run times must not be negative")
+	}
+	return nil
+}
--- /dev/null
+++ b/configuration/apply.go
@@ -0,0 +1,193 @@
+package configuration
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/jonboulle/clockwork"
+
+	"bergamotstile/declaration"
+	"bergamotstile/peer"
+	"bergamotstile/platform"
+	"bergamotstile/structs"
+)
+
+// Figures of an apply.
+const (
+	// resolveWait is the time between attempts to learn what became of a
+	// write whose answer was lost.
+	resolveWait = 100 * time.Millisecond
+	// applyTimeout bounds an apply while the table is slow.
+	applyTimeout = 10 * time.Second
+	// maxOperator is the longest name of an operator.
+	maxOperator = 128
+	// keepChanges is the number of change rows below the snapshot that stay in
+	// the table. An instance that is further behind starts from the snapshot.
+	keepChanges = 512
+)
+
+// proposal is a change on its way into the table.
+type proposal struct {
+	change peer.ConfigChange
+	record change
+	tx     platform.Transaction
+	// base is the head that the transaction is conditional on.
+	base headRow
+}
+
+// Apply makes d the configuration in force and returns its version, or a
+// *structs.Refusal. Base is the version that the operator started from; zero
+// stands for the version in force when the call begins. A declaration that is in force already is
+// answered with its version.
+func (s *Store) Apply(ctx context.Context, operator string, base uint64, d *declaration.Deployment) (uint64, error) {
+	version, err := s.apply(ctx, operator, base, d)
+	if err != nil {
+		refusal := structs.AsRefusal(err)
+		s.o.Metrics.Refused(refusal.Reason)
+		s.o.Log.Infof(logPrefix+"apply by %q refused: %v", operator, refusal)
+		return 0, refusal
+	}
+	return version, nil
+}
+
+func (s *Store) apply(ctx context.Context, operator string, base uint64, d *declaration.Deployment) (uint64, error) {
+	if err := s.checkApply(operator, d); err != nil {
+		return 0, err
+	}
+	ctx, cancel := clockwork.WithTimeout(ctx, s.o.Clock, applyTimeout)
+	defer cancel()
+	if base == 0 {
+		h, err := s.confirm(ctx)
+		if err != nil {
+			return 0, err
+		}
+		base = h.Version
+	}
+	select {
+	case s.applying <- struct{}{}:
+		defer func() { <-s.applying }()
+	case <-ctx.Done():
+		return 0, structs.NotRun(structs.ReasonStoreUnavailable, "another apply is under way")
+	}
+	return s.applyOn(ctx, operator, base, d.Entries())
+}
+
+// applyOn writes entries as the version after base.
+func (s *Store) applyOn(ctx context.Context, operator string, base uint64, entries declaration.Entries) (uint64, error) {
+	h, err := s.confirm(ctx)
+	if err != nil {
+		return 0, err
+	}
+	delta := declaration.Diff(s.current().entries, entries)
+	if delta.Empty() {
+		return h.Version, nil
+	}
+	if base != h.Version {
+		return 0, s.lostTo(ctx, h.Version, base)
+	}
+	return s.commit(ctx, s.propose(ctx, h, operator, entries, delta))
+}
+
+// confirm brings the instance up to the table's head.
+func (s *Store) confirm(ctx context.Context) (headRow, error) {
+	h, err := s.catchUp(ctx)
+	if err != nil {
+		return h, structs.NotRun(structs.ReasonStoreUnavailable, "the configuration cannot be read: %v", err)
+	}
+	if at := s.current().version; h.Version != at {
+		return h, structs.NotRun(structs.ReasonStoreUnavailable,
+			"the table's head is at version %d and version %d is in force", h.Version, at)
+	}
+	return h, nil
+}
+
+func (s *Store) checkApply(operator string, d *declaration.Deployment) error {
+	operator = strings.TrimSpace(operator)
+	if operator == "" || len(operator) > maxOperator {
+		return structs.NotRun(structs.ReasonBadRequest, "operator: must be 1 to %d bytes", maxOperator)
+	}
+	if d == nil {
+		return structs.NotRun(structs.ReasonBadRequest, "declaration: is required")
+	}
+	if err := d.Check(s.o.Limits); err != nil {
+		return structs.NotRun(structs.ReasonDeclarationInvalid, "%v", err)
+	}
+	return nil
+}
+
+// propose builds the transaction that turns the head into the next version.
+func (s *Store) propose(ctx context.Context, h headRow, operator string,
+	entries declaration.Entries, delta declaration.Delta) proposal {
+	writeID := uuid.NewString()
+	version := h.Version + 1
+	digest := entries.Digest()
+	record := change{Version: version, Operator: operator, Base: h.Version, WriteID: writeID, Digest: digest, Delta: delta}
+	next := head{Version: version, Digest: digest, Snapshot: s.storeSnapshot(ctx, h), WriteID: writeID}
+	value := encode(record)
+	return proposal{
+		change: peer.ConfigChange{Version: version, Value: value},
+		record: record,
+		base:   h,
+		tx: platform.Transaction{
+			WriteID:    writeID,
+			Conditions: []platform.Condition{{Key: keyHead, Version: h.rowVersion}, {Key: changeKey(version)}},
+			Puts:       []platform.Put{{Key: keyHead, Value: encode(next)}, {Key: changeKey(version), Value: value}},
+			Deletes:    expiredChanges(version, next.Snapshot),
+		},
+	}
+}
+
+// expiredChanges returns the change row that the snapshot has made
+// unnecessary, if any. One row goes with each apply, so the number of rows
+// stays bounded while the object store works.
+func expiredChanges(version, snapshot uint64) []string {
+	if version <= keepChanges+snapshotEvery || version-keepChanges-snapshotEvery > snapshot {
+		return nil
+	}
+	return []string{changeKey(version - keepChanges - snapshotEvery)}
+}
+
+// storeSnapshot stores the version in force once the last snapshot is
+// snapshotEvery versions old, and returns the newest stored version. If the
+// object store fails, the next apply tries again.
+func (s *Store) storeSnapshot(ctx context.Context, h headRow) uint64 {
+	current := s.current()
+	if current.version < h.Snapshot+snapshotEvery {
+		return h.Snapshot
+	}
+	if err := s.o.Objects.Put(ctx, snapshotName(current.version), current.snapshot()); err != nil {
+		s.o.Metrics.Count("config_snapshot_failed", 1)
+		s.o.Log.Warnf(logPrefix+"snapshot %d was not stored: %v", current.version, err)
+		return h.Snapshot
+	}
+	return current.version
+}
+
+// commit writes a proposal and tells whether it won.
+func (s *Store) commit(ctx context.Context, p proposal) (uint64, error) {
+	_, err := s.o.Table.Commit(ctx, p.tx)
+	var conflict *platform.ConflictError
+	switch {
+	case err == nil:
+		return s.accept(p)
+	case errors.As(err, &conflict):
+		return s.lookUp(ctx, p)
+	case errors.Is(err, platform.ErrUnavailable):
+		return 0, structs.NotRun(structs.ReasonStoreUnavailable, "%v", err)
+	}
+	return s.resolve(ctx, p, err)
+}
+
+// accept puts a committed change in force here and starts its push.
+func (s *Store) accept(p proposal) (uint64, error) {
+	if err := s.install(p.change); err != nil {
+		s.o.Log.Warnf(logPrefix+"version %d is accepted but not yet in force here: %v", p.change.Version, err)
+		s.pollSoon()
+	}
+	s.o.Log.Infof(logPrefix+"version %d of operator %q is accepted", p.change.Version, p.record.Operator)
+	s.startPush(p.change)
+	return p.change.Version, nil
+}
--- /dev/null
+++ b/declaration/declaration.go
@@ -0,0 +1,196 @@
+// Package declaration holds the types of a deployment as operators declare
+// it, checks them, and represents a deployment as named entries so that two
+// versions differ by a small delta.
+package declaration
+
+import (
+	"slices"
+
+	"bergamotstile/strictjson"
+	"bergamotstile/structs"
+)
+
+// Deployment is everything that operators declare.
+type Deployment struct {
+	Name      string    `json:"name"`
+	Objective Objective `json:"objective"`
+	// ShardsPerDomain is 1 if the file does not say otherwise.
+	ShardsPerDomain int           `json:"shards_per_domain,omitempty"`
+	WorkerShapes    []WorkerShape `json:"worker_shapes"`
+	Domains         []Domain      `json:"domains"`
+	Services        []Service     `json:"services,omitempty"`
+	Teams           []Team        `json:"teams,omitempty"`
+	BatchJobs       []BatchJob    `json:"batch_jobs,omitempty"`
+	StandingJobs    []StandingJob `json:"standing_jobs,omitempty"`
+}
+
+// Objective weighs the three measures against each other.
+type Objective struct {
+	TailLatency     float64 `json:"tail_latency"`
+	BatchThroughput float64 `json:"batch_throughput"`
+	Evictions       float64 `json:"evictions"`
+}
+
+// WorkerShape is the capacity that workers of one kind have.
+type WorkerShape struct {
+	Name     string            `json:"name"`
+	Capacity structs.Resources `json:"capacity"`
+}
+
+// Domain is a failure domain and its workers.
+type Domain struct {
+	Name    string        `json:"name"`
+	Workers []WorkerGroup `json:"workers,omitempty"`
+}
+
+// WorkerGroup is a number of workers of one shape.
+type WorkerGroup struct {
+	Shape    string `json:"shape"`
+	Count    int    `json:"count"`
+	RackSize int    `json:"rack_size"`
+}
+
+// Service is an endpoint that answers latency-critical requests.
+type Service struct {
+	Name    string        `json:"name"`
+	Runners []RunnerGroup `json:"runners"`
+	// Slots is the number of requests that a runner works on at once.
+	Slots int `json:"slots"`
+	// Connections is the number of connections that a runner accepts.
+	Connections int           `json:"connections"`
+	Requests    []RequestKind `json:"requests"`
+}
+
+// RunnerGroup is the number of runners of a service in a failure domain.
+type RunnerGroup struct {
+	Domain string `json:"domain"`
+	Count  int    `json:"count"`
+}
+
+// RequestKind is one kind of request to a service.
+type RequestKind struct {
+	Kind       string    `json:"kind"`
+	TimeoutMS  int64     `json:"timeout_ms"`
+	Class      ClassName `json:"class"`
+	Idempotent bool      `json:"idempotent"`
+}
+
+// BatchJob is one kind of batch work.
+type BatchJob struct {
+	Kind          string            `json:"kind"`
+	Team          string            `json:"team"`
+	Class         ClassName         `json:"class,omitempty"`
+	Size          structs.Resources `json:"size"`
+	ExpectedRunMS int64             `json:"expected_run_ms"`
+	MaxRunMS      int64             `json:"max_run_ms"`
+	Idempotent    bool              `json:"idempotent"`
+	// Checkpoint tells that the work can resume from a checkpoint.
+	Checkpoint bool `json:"checkpoint"`
+}
+
+// StandingJob is work that runs all the time in a number of replicas.
+type StandingJob struct {
+	Kind          string            `json:"kind"`
+	Team          string            `json:"team"`
+	Class         ClassName         `json:"class,omitempty"`
+	Replicas      int               `json:"replicas"`
+	Size          structs.Resources `json:"size"`
+	ExpectedRunMS int64             `json:"expected_run_ms"`
+	MaxRunMS      int64             `json:"max_run_ms"`
+	Idempotent    bool              `json:"idempotent"`
+	Checkpoint    bool              `json:"checkpoint"`
+}
+
+// Team is a group of callers whose work shares a quota.
+type Team struct {
+	Name   string            `json:"name"`
+	Quota  structs.Resources `json:"quota"`
+	Weight float64           `json:"weight"`
+}
+
+// ClassName is a class of work as it is written in a declaration.
+type ClassName string
+
+// The names of the classes, most urgent first.
+const (
+	ClassUrgent ClassName = "urgent"
+	ClassNormal ClassName = "normal"
+	ClassLow    ClassName = "low"
+)
+
+// Class returns the class; a name that is left out means normal.
+func (n ClassName) Class() structs.Class {
+	switch n {
+	case ClassUrgent:
+		return structs.ClassUrgent
+	case ClassLow:
+		return structs.ClassLow
+	}
+	return structs.ClassNormal
+}
+
+// Decode reads a declaration. It does not check what the fields say.
+func Decode(data []byte) (*Deployment, error) {
+	d := &Deployment{ShardsPerDomain: 1}
+	if err := strictjson.Decode(data, d); err != nil {
+		return nil, err
+	}
+	return d, nil
+}
+
+// DomainNames returns the names of the failure domains in order.
+func (d *Deployment) DomainNames() []string {
+	names := make([]string, 0, len(d.Domains))
+	for _, domain := range d.Domains {
+		names = append(names, domain.Name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Service returns the service of a name.
+func (d *Deployment) Service(name string) (Service, bool) {
+	return find(d.Services, name, func(s Service) string { return s.Name })
+}
+
+// Team returns the team of a name.
+func (d *Deployment) Team(name string) (Team, bool) {
+	return find(d.Teams, name, func(t Team) string { return t.Name })
+}
+
+// BatchJob returns the batch job of a kind.
+func (d *Deployment) BatchJob(kind string) (BatchJob, bool) {
+	return find(d.BatchJobs, kind, func(j BatchJob) string { return j.Kind })
+}
+
+// StandingJob returns the standing job of a kind.
+func (d *Deployment) StandingJob(kind string) (StandingJob, bool) {
+	return find(d.StandingJobs, kind, func(j StandingJob) string { return j.Kind })
+}
+
+// Request returns the request kind of a name.
+func (s Service) Request(kind string) (RequestKind, bool) {
+	return find(s.Requests, kind, func(r RequestKind) string { return r.Kind })
+}
+
+// DomainsFitting returns the names of the failure domains that declare a
+// worker on which size fits.
+func (d *Deployment) DomainsFitting(size structs.Resources) []string {
+	var names []string
+	for _, domain := range d.Domains {
+		if d.fitsIn(domain, size) > 0 {
+			names = append(names, domain.Name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+func find[T any](list []T, name string, nameOf func(T) string) (T, bool) {
+	i := slices.IndexFunc(list, func(item T) bool { return nameOf(item) == name })
+	if i < 0 {
+		var none T
+		return none, false
+	}
+	return list[i], true
+}
--- /dev/null
+++ b/strictjson/problem.go
@@ -0,0 +1,84 @@
+package strictjson
+
+import (
+	"fmt"
+	"strings"
+)
+
+// maxProblems bounds the problems of one document, and so the size of the
+// answer to a caller who sends a large wrong one.
+const maxProblems = 100
+
+// Problem is one fault of a document. Path names the field, such as
+// services[0].requests[1].kind; it is empty for the document as a whole.
+type Problem struct {
+	Path   string `json:"path"`
+	Detail string `json:"detail"`
+}
+
+// String returns the problem as one line.
+func (p Problem) String() string {
+	if p.Path == "" {
+		return p.Detail
+	}
+	return p.Path + ": " + p.Detail
+}
+
+// Error is the refusal of a document with everything that is wrong with it.
+type Error struct {
+	Problems []Problem
+}
+
+// Error returns one line for each problem.
+func (e *Error) Error() string {
+	lines := make([]string, 0, len(e.Problems))
+	for _, p := range e.Problems {
+		lines = append(lines, p.String())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Collector gathers problems. The zero value is ready for use.
+type Collector struct {
+	problems []Problem
+	omitted  int
+}
+
+// Addf records a problem of the field at path.
+func (c *Collector) Addf(path, format string, args ...any) {
+	if len(c.problems) >= maxProblems {
+		c.omitted++
+		return
+	}
+	c.problems = append(c.problems, Problem{Path: path, Detail: fmt.Sprintf(format, args...)})
+}
+
+// Err returns an *Error with the problems, or nil if there are none.
+func (c *Collector) Err() error {
+	if len(c.problems) == 0 {
+		return nil
+	}
+	problems := c.problems
+	if c.omitted > 0 {
+		problems = append(problems, Problem{Detail: fmt.Sprintf("%d more problems", c.omitted)})
+	}
+	return &Error{Problems: problems}
+}
+
+// Field returns the path of a field below path.
+func Field(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
+
+// Index returns the path of item i of the list at path.
+func Index(path string, i int) string {
+	return fmt.Sprintf("%s[%d]", path, i)
+}
+
+// Count returns the number of problems recorded so far.
+func (c *Collector) Count() int {
+	return len(c.problems) + c.omitted
+}
