policy: add the decisions and combine them into one policy

Placement, learned interference, reaction, quotas and quarantine are pure components with property tests; policy.Policy joins them under the objective weights of a deployment. A work item that failed on several credible workers needs a reason apart from never_fits, so structs gains never_runs.

--- /dev/null
+++ b/policy/react.go
@@ -0,0 +1,183 @@
+package policy
+
+import (
+	"time"
+
+	"bergamotstile/qos"
+	"bergamotstile/quota"
+	"bergamotstile/scheduler"
+	"bergamotstile/structs"
+)
+
+const (
+	// checkpointFailure is the assumed part of evictions whose checkpoint
+	// fails, so that all work since the start is lost.
+	checkpointFailure = 0.05
+	// restartLoss is the assumed time that a restart from a checkpoint costs.
+	restartLoss = 20 * time.Second
+	// queueWeight converts waiting requests for each slot into an excess.
+	queueWeight = 0.5
+	// freshMeasurement is the age up to which a measured excess counts.
+	freshMeasurement = 15 * time.Second
+)
+
+// react throttles, evicts and releases work beside services.
+func (c *planning) react() {
+	for i := range c.snapshot.Workers {
+		w := &c.snapshot.Workers[i]
+		if s := c.services[w.Name]; s != nil && len(w.Running) > 0 {
+			c.reactOn(i, w, s)
+		}
+	}
+}
+
+func (c *planning) reactOn(index int, w *scheduler.Worker, s *service) {
+	predicted := c.beside.at(index, w).mean
+	reading := qos.Reading{Worker: w.Name, Excess: max(0, predicted+s.residual)}
+	if c.enabled(MechanismQueue) {
+		reading.Excess += queueWeight * s.queue
+	}
+	fresh := c.snapshot.Now.Sub(s.measured) < freshMeasurement
+	reading.Measured = fresh && s.excess > c.settings.QoS.Limit
+	neighbours := c.neighbours(w, s, max(predicted, 1e-9), predicted+s.residual)
+	for _, action := range c.reaction.React(c.snapshot.Now, reading, neighbours) {
+		c.apply(action)
+	}
+}
+
+func (c *planning) apply(a qos.Action) {
+	if !a.Evict {
+		if c.enabled(MechanismThrottle) {
+			c.plan.Throttles = append(c.plan.Throttles, scheduler.Throttle{Work: a.Work, Share: a.Share})
+		}
+		return
+	}
+	if c.enabled(MechanismEvict) && !c.snapshot.EvictionsSuspended {
+		c.evict(a.Work, "service hurt")
+	}
+}
+
+func (c *planning) evict(id structs.WorkID, cause string) {
+	c.evicted[id] = true
+	c.plan.Evictions = append(c.plan.Evictions, scheduler.Eviction{Work: id, Cause: cause})
+}
+
+// neighbours lists the running batch work of a worker with its harm, scaled so
+// that the sum is the excess that is to be explained.
+func (c *planning) neighbours(w *scheduler.Worker, s *service, predicted, excess float64) []qos.Neighbour {
+	scale := max(1, excess/predicted)
+	var list []qos.Neighbour
+	for i := range w.Running {
+		a := &w.Running[i]
+		if a.State != structs.StateRunning || a.Class == structs.ClassUrgent {
+			continue
+		}
+		pair := c.model.Pair(s.kind, c.model.Kind(a.Job), s.load)
+		list = append(list, qos.Neighbour{
+			Work:      a.Work,
+			Harm:      scale * pair.Mean * c.use(a, w),
+			Lost:      lost(a),
+			Share:     share(a),
+			Evictable: evictable(a),
+		})
+	}
+	return list
+}
+
+// evictable reports whether an attempt may be evicted by choice. Work that is
+// not idempotent is lost if its checkpoint fails, so it stays.
+func evictable(a *scheduler.Attempt) bool {
+	return a.State == structs.StateRunning && a.Idempotent && a.Class != structs.ClassUrgent && a.Evictions < maxEvictions
+}
+
+// maxEvictions bounds the evictions of one item, so that it finishes.
+const maxEvictions = 3
+
+// lost returns the work that an eviction is expected to lose, in core seconds.
+func lost(a *scheduler.Attempt) float64 {
+	cores := float64(a.Size.CPUMilli) / 1000
+	return cores * (restartLoss.Seconds() + checkpointFailure*a.RunningFor.Seconds())
+}
+
+// preempt clears room for an urgent item that found none, or keeps holding
+// the room that is being cleared.
+func (c *planning) preempt(item *scheduler.Item) {
+	if !c.enabled(MechanismPreemption) {
+		return
+	}
+	if h, ok := c.holds[item.Work]; ok && c.snapshot.Now.Before(h.until) {
+		c.keepHold(item, h)
+		return
+	}
+	if c.snapshot.EvictionsSuspended {
+		return
+	}
+	node, victims := c.cheapest(item)
+	if node == nil {
+		return
+	}
+	for _, id := range victims {
+		c.evict(id, "urgent work")
+	}
+	c.holds[item.Work] = hold{worker: node.Name, until: c.snapshot.Now.Add(c.settings.HoldPreempted)}
+	c.cycle.Hold(node, item.Size)
+}
+
+func (c *planning) keepHold(item *scheduler.Item, h hold) {
+	nodes := c.cycle.Nodes()
+	for i := range nodes {
+		if nodes[i].Name == h.worker {
+			c.cycle.Hold(&nodes[i], item.Size)
+			return
+		}
+	}
+}
+
+// cheapest returns the node where room for an item costs the least work.
+func (c *planning) cheapest(item *scheduler.Item) (*scheduler.Node, []structs.WorkID) {
+	var best *scheduler.Node
+	var victims []structs.WorkID
+	least := 0.0
+	nodes := c.cycle.Nodes()
+	for i := range nodes {
+		n := &nodes[i]
+		if !item.Size.Fits(n.Capacity) || !(scheduler.Placeable{}).Filter(item, n) || !(healthy{c}).Filter(item, n) {
+			continue
+		}
+		ids, cost, ok := c.clear(item, n)
+		if ok && (best == nil || cost < least) {
+			best, victims, least = n, ids, cost
+		}
+	}
+	return best, victims
+}
+
+// clear returns the batch work to evict from a node for an item, and what
+// that loses.
+func (c *planning) clear(item *scheduler.Item, n *scheduler.Node) ([]structs.WorkID, float64, bool) {
+	free := n.Room
+	var running []quota.Running
+	var ids []structs.WorkID
+	for i := range n.Running {
+		a := &n.Running[i]
+		if a.State == structs.StateEvicting || c.evicted[a.Work] {
+			free = free.Add(a.Size)
+			continue
+		}
+		if evictable(a) {
+			running = append(running, quota.Running{Size: a.Size, Lost: lost(a)})
+			ids = append(ids, a.Work)
+		}
+	}
+	chosen, ok := quota.Preempt(item.Size, free, running)
+	if !ok {
+		return nil, 0, false
+	}
+	var victims []structs.WorkID
+	cost := 0.0
+	for _, i := range chosen {
+		victims = append(victims, ids[i])
+		cost += running[i].Lost
+	}
+	return victims, cost, true
+}
--- /dev/null
+++ b/qos/controller_test.go
@@ -0,0 +1,129 @@
+package qos
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"bergamotstile/structs"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(0, 0)
+
+func drawNeighbours(t *rapid.T) []Neighbour {
+	neighbours := make([]Neighbour, rapid.IntRange(1, 8).Draw(t, "neighbours"))
+	for i := range neighbours {
+		neighbours[i] = Neighbour{
+			Work:      structs.WorkID(fmt.Sprint(i)),
+			Harm:      rapid.Float64Range(0, 0.6).Draw(t, "harm"),
+			Lost:      rapid.Float64Range(0, 1000).Draw(t, "lost"),
+			Share:     1,
+			Evictable: rapid.Bool().Draw(t, "evictable"),
+		}
+	}
+	return neighbours
+}
+
+// apply performs actions and returns the number of evictions.
+func apply(neighbours []Neighbour, actions []Action) ([]Neighbour, int) {
+	evicted := 0
+	for _, a := range actions {
+		for i := range neighbours {
+			if neighbours[i].Work != a.Work {
+				continue
+			}
+			if a.Evict {
+				neighbours = append(neighbours[:i:i], neighbours[i+1:]...)
+				evicted++
+			} else {
+				neighbours[i].Harm *= a.Share / neighbours[i].Share
+				neighbours[i].Share = a.Share
+			}
+			break
+		}
+	}
+	return neighbours, evicted
+}
+
+// Guards against evictions before throttling is exhausted, of work that must
+// stay, and faster than the limit, however long the service is hurt.
+func TestEvictionsComeAfterThrottlesAndWithinTheRate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := DefaultSettings()
+		c := New(s)
+		neighbours := drawNeighbours(t)
+		total := 0
+		for second := range 300 {
+			actions := c.React(start.Add(time.Duration(second)*time.Second), Reading{Worker: "w", Excess: 1, Measured: true}, neighbours)
+			for _, a := range actions {
+				if !a.Evict {
+					continue
+				}
+				for _, n := range neighbours {
+					if n.Harm > 0 && n.Share > s.MinShare {
+						t.Fatalf("%s is evicted while %s has share %.2f", a.Work, n.Work, n.Share)
+					}
+					if n.Work == a.Work && !n.Evictable {
+						t.Fatalf("%s must not be evicted", a.Work)
+					}
+				}
+			}
+			var evicted int
+			neighbours, evicted = apply(neighbours, actions)
+			total += evicted
+		}
+		if limit := int(s.EvictBurst) + 300/int(s.EvictEvery.Seconds()); total > limit {
+			t.Fatalf("%d evictions, the limit is %d", total, limit)
+		}
+	})
+}
+
+// Guards against evictions on a prediction alone.
+func TestPredictionsNeverEvict(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := New(DefaultSettings())
+		neighbours := drawNeighbours(t)
+		for second := range 120 {
+			actions := c.React(start.Add(time.Duration(second)*time.Second), Reading{Worker: "w", Excess: 2}, neighbours)
+			var evicted int
+			if neighbours, evicted = apply(neighbours, actions); evicted > 0 {
+				t.Fatal("a prediction led to an eviction")
+			}
+		}
+	})
+}
+
+// Guards against releases that come as fast as throttles, which makes the
+// service swing between hurt and calm.
+func TestReleaseIsSlowAndActionIsImmediate(t *testing.T) {
+	s := DefaultSettings()
+	c := New(s)
+	neighbours := []Neighbour{{Work: "a", Harm: 0.5, Share: 1}}
+	actions := c.React(start, Reading{Worker: "w", Excess: 0.5}, neighbours)
+	if len(actions) != 1 || actions[0].Share >= 1 {
+		t.Fatalf("no throttle at the first reading: %v", actions)
+	}
+	neighbours, _ = apply(neighbours, actions)
+	neighbours[0].Harm = 0
+	for at := time.Second; at < s.ReleaseAfter; at += time.Second {
+		if got := c.React(start.Add(at), Reading{Worker: "w"}, neighbours); len(got) > 0 {
+			t.Fatalf("release after %v", at)
+		}
+	}
+	if got := c.React(start.Add(2*s.ReleaseAfter), Reading{Worker: "w"}, neighbours); len(got) != 1 || got[0].Share != 1 {
+		t.Fatalf("no release: %v", got)
+	}
+}
+
+// Guards against a victim that loses much work for little relief.
+func TestVictimHasMostHarmForWorkLost(t *testing.T) {
+	got, ok := Victim([]Neighbour{
+		{Work: "long", Harm: 0.3, Lost: 5000, Evictable: true},
+		{Work: "short", Harm: 0.2, Lost: 10, Evictable: true},
+		{Work: "pinned", Harm: 0.9, Lost: 0},
+	})
+	if !ok || got != "short" {
+		t.Fatalf("victim is %q", got)
+	}
+}
--- a/structs/refusal.go
+++ b/structs/refusal.go
@@ -32,6 +32,7 @@
 	ReasonUnknownTeam         Reason = "unknown_team"
 	ReasonUnknownJob          Reason = "unknown_job"
 	ReasonNeverFits           Reason = "never_fits"
+	ReasonNeverRuns           Reason = "never_runs"
 	ReasonDeadlineUnreachable Reason = "deadline_unreachable"
 	ReasonDeadlineExceeded    Reason = "deadline_exceeded"
 	ReasonQueueFull           Reason = "queue_full"
@@ -109,7 +110,7 @@
 	switch r.Reason {
 	case ReasonBadRequest, ReasonKeyRequired, ReasonUnknownDomain, ReasonUnknownTeam, ReasonUnknownJob:
 		return http.StatusBadRequest
-	case ReasonDeclarationInvalid, ReasonNeverFits:
+	case ReasonDeclarationInvalid, ReasonNeverFits, ReasonNeverRuns:
 		return http.StatusUnprocessableEntity
 	case ReasonTooLarge:
 		return http.StatusRequestEntityTooLarge
