--- a/cmd/bergamotstile/main.go
+++ b/cmd/bergamotstile/main.go
@@ -19,8 +19,3 @@
 	defer stop()
 	return command.Run(ctx, os.Args[1:], registry(), os.Stdout, os.Stderr)
 }
-
-// registry names the long-running parts that this program is built with.
-func registry() command.Registry {
-	return command.Registry{}
-}
--- /dev/null
+++ b/cmd/bergamotstile/registry.go
@@ -0,0 +1,53 @@
+package main
+
+import (
+	"context"
+	"io"
+	"os"
+
+	"github.com/sirupsen/logrus"
+
+	"bergamotstile/command"
+	"bergamotstile/entry"
+	"bergamotstile/settings"
+	"bergamotstile/standin"
+)
+
+// registry names the long-running parts that this program is built with.
+func registry() command.Registry {
+	return command.Registry{
+		Entry:           runEntry,
+		StandinPlatform: runPlatform,
+		StandinWorker:   runWorker,
+		StandinRunner:   runRunner,
+		StandinProxy:    runProxy,
+	}
+}
+
+func runEntry(ctx context.Context, s *settings.Settings) error {
+	log := logrus.New()
+	log.SetOutput(os.Stderr)
+	return entry.New(s, logrus.NewEntry(log)).Run(ctx)
+}
+
+func runPlatform(ctx context.Context, o command.PlatformOptions, _ io.Writer) error {
+	return standin.RunPlatform(ctx, standin.ArgsPlatform{Address: o.Listen, Seed: o.Seed, ListLagMS: o.ListLagMS})
+}
+
+func runWorker(ctx context.Context, o command.WorkerOptions, _ io.Writer) error {
+	return standin.RunWorker(ctx, standin.ArgsWorker{
+		Address: o.Listen, Name: o.Name, Domain: o.Domain, Rack: o.Rack, Platform: o.Platform,
+		CPUMilli: o.CPUMilli, MemoryMB: o.MemoryMB, Accelerators: o.Accelerators, UsageLagMS: o.UsageLagMS,
+	})
+}
+
+func runRunner(ctx context.Context, o command.RunnerOptions, _ io.Writer) error {
+	return standin.RunRunner(ctx, standin.ArgsRunner{
+		Address: o.Listen, Name: o.Name, Domain: o.Domain, Service: o.Service, Platform: o.Platform,
+		Slots: o.Slots, ServiceMS: o.ServiceMS,
+	})
+}
+
+func runProxy(ctx context.Context, o command.ProxyOptions, _ io.Writer) error {
+	return standin.RunProxy(ctx, standin.ArgsProxy{Address: o.Listen, Target: o.Target, Control: o.Control})
+}
--- a/command/run.go
+++ b/command/run.go
@@ -63,13 +63,11 @@
 // BenchOptions are the options of the policy bench.
 type BenchOptions struct {
 	Deployment string `arg:"--deployment" default:"society" placeholder:"NAME" help:"society or lavigne"`
-	Seeds      int    `arg:"--seeds" default:"20" help:"number of seeds"`
+	Policy     string `arg:"--policy" default:"all" placeholder:"NAME" help:"bergamotstile, best-fit, separate, threshold or all"`
+	Seed       int64  `arg:"--seed" default:"1" help:"seed of the workload and its faults"`
 }
 
 func (c *BenchOptions) run(ctx context.Context, r Registry, out io.Writer) error {
-	if c.Seeds < 1 {
-		return misuse("--seeds must be at least 1")
-	}
 	if r.Bench == nil {
 		return notBuiltIn("bench")
 	}
@@ -89,7 +87,9 @@
 
 // PlatformOptions are the options of the platform's stand-in.
 type PlatformOptions struct {
-	Listen string `arg:"--listen,required" placeholder:"ADDRESS" help:"IP number and port to listen on"`
+	Listen    string `arg:"--listen,required" placeholder:"ADDRESS" help:"IP number and port to listen on"`
+	Seed      uint64 `arg:"--seed" default:"1" help:"seed of injected faults"`
+	ListLagMS int64  `arg:"--list-lag-ms" help:"how far the membership list lags"`
 }
 
 func (c *PlatformOptions) run(ctx context.Context, r Registry, out io.Writer) error {
@@ -112,6 +112,7 @@
 	CPUMilli     int64  `arg:"--cpu-milli" default:"32000" help:"processors in thousandths"`
 	MemoryMB     int64  `arg:"--memory-mb" default:"128000" help:"memory in MB"`
 	Accelerators int64  `arg:"--accelerators" default:"0" help:"number of accelerators"`
+	UsageLagMS   int64  `arg:"--usage-lag-ms" default:"1000" help:"age of reported usage"`
 }
 
 func (c *WorkerOptions) run(ctx context.Context, r Registry, out io.Writer) error {
@@ -149,8 +150,9 @@
 
 // ProxyOptions are the options of the fault-injecting proxy.
 type ProxyOptions struct {
-	Listen string `arg:"--listen,required" placeholder:"ADDRESS" help:"IP number and port to listen on"`
-	Target string `arg:"--target,required" placeholder:"ADDRESS" help:"address to pass connections on to"`
+	Listen  string `arg:"--listen,required" placeholder:"ADDRESS" help:"IP number and port to listen on"`
+	Target  string `arg:"--target,required" placeholder:"ADDRESS" help:"address to pass connections on to"`
+	Control string `arg:"--control,required" placeholder:"ADDRESS" help:"IP number and port of the fault API"`
 }
 
 func (c *ProxyOptions) run(ctx context.Context, r Registry, out io.Writer) error {
--- /dev/null
+++ b/entry/core.go
@@ -0,0 +1,163 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/google/uuid"
+
+	"bergamotstile/declaration"
+	"bergamotstile/lifecycle"
+	"bergamotstile/ownership"
+	"bergamotstile/peer"
+	"bergamotstile/policy"
+	"bergamotstile/routing"
+	"bergamotstile/structs"
+	"bergamotstile/supervisor"
+)
+
+// core is the parts that need a configuration before they can be built.
+type core struct {
+	shards    int
+	ownership *ownership.Manager
+	lifecycle *lifecycle.Manager
+	router    *routing.Router
+	policy    *policy.Policy
+	standing  *standingJobs
+}
+
+// coreLoader builds the core once there is a configuration. It is a duty of
+// its own, since an instance may start long before the first declaration.
+type coreLoader struct {
+	instance *Instance
+	tree     *supervisor.Tree
+}
+
+// configWait is how often the loader looks for the first configuration.
+const configWait = 50 * time.Millisecond
+
+// Serve waits for a configuration, adds the core's duties to the tree once,
+// and then idles.
+func (l *coreLoader) Serve(ctx context.Context) error {
+	for l.instance.core.Load() == nil {
+		if d, _ := l.instance.config.Current(); d != nil {
+			l.instance.startCore(d, l.tree)
+			break
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-l.instance.clock.After(configWait):
+		}
+	}
+	<-ctx.Done()
+	return nil
+}
+
+func (i *Instance) startCore(d *declaration.Deployment, tree *supervisor.Tree) {
+	c := &core{shards: max(d.ShardsPerDomain, 1)}
+	c.ownership = i.newOwnership(c.shards)
+	c.policy = policy.New(policySettings(d))
+	c.lifecycle = i.newLifecycle(c)
+	c.router = i.newRouter(c)
+	c.standing = &standingJobs{instance: i, core: c}
+	tree.Add("ownership", c.ownership)
+	tree.Add("lifecycle", c.lifecycle)
+	tree.Add("routing", c.router)
+	tree.Add("standing jobs", c.standing)
+	i.core.Store(c)
+	prefixed(i.log, "core").WithField("shards_per_domain", c.shards).Info("Configuration found; work is accepted.")
+}
+
+func (i *Instance) newOwnership(shards int) *ownership.Manager {
+	s := i.settings
+	return ownership.NewManager(ownership.Config{
+		Self: i.member(), Shards: shards,
+		Lease: s.LeaseMS.Duration(), Margin: s.LeaseMarginMS.Duration(),
+	}, ownership.Dependencies{
+		Table: i.table, Members: i.view, Peers: i.peers, NewWriteID: uuid.NewString,
+	}, i.clock)
+}
+
+func (i *Instance) newLifecycle(c *core) *lifecycle.Manager {
+	s := i.settings
+	return lifecycle.NewManager(lifecycle.Config{
+		Domain: s.Domain, Shards: c.shards,
+		TaskLease: s.TaskLeaseMS.Duration(), StartWindow: s.StartWindowMS.Duration(),
+		LeaseMargin: s.LeaseMarginMS.Duration(), Heartbeat: s.WorkerHeartbeatMS.Duration(),
+		QueueScan: s.QueueScanMS.Duration(), CommitMax: s.CommitMax, CommitWait: s.CommitWaitMS.Duration(),
+	}, lifecycle.Dependencies{
+		Table: i.table, Objects: i.platform, Workers: i.workers, View: i.view,
+		Leases: c.ownership, Policy: c.policy, Hinter: &hinter{i},
+		Verdicts: &verdicts{policy: c.policy, clock: i.clock},
+		Domains:  i.domains, NewWriteID: uuid.NewString,
+	}, i.clock)
+}
+
+func (i *Instance) newRouter(c *core) *routing.Router {
+	s := i.settings
+	return routing.New(routing.Config{
+		Instance: s.Name, Domain: s.Domain,
+		Settings: routing.Settings{
+			RequestTimeoutMax: s.RequestTimeoutMaxMS.Duration(),
+			Lease:             s.LeaseMS.Duration(),
+			AnswerRetention:   s.AnswerRetentionMS.Duration(),
+		},
+		Clock:     i.clock,
+		Ownership: &shardOwners{manager: c.ownership, view: i.view, domain: s.Domain},
+		Members:   i.view, Peers: i.peers, Topology: &topology{instance: i, shards: c.shards},
+		Runners: i.runners, Table: i.table, Objects: i.platform, Metrics: i.metrics,
+	})
+}
+
+func (i *Instance) domains() []string {
+	d, _ := i.config.Current()
+	if d == nil {
+		return nil
+	}
+	return d.DomainNames()
+}
+
+// ownedShards lists the shards that heartbeats announce.
+func (i *Instance) ownedShards() []peer.OwnedShard {
+	c := i.core.Load()
+	if c == nil {
+		return nil
+	}
+	var owned []peer.OwnedShard
+	for index := range c.shards {
+		shard := structs.ShardID{Domain: i.settings.Domain, Index: index}
+		if lease, ok := c.ownership.Held(shard); ok {
+			owned = append(owned, peer.OwnedShard{Shard: shard, Epoch: lease.Epoch})
+		}
+	}
+	return owned
+}
+
+// ready returns the core, or a refusal while the instance cannot serve.
+func (i *Instance) ready() (*core, error) {
+	c := i.core.Load()
+	if c == nil {
+		return nil, structs.NotRun(structs.ReasonNotReady, "no configuration is known yet").WithRetryAfter(time.Second)
+	}
+	return c, nil
+}
+
+func policySettings(d *declaration.Deployment) policy.Settings {
+	return policy.Settings{Weights: policy.Weights{
+		TailLatency:     d.Objective.TailLatency,
+		BatchThroughput: d.Objective.BatchThroughput,
+		Evictions:       d.Objective.Evictions,
+	}}
+}
+
+// checkShardCount refuses a change of the number of shards: rows are keyed by
+// shard, so work recorded under the old number would be found by nobody.
+func checkShardCount(current, next *declaration.Deployment) error {
+	if current == nil || max(current.ShardsPerDomain, 1) == max(next.ShardsPerDomain, 1) {
+		return nil
+	}
+	return structs.NotRun(structs.ReasonDeclarationInvalid, "%s",
+		fmt.Sprintf("shards_per_domain: cannot change from %d to %d once applied", current.ShardsPerDomain, next.ShardsPerDomain))
+}
--- /dev/null
+++ b/entry/status.go
@@ -0,0 +1,96 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"bergamotstile/structs"
+)
+
+// instanceStatus answers readiness and status requests.
+type instanceStatus struct {
+	instance *Instance
+}
+
+// Ready refuses while the balancer should send nothing.
+func (s *instanceStatus) Ready() error {
+	i := s.instance
+	if i.draining.Load() {
+		return structs.NotRun(structs.ReasonDraining, "instance is draining")
+	}
+	if _, err := i.ready(); err != nil {
+		return err
+	}
+	if !i.view.Ready() {
+		return structs.NotRun(structs.ReasonNotReady, "membership list was not read yet").WithRetryAfter(time.Second)
+	}
+	if i.isolated() {
+		return structs.NotRun(structs.ReasonIsolated, "neither the table nor a neighbour is reachable").WithRetryAfter(time.Second)
+	}
+	return nil
+}
+
+// isolated reports whether the instance reaches neither the table nor any of
+// the neighbours that its last list shows.
+func (i *Instance) isolated() bool {
+	if i.table.Up() {
+		return false
+	}
+	neighbours := 0
+	for _, m := range i.view.Listed(i.settings.Domain) {
+		if m.Name == i.settings.Name {
+			continue
+		}
+		neighbours++
+		if i.view.Reachable(m.Name) {
+			return false
+		}
+	}
+	return neighbours > 0
+}
+
+// Status is the JSON of /v1/status.
+type Status struct {
+	Instance      string          `json:"instance"`
+	Domain        string          `json:"domain"`
+	Draining      bool            `json:"draining"`
+	TableUp       bool            `json:"table_up"`
+	ConfigVersion uint64          `json:"config_version"`
+	Shards        []OwnedShard    `json:"shards"`
+	Instances     []InstanceState `json:"instances"`
+}
+
+// OwnedShard is a shard that the instance owns.
+type OwnedShard struct {
+	Shard string `json:"shard"`
+	Epoch uint64 `json:"epoch"`
+}
+
+// InstanceState is what the instance knows of another one.
+type InstanceState struct {
+	Name          string `json:"name"`
+	Domain        string `json:"domain"`
+	Reachable     bool   `json:"reachable"`
+	Draining      bool   `json:"draining"`
+	ConfigVersion uint64 `json:"config_version"`
+}
+
+// Status returns the instance's view of itself and of the others.
+func (s *instanceStatus) Status(context.Context) (any, error) {
+	i := s.instance
+	_, version := i.config.Current()
+	status := Status{
+		Instance: i.settings.Name, Domain: i.settings.Domain, Draining: i.draining.Load(),
+		TableUp: i.table.Up(), ConfigVersion: version,
+	}
+	for _, owned := range i.ownedShards() {
+		status.Shards = append(status.Shards, OwnedShard{Shard: owned.Shard.String(), Epoch: owned.Epoch})
+	}
+	for _, p := range i.view.Peers() {
+		status.Instances = append(status.Instances, InstanceState{
+			Name: p.Member.Name, Domain: p.Member.Domain, Reachable: p.Reachable,
+			Draining: p.Beat.Draining, ConfigVersion: p.Beat.ConfigVersion,
+		})
+	}
+	return status, nil
+}
