--- a/command/operate.go
+++ b/command/operate.go
@@ -6,7 +6,9 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strconv"
 
+	"bergamotstile/callerapi"
 	"bergamotstile/declaration"
 	"bergamotstile/structs"
 )
@@ -68,13 +70,15 @@
 	if err != nil {
 		return err
 	}
-	d, err := declaration.Decode(data)
-	if err != nil {
+	if _, err := declaration.Decode(data); err != nil {
 		return refused("%s is refused:\n%v", c.File, err)
 	}
-	body := declaration.ApplyRequest{Operator: c.Operator, Base: c.Base, Declaration: *d}
-	var answer declaration.ApplyResponse
-	if err := call(ctx, c.Entry, http.MethodPost, "/v1/declarations", nil, body, &answer); err != nil {
+	headers := map[string]string{
+		callerapi.HeaderOperator:    c.Operator,
+		callerapi.HeaderBaseVersion: strconv.FormatUint(c.Base, 10),
+	}
+	var answer callerapi.Applied
+	if err := call(ctx, c.Entry, http.MethodPost, "/v1/declarations", headers, json.RawMessage(data), &answer); err != nil {
 		return err
 	}
 	printf(out, "accepted as version %d\n", answer.Version)
