Prove the invariants on separate processes under faults

Cause: the invariants need histories of concurrent runs over real processes.

Now an item is refused only when every worker has reported and the item has waited for a minute; a test guards it.

--- a/cmd/bergamotstile/registry.go
+++ b/builtin/builtin.go
@@ -1,4 +1,5 @@
-package main
+// Package builtin names the long-running parts that the program is built with.
+package builtin
 
 import (
 	"context"
@@ -13,8 +14,8 @@
 	"bergamotstile/standin"
 )
 
-// registry names the long-running parts that this program is built with.
-func registry() command.Registry {
+// Registry returns those parts.
+func Registry() command.Registry {
 	return command.Registry{
 		Entry:           runEntry,
 		StandinPlatform: runPlatform,
@@ -37,14 +38,14 @@
 func runWorker(ctx context.Context, o command.WorkerOptions, _ io.Writer) error {
 	return standin.RunWorker(ctx, standin.ArgsWorker{
 		Address: o.Listen, Name: o.Name, Domain: o.Domain, Rack: o.Rack, Platform: o.Platform,
-		CPUMilli: o.CPUMilli, MemoryMB: o.MemoryMB, Accelerators: o.Accelerators, UsageLagMS: o.UsageLagMS,
+		CPUMilli: o.CPUMilli, MemoryMB: o.MemoryMB, Accelerators: o.Accelerators, UsageLagMS: o.UsageLagMS, Unlisted: o.Unlisted,
 	})
 }
 
 func runRunner(ctx context.Context, o command.RunnerOptions, _ io.Writer) error {
 	return standin.RunRunner(ctx, standin.ArgsRunner{
 		Address: o.Listen, Name: o.Name, Domain: o.Domain, Service: o.Service, Platform: o.Platform,
-		Slots: o.Slots, ServiceMS: o.ServiceMS,
+		Slots: o.Slots, ServiceMS: o.ServiceMS, Seed: o.Seed, Unlisted: o.Unlisted,
 	})
 }
 
--- a/cmd/bergamotstile/main.go
+++ b/cmd/bergamotstile/main.go
@@ -7,6 +7,7 @@
 	"os/signal"
 	"syscall"
 
+	"bergamotstile/builtin"
 	"bergamotstile/command"
 )
 
@@ -17,5 +18,5 @@
 func run() int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	return command.Run(ctx, os.Args[1:], registry(), os.Stdout, os.Stderr)
+	return command.Run(ctx, os.Args[1:], builtin.Registry(), os.Stdout, os.Stderr)
 }
--- a/command/run.go
+++ b/command/run.go
@@ -113,6 +113,7 @@
 	MemoryMB     int64  `arg:"--memory-mb" default:"128000" help:"memory in MB"`
 	Accelerators int64  `arg:"--accelerators" default:"0" help:"number of accelerators"`
 	UsageLagMS   int64  `arg:"--usage-lag-ms" default:"1000" help:"age of reported usage"`
+	Unlisted     bool   `arg:"--unlisted" help:"do not join the membership list"`
 }
 
 func (c *WorkerOptions) run(ctx context.Context, r Registry, out io.Writer) error {
@@ -136,6 +137,8 @@
 	Slots       int    `arg:"--slots" default:"8" help:"requests worked on at once"`
 	Connections int    `arg:"--connections" default:"64" help:"connections accepted"`
 	ServiceMS   int64  `arg:"--service-ms" default:"50" help:"time that a request takes"`
+	Seed        uint64 `arg:"--seed" default:"1" help:"seed of injected faults"`
+	Unlisted    bool   `arg:"--unlisted" help:"do not join the membership list"`
 }
 
 func (c *RunnerOptions) run(ctx context.Context, r Registry, out io.Writer) error {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -101,7 +101,7 @@
 	s := i.settings
 	return structs.Member{
 		Name: s.Name, Role: structs.RoleEntry, Domain: s.Domain,
-		Address: s.PeerAddress, State: structs.MemberLive,
+		Address: s.Advertised(), State: structs.MemberLive,
 	}
 }
 
--- /dev/null
+++ b/harness/client.go
@@ -0,0 +1,181 @@
+package harness
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"bergamotstile/callerapi"
+	"bergamotstile/entry"
+	"bergamotstile/history"
+	"bergamotstile/structs"
+)
+
+var realClock = clockwork.NewRealClock()
+
+// callLimit ends calls to processes that do not answer at all.
+const callLimit = 5 * time.Second
+
+// client opens a new connection for each call, as callers behind a balancer
+// may, so that a killed instance affects only its own calls.
+var client = &http.Client{
+	Timeout:   callLimit,
+	Transport: &http.Transport{DisableKeepAlives: true},
+}
+
+// send returns the status and body of an answer.
+func send(ctx context.Context, method, url string, headers map[string]string, body []byte) (int, []byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, err
+	}
+	for name, value := range headers {
+		req.Header.Set(name, value)
+	}
+	res, err := client.Do(req)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer res.Body.Close()
+	data, err := io.ReadAll(res.Body)
+	return res.StatusCode, data, err
+}
+
+// Request sends one latency-critical request to an entry instance and returns
+// the account of it. The body is the token that the answer must carry.
+func (c *Cluster) Request(ctx context.Context, n *Node, kind, key, caller string) history.Call {
+	headers := map[string]string{structs.HeaderCaller: caller}
+	if key != "" {
+		headers[structs.HeaderIdempotencyKey] = key
+	}
+	token := key
+	if token == "" {
+		token = caller + "-" + fmt.Sprint(time.Now().UnixNano())
+	}
+	call := history.Call{Work: token, Idempotent: kind == KindProof, Want: token, Start: time.Now().UnixNano()}
+	status, body, err := send(ctx, http.MethodPost, "http://"+n.Address+"/v1/requests/"+Service+"/"+kind, headers, []byte(token))
+	call.End = time.Now().UnixNano()
+	switch {
+	case err != nil:
+		call.Broken = true
+	case status == http.StatusOK:
+		call.Answered = true
+		call.Got = lastField(body)
+	default:
+		call.Outcome, call.Reason = account(body)
+	}
+	return call
+}
+
+// lastField returns the echoed body of a runner's answer, which names the
+// runner and the request first.
+func lastField(body []byte) string {
+	fields := strings.Fields(string(body))
+	if len(fields) == 0 {
+		return ""
+	}
+	return fields[len(fields)-1]
+}
+
+func account(body []byte) (structs.Outcome, structs.Reason) {
+	var r structs.Refusal
+	if json.Unmarshal(body, &r) != nil || r.Outcome == "" {
+		return structs.OutcomeMayHaveRun, structs.ReasonInternal
+	}
+	return r.Outcome, r.Reason
+}
+
+// Submit submits a batch job and returns its account, or false if the call
+// was refused or not answered.
+func (c *Cluster) Submit(ctx context.Context, n *Node, job, key string, runMS int, class structs.Class) (structs.WorkStatus, bool) {
+	body, _ := json.Marshal(map[string]any{
+		"team": Team, "job": job, "kind": "batch", "class": class, "size": JobSize,
+		"payload": []byte(fmt.Sprintf(`{"run_ms":%d}`, runMS)),
+	})
+	status, answer, err := send(ctx, http.MethodPost, "http://"+n.Address+"/v1/work",
+		map[string]string{structs.HeaderIdempotencyKey: key}, body)
+	return decodeStatus(status, answer, err)
+}
+
+// Work asks for the account of a work item.
+func (c *Cluster) Work(ctx context.Context, n *Node, id structs.WorkID) (structs.WorkStatus, bool) {
+	return decodeStatus(send(ctx, http.MethodGet, "http://"+n.Address+"/v1/work/"+string(id), nil, nil))
+}
+
+// Cancel cancels a work item.
+func (c *Cluster) Cancel(ctx context.Context, n *Node, id structs.WorkID) (structs.WorkStatus, bool) {
+	return decodeStatus(send(ctx, http.MethodDelete, "http://"+n.Address+"/v1/work/"+string(id), nil, nil))
+}
+
+func decodeStatus(code int, body []byte, err error) (structs.WorkStatus, bool) {
+	var status structs.WorkStatus
+	if err != nil || code/100 != 2 || json.Unmarshal(body, &status) != nil {
+		return status, false
+	}
+	return status, true
+}
+
+// Apply applies a declaration through an instance.
+func (c *Cluster) Apply(ctx context.Context, n *Node, operator string, base uint64, d any) (uint64, *structs.Refusal) {
+	file, err := json.Marshal(d)
+	if err != nil {
+		return 0, structs.NotRun(structs.ReasonBadRequest, "%v", err)
+	}
+	status, body, err := send(ctx, http.MethodPost, "http://"+n.Address+"/v1/declarations", map[string]string{
+		callerapi.HeaderOperator: operator, callerapi.HeaderBaseVersion: fmt.Sprint(base)}, file)
+	if err != nil {
+		return 0, structs.MayHaveRun(structs.ReasonInternal, "%v", err)
+	}
+	if status/100 != 2 {
+		var r structs.Refusal
+		_ = json.Unmarshal(body, &r)
+		return 0, &r
+	}
+	var applied callerapi.Applied
+	_ = json.Unmarshal(body, &applied)
+	return applied.Version, nil
+}
+
+// Status returns what an instance says of itself.
+func (c *Cluster) Status(n *Node) (entry.Status, error) {
+	var status entry.Status
+	err := getJSON("http://"+n.Address+"/v1/status", &status)
+	return status, err
+}
+
+// Ready reports whether an instance wants requests.
+func (c *Cluster) Ready(n *Node) bool {
+	code, _, err := send(context.Background(), http.MethodGet, "http://"+n.Address+"/readyz", nil, nil)
+	return err == nil && code == http.StatusOK
+}
+
+func getJSON(url string, out any) error {
+	code, body, err := send(context.Background(), http.MethodGet, url, nil, nil)
+	if err != nil {
+		return err
+	}
+	if code != http.StatusOK {
+		return fmt.Errorf("%s: status %d", url, code)
+	}
+	return json.Unmarshal(body, out)
+}
+
+// PostFaults sets the faults of a worker or runner process.
+func (c *Cluster) PostFaults(n *Node, path string, faults any) error {
+	body, err := json.Marshal(faults)
+	if err != nil {
+		return err
+	}
+	code, _, err := send(context.Background(), http.MethodPost, "http://"+n.Address+path, nil, body)
+	if err == nil && code/100 != 2 {
+		err = fmt.Errorf("%s: status %d", path, code)
+	}
+	return err
+}
--- a/policy/planning.go
+++ b/policy/planning.go
@@ -118,7 +118,7 @@
 			continue
 		}
 		switch {
-		case len(largest) > 0 && !fitsAny(item.Size, largest):
+		case c.neverFits(item, largest):
 			c.refuse(item, structs.ReasonNeverFits, "declared size exceeds every worker")
 		case c.enabled(MechanismQuarantine) && c.book.NeverRuns(item.Work):
 			c.refuse(item, structs.ReasonNeverRuns, fmt.Sprintf("failed on %v", item.FailedOn))
@@ -134,6 +134,16 @@
 	c.book.Forget(item.Work)
 }
 
+// neverFits reports an item that no worker of the shard can hold. A worker
+// that has not reported yet has no capacity, and the membership list lags, so
+// an item is judged only after it has waited and every worker has reported.
+func (c *planning) neverFits(item *scheduler.Item, capacities []structs.Resources) bool {
+	if len(capacities) == 0 || slices.Contains(capacities, structs.Resources{}) {
+		return false
+	}
+	return item.Waiting >= c.settings.NeverFitsAfter && !fitsAny(item.Size, capacities)
+}
+
 // capacities returns the distinct capacities of the shard's workers.
 func (c *planning) capacities() []structs.Resources {
 	var list []structs.Resources
--- a/policy/settings.go
+++ b/policy/settings.go
@@ -75,6 +75,9 @@
 	Quarantine   quarantine.Settings
 	// PlanItems bounds the queued items that one plan considers.
 	PlanItems int
+	// NeverFitsAfter is how long an item waits before it is refused for being
+	// larger than every worker.
+	NeverFitsAfter time.Duration
 	// HoldPreempted is how long room that is being cleared stays held for the
 	// urgent item it is cleared for.
 	HoldPreempted time.Duration
@@ -123,6 +126,9 @@
 	if s.PlanItems == 0 {
 		s.PlanItems = 1024
 	}
+	if s.NeverFitsAfter == 0 {
+		s.NeverFitsAfter = time.Minute
+	}
 	if s.HoldPreempted == 0 {
 		s.HoldPreempted = 5 * time.Second
 	}
--- /dev/null
+++ b/scenario/faults_test.go
@@ -0,0 +1,168 @@
+package scenario_test
+
+import (
+	"testing"
+	"time"
+
+	"bergamotstile/harness"
+	"bergamotstile/standin"
+)
+
+var scenarios = []scenario{
+	{name: "quiet", inject: func(t *testing.T, r *run) { r.rest(2000) }},
+	{name: "kill-owner", inject: killOwner},
+	{name: "freeze-owner", inject: freezeOwner},
+	{name: "rolling-restart", inject: rollingRestart},
+	{name: "table-down", inject: tableDown},
+	{name: "table-loses-answers", inject: tableLosesAnswers},
+	{name: "cut-owner-from-platform", inject: cutOwnerFromPlatform},
+	{name: "cut-owner-from-peers", inject: cutOwnerFromPeers},
+	{name: "runner-faults", inject: runnerFaults},
+	{name: "worker-faults", inject: workerFaults},
+}
+
+// rest waits for about ms milliseconds, as the seed draws.
+func (r *run) rest(ms int) {
+	time.Sleep(time.Duration(ms/2+r.random.IntN(ms)) * time.Millisecond)
+}
+
+// owner returns the instance that owns the first failure domain's shard.
+func (r *run) owner(t *testing.T) *harness.Node {
+	deadline := time.Now().Add(settleLimit)
+	for time.Now().Before(deadline) {
+		for _, n := range r.Entries {
+			status, err := r.Status(n)
+			if err == nil && n.Domain == r.Options.Domains[0].Name && len(status.Shards) > 0 {
+				return n
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	t.Fatalf("nobody owns the shard\n%s", r.Logs(4000))
+	return nil
+}
+
+func killOwner(t *testing.T, r *run) {
+	for range 2 {
+		r.rest(800)
+		owner := r.owner(t)
+		owner.Kill()
+		r.rest(1500)
+		r.must(t, r.Restart(owner))
+		r.rest(500)
+	}
+}
+
+// freezeOwner stops the owner past its lease while starts and requests are in
+// flight, and lets it go on after another instance has taken over.
+func freezeOwner(t *testing.T, r *run) {
+	for range 2 {
+		r.rest(800)
+		owner := r.owner(t)
+		owner.Freeze()
+		time.Sleep(2 * harness.LeaseMS * time.Millisecond)
+		r.rest(500)
+		owner.Resume()
+		r.rest(800)
+	}
+}
+
+func rollingRestart(t *testing.T, r *run) {
+	for _, n := range r.Entries {
+		r.rest(600)
+		n.Terminate()
+		r.must(t, r.Restart(n))
+		r.rest(600)
+	}
+}
+
+func tableDown(_ *testing.T, r *run) {
+	r.rest(800)
+	r.Platform.SetFaults(standin.PlatformFaults{Table: standin.PartFaults{Down: true}})
+	r.rest(3000)
+	r.Platform.SetFaults(standin.PlatformFaults{})
+	r.rest(1500)
+}
+
+func tableLosesAnswers(_ *testing.T, r *run) {
+	r.rest(300)
+	lossy := standin.PartFaults{LoseAnswer: standin.Chance{Share: 0.3}, SlowMS: 10}
+	r.Platform.SetFaults(standin.PlatformFaults{Table: lossy})
+	r.rest(4000)
+	r.Platform.SetFaults(standin.PlatformFaults{})
+	r.rest(800)
+}
+
+var cutBothWays = standin.ProxyFaults{
+	ToTarget: standin.Direction{Cut: true},
+	ToClient: standin.Direction{Cut: true},
+}
+
+func cutOwnerFromPlatform(t *testing.T, r *run) {
+	r.rest(800)
+	owner := r.owner(t)
+	faults := cutBothWays
+	if r.random.IntN(2) == 0 {
+		// One way: requests arrive and take effect, answers are lost.
+		faults.ToTarget.Cut = false
+	}
+	owner.Platform.SetFaults(faults)
+	r.rest(4000)
+	owner.Platform.SetFaults(standin.ProxyFaults{})
+	r.rest(1000)
+}
+
+func cutOwnerFromPeers(t *testing.T, r *run) {
+	r.rest(800)
+	owner := r.owner(t)
+	owner.Link.SetFaults(cutBothWays)
+	if r.random.IntN(2) == 0 {
+		owner.Platform.SetFaults(cutBothWays)
+	}
+	r.rest(4000)
+	owner.Link.SetFaults(standin.ProxyFaults{})
+	owner.Platform.SetFaults(standin.ProxyFaults{})
+	r.rest(1000)
+}
+
+func runnerFaults(t *testing.T, r *run) {
+	for _, n := range r.Runners {
+		r.rest(300)
+		r.must(t, r.PostFaults(n, "/faults", standin.RunnerFaults{
+			DelayMS:      int64(r.random.IntN(100)),
+			Truncate:     standin.Chance{Share: 0.1},
+			WrongID:      standin.Chance{Share: 0.1},
+			WrongBody:    standin.Chance{Share: 0.1},
+			DropAfterRun: standin.Chance{Share: 0.1},
+		}))
+	}
+	r.rest(2500)
+	for _, n := range r.Runners {
+		r.must(t, r.PostFaults(n, "/faults", standin.RunnerFaults{}))
+	}
+}
+
+func workerFaults(t *testing.T, r *run) {
+	for _, n := range r.Workers {
+		r.must(t, r.PostFaults(n, "/faults", standin.WorkerFaults{
+			SlowMS: int64(r.random.IntN(50)), LoseAnswer: standin.Chance{Share: 0.2}}))
+	}
+	r.rest(1500)
+	victim := r.Workers[r.random.IntN(len(r.Workers))]
+	victim.Link.SetFaults(cutBothWays)
+	r.rest(2000)
+	victim.Link.SetFaults(standin.ProxyFaults{})
+	r.rest(500)
+	r.must(t, r.PostFaults(r.Workers[0], "/restart", struct{}{}))
+	for _, n := range r.Workers {
+		r.must(t, r.PostFaults(n, "/faults", standin.WorkerFaults{}))
+	}
+	r.rest(500)
+}
+
+func (r *run) must(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -29,6 +29,9 @@
 	CallerAddress string `json:"caller_address"`
 	// PeerAddress is where other entry instances are served.
 	PeerAddress string `json:"peer_address"`
+	// AdvertiseAddress is where peers reach PeerAddress, if they reach it at
+	// another address.
+	AdvertiseAddress string `json:"advertise_address,omitempty"`
 	// PlatformAddress is where the platform's API is reached.
 	PlatformAddress string `json:"platform_address"`
 
@@ -92,6 +95,14 @@
 	}
 }
 
+// Advertised returns the address at which peers reach this instance.
+func (s *Settings) Advertised() string {
+	if s.AdvertiseAddress != "" {
+		return s.AdvertiseAddress
+	}
+	return s.PeerAddress
+}
+
 // Decode reads settings and fills in defaults. It does not check values.
 func Decode(data []byte) (*Settings, error) {
 	s := Default()
--- a/standin/runner_http.go
+++ b/standin/runner_http.go
@@ -135,6 +135,9 @@
 	ServiceMS   int64
 	AnswerBytes int
 	Seed        uint64
+	// Unlisted keeps the stand-in off the membership list, where someone else
+	// lists it.
+	Unlisted bool
 }
 
 // runnerConnections is what runners accept, by the deployments' figures.
@@ -164,7 +167,9 @@
 		_ = sleep(serving, runnerDrain)
 		end()
 	}()
-	go keepRegistered(serving, args.Platform, func() structs.Member { return r.member(member) })
+	if !args.Unlisted {
+		go keepRegistered(serving, args.Platform, func() structs.Member { return r.member(member) })
+	}
 	return serve(serving, args.Address, r.Handler())
 }
 
--- a/standin/worker_http.go
+++ b/standin/worker_http.go
@@ -218,6 +218,9 @@
 	Accelerators int64
 	UsageLagMS   int64
 	Seed         uint64
+	// Unlisted keeps the stand-in off the membership list, where someone else
+	// lists it.
+	Unlisted bool
 }
 
 // RunWorker serves a worker until ctx ends or the process is told to stop.
@@ -234,7 +237,9 @@
 		Name: args.Name, Role: structs.RoleWorker, Domain: args.Domain, Rack: args.Rack,
 		Address: args.Address, State: structs.MemberLive, Capacity: capacity,
 	}
-	go keepRegistered(ctx, args.Platform, func() structs.Member { return w.member(member) })
+	if !args.Unlisted {
+		go keepRegistered(ctx, args.Platform, func() structs.Member { return w.member(member) })
+	}
 	go func() { _ = w.Serve(ctx) }()
 	return serve(ctx, args.Address, w.Handler())
 }
