Drain until callers are quiet, and prove graceful stops by history

Cause: a drain closed the server at the first moment without a request in flight. The rolling-restart scenario showed calls without an account. Two causes: the test's processes did not handle SIGTERM (a fault of the harness, which now runs the program's own entry point), and requests that the balancer sends until its next look at /readyz.

Ruled out: a fixed pause, since a balancer's lag is not known here.

--- a/builtin/builtin.go
+++ b/builtin/builtin.go
@@ -5,6 +5,8 @@
 	"context"
 	"io"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/sirupsen/logrus"
 
@@ -14,6 +16,14 @@
 	"bergamotstile/standin"
 )
 
+// Main runs one command line and returns the exit status. SIGINT and SIGTERM
+// ask for a graceful stop.
+func Main(args []string) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	return command.Run(ctx, args, Registry(), os.Stdout, os.Stderr)
+}
+
 // Registry returns those parts.
 func Registry() command.Registry {
 	return command.Registry{
--- a/entry/drain.go
+++ b/entry/drain.go
@@ -2,16 +2,22 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"bergamotstile/httpserver"
 	"bergamotstile/structs"
 )
 
+// callerQuiet is how long no caller's request may have arrived before the
+// caller server closes: a balancer still sends some until its next look at
+// /readyz.
+const callerQuiet = 300 * time.Millisecond
+
 // drain lets requests in flight finish and releases the shards at once. The
-// servers still answer meanwhile, with "draining" for anything new.
-func (i *Instance) drain(ctx context.Context, servers ...*httpserver.Server) {
+// servers answer meanwhile as before. Peers go last and need no quiet time,
+// since they forward nothing to an instance whose heartbeats say draining,
+// and their heartbeats never cease.
+func (i *Instance) drain(ctx context.Context, callers, peers *httpserver.Server) {
 	i.draining.Store(true)
 	log := prefixed(i.log, "drain")
 	log.Info("Drain begins.")
@@ -19,15 +25,12 @@
 	defer cancel()
 	i.waitForBalancer(ctx)
 	i.releaseShards(ctx)
-	var wait sync.WaitGroup
-	for _, server := range servers {
-		wait.Go(func() {
-			if err := server.Drain(ctx); err != nil {
-				log.WithError(err).Error("Drain ended with requests in flight.")
-			}
-		})
+	if err := callers.Drain(ctx, callerQuiet); err != nil {
+		log.WithError(err).Error("Drain ended with callers' requests in flight.")
+	}
+	if err := peers.Drain(ctx, 0); err != nil {
+		log.WithError(err).Error("Drain ended with forwarded requests in flight.")
 	}
-	wait.Wait()
 	log.Info("Drain ended.")
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -119,7 +119,7 @@
 		return fmt.Errorf("peer address: %w", err)
 	}
 	defer peerServer.Close()
-	callerServer, err := httpserver.Start(i.settings.CallerAddress, i.callerHandler())
+	callerServer, err := httpserver.Start(i.settings.CallerAddress, i.callerHandler(), "/healthz", "/readyz", "/debug/vars")
 	if err != nil {
 		return fmt.Errorf("caller address: %w", err)
 	}
--- a/harness/client.go
+++ b/harness/client.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -63,6 +65,8 @@
 	status, body, err := send(ctx, http.MethodPost, "http://"+n.Address+"/v1/requests/"+Service+"/"+kind, headers, []byte(token))
 	call.End = time.Now().UnixNano()
 	switch {
+	case unsent(err):
+		call.Unsent = true
 	case err != nil:
 		call.Broken = true
 	case status == http.StatusOK:
@@ -74,6 +78,12 @@
 	return call
 }
 
+// unsent reports whether the connection could not be opened.
+func unsent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
 // lastField returns the echoed body of a runner's answer, which names the
 // runner and the request first.
 func lastField(body []byte) string {
--- a/harness/cluster.go
+++ b/harness/cluster.go
@@ -69,6 +69,8 @@
 	requestTimeoutMS = 800
 	leaseMarginMS    = 200
 	taskLeaseMS      = 8000
+	// LeavingBoundMS bounds how long a leaving runner receives requests.
+	LeavingBoundMS = 1500
 )
 
 // hosts counts the loopback addresses used by this process.
@@ -215,7 +217,7 @@
 		"lease_ms":         LeaseMS, "lease_margin_ms": leaseMarginMS, "task_lease_ms": taskLeaseMS,
 		"request_timeout_max_ms": requestTimeoutMS, "worker_heartbeat_ms": 200, "queue_scan_ms": 500,
 		"heartbeat_ms": 150, "suspect_ms": 600, "membership_poll_ms": 300, "probe_ms": 300,
-		"leaving_bound_ms": 1500, "config_poll_ms": 300, "drain_max_ms": 5000,
+		"leaving_bound_ms": LeavingBoundMS, "config_poll_ms": 300, "drain_max_ms": 5000,
 	}
 }
 
--- a/harness/evidence.go
+++ b/harness/evidence.go
@@ -23,6 +23,24 @@
 	return spans, nil
 }
 
+// RefusedAsLeaving returns when a runner refused requests because it was
+// leaving, in nanoseconds.
+func (c *Cluster) RefusedAsLeaving(name string) []int64 {
+	var times []int64
+	for _, n := range c.Runners {
+		var events []standin.RunnerEvent
+		if n.Name != name || getJSON("http://"+n.Address+"/events", &events) != nil {
+			continue
+		}
+		for _, e := range events {
+			if e.Kind == standin.RunnerLeaving {
+				times = append(times, nanos(e.UnixMS))
+			}
+		}
+	}
+	return times
+}
+
 func runnerSpans(place string, events []standin.RunnerEvent) []history.Span {
 	var spans []history.Span
 	open := map[string]int{}
--- a/harness/process.go
+++ b/harness/process.go
@@ -4,7 +4,6 @@
 package harness
 
 import (
-	"context"
 	"fmt"
 	"os"
 	"os/exec"
@@ -12,7 +11,6 @@
 	"syscall"
 
 	"bergamotstile/builtin"
-	"bergamotstile/command"
 )
 
 // runVariable makes a test binary act as the program itself, so that a test
@@ -25,7 +23,7 @@
 	if os.Getenv(runVariable) == "" {
 		return
 	}
-	os.Exit(command.Run(context.Background(), os.Args[1:], builtin.Registry(), os.Stdout, os.Stderr))
+	os.Exit(builtin.Main(os.Args[1:]))
 }
 
 // Process is one process of the deployment.
--- a/history/check.go
+++ b/history/check.go
@@ -99,11 +99,23 @@
 // anything but "not run".
 func covered(calls []Call, run Span) bool {
 	return slices.ContainsFunc(calls, func(c Call) bool {
-		toldNotRun := !c.Answered && !c.Broken && c.Outcome == structs.OutcomeNotRun
+		toldNotRun := c.Unsent || !c.Answered && !c.Broken && c.Outcome == structs.OutcomeNotRun
 		return c.Start <= run.Start && !toldNotRun
 	})
 }
 
+// CheckGracefulStop reports calls whose connection was cut off. It holds for
+// runs in which instances only stop as planned.
+func CheckGracefulStop(calls []Call) []Violation {
+	var out []Violation
+	for _, c := range calls {
+		if c.Broken {
+			out = append(out, Violation{GracefulStop, fmt.Sprintf("%s got no account of its call from %d to %d", c.Work, c.Start, c.End)})
+		}
+	}
+	return out
+}
+
 // CheckNothingLost reports accepted work that never finished.
 func CheckNothingLost(accepted []string, spans []Span) []Violation {
 	ran := sortedByWork(spans)
--- a/history/check_test.go
+++ b/history/check_test.go
@@ -35,6 +35,9 @@
 		{"not run, then answered", CheckCalls([]Call{notRun, {Work: "w", Answered: true}}, []Span{first}), 0},
 		{"ran before the call that was answered", CheckCalls([]Call{notRun, {Work: "w", Start: 2, Answered: true}}, []Span{first}), 1},
 		{"crossed answer", CheckCalls([]Call{{Work: "w", Answered: true, Got: "x", Want: "w"}}, nil), 1},
+		{"call cut off", CheckGracefulStop([]Call{{Work: "w", Broken: true}}), 1},
+		{"call not sent", CheckGracefulStop([]Call{{Work: "w", Unsent: true}}), 0},
+		{"ran although never sent", CheckCalls([]Call{{Work: "w", Unsent: true}}, []Span{first}), 1},
 		{"lost work", CheckNothingLost([]string{"w"}, []Span{first}), 1},
 		{"finished work", CheckNothingLost([]string{"w"}, []Span{first, again}), 0},
 	}
--- a/history/history.go
+++ b/history/history.go
@@ -57,6 +57,8 @@
 	Want     string
 	Outcome  structs.Outcome
 	Reason   structs.Reason
+	// Unsent tells that no connection could be opened.
+	Unsent bool
 	// Broken tells that the connection ended without any account.
 	Broken bool
 }
--- a/httpserver/httpserver.go
+++ b/httpserver/httpserver.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -31,14 +32,19 @@
 
 // Server serves a handler on one address.
 type Server struct {
-	engine   *nbhttp.Engine
-	inFlight atomic.Int64
-	draining atomic.Bool
+	engine     *nbhttp.Engine
+	probePaths []string
+	inFlight   atomic.Int64
+	draining   atomic.Bool
+	// lastActive is when the last request began or ended, in Unix nanoseconds.
+	lastActive atomic.Int64
 }
 
-// Start listens on address and serves handler until Close.
-func Start(address string, handler http.Handler) (*Server, error) {
-	s := &Server{}
+// Start listens on address and serves handler until Close. Requests for
+// probePaths do not count as activity in a drain: a balancer asks them for as
+// long as the server answers.
+func Start(address string, handler http.Handler, probePaths ...string) (*Server, error) {
+	s := &Server{probePaths: probePaths}
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
 		Network:         "tcp",
 		Addrs:           []string{address},
@@ -57,8 +63,16 @@
 // their next connection elsewhere.
 func (s *Server) track(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if slices.Contains(s.probePaths, r.URL.Path) {
+			next.ServeHTTP(w, r)
+			return
+		}
 		s.inFlight.Add(1)
-		defer s.inFlight.Add(-1)
+		s.touch()
+		defer func() {
+			s.touch()
+			s.inFlight.Add(-1)
+		}()
 		if s.draining.Load() {
 			w.Header().Set("Connection", "close")
 		}
@@ -76,13 +90,28 @@
 	return s.inFlight.Load()
 }
 
-// Drain asks clients to move away and waits until no request is in flight or
-// ctx ends.
-func (s *Server) Drain(ctx context.Context) error {
+func (s *Server) touch() {
+	s.lastActive.Store(time.Now().UnixNano())
+}
+
+// quiet reports whether nothing is in flight and nothing was for a while.
+func (s *Server) quiet(while time.Duration) bool {
+	idle := time.Since(time.Unix(0, s.lastActive.Load()))
+	return s.InFlight() == 0 && idle >= while
+}
+
+// Drain asks clients to move away and waits until no request is in flight and
+// none was for the time quiet, or ctx ends. Requests that still arrive are
+// answered: clients that have not noticed the drain yet would be cut off if
+// the server closed at the first idle moment.
+func (s *Server) Drain(ctx context.Context, quiet time.Duration) error {
 	s.draining.Store(true)
-	for s.InFlight() > 0 {
+	for !s.quiet(quiet) {
 		select {
 		case <-ctx.Done():
+			if s.InFlight() == 0 {
+				return nil
+			}
 			return fmt.Errorf("drain: %d requests still in flight: %w", s.InFlight(), ctx.Err())
 		case <-time.After(drainPoll):
 		}
--- a/httpserver/httpserver_test.go
+++ b/httpserver/httpserver_test.go
@@ -35,14 +35,14 @@
 	<-entered
 	short, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
 	defer cancel()
-	if server.Drain(short) == nil {
+	if server.Drain(short, 0) == nil {
 		t.Fatal("drain ended with a request in flight")
 	}
 	close(release)
 	if body := <-got; body != "done" {
 		t.Fatalf("answer was %q", body)
 	}
-	if err := server.Drain(t.Context()); err != nil {
+	if err := server.Drain(t.Context(), 0); err != nil {
 		t.Fatal(err)
 	}
 }
@@ -71,3 +71,21 @@
 	default:
 	}
 }
+
+// Guards against a drain that never ends because a balancer keeps asking
+// whether the server is ready.
+func TestProbesDoNotProlongDrain(t *testing.T) {
+	server, err := Start("127.0.0.1:0", http.NotFoundHandler(), "/readyz")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer server.Close()
+	res, err := http.Get("http://" + server.Address() + "/readyz")
+	if err != nil {
+		t.Fatal(err)
+	}
+	res.Body.Close()
+	if !server.quiet(time.Hour) {
+		t.Error("a probe counted as activity")
+	}
+}
--- a/scenario/faults_test.go
+++ b/scenario/faults_test.go
@@ -1,10 +1,12 @@
 package scenario_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"bergamotstile/harness"
+	"bergamotstile/history"
 	"bergamotstile/standin"
 )
 
@@ -12,13 +14,21 @@
 	{name: "quiet", inject: func(t *testing.T, r *run) { r.rest(2000) }},
 	{name: "kill-owner", inject: killOwner},
 	{name: "freeze-owner", inject: freezeOwner},
-	{name: "rolling-restart", inject: rollingRestart},
+	{name: "rolling-restart", inject: rollingRestart, verify: func(r *run) []history.Violation {
+		return history.CheckGracefulStop(r.load.calls.Calls())
+	}},
 	{name: "table-down", inject: tableDown},
 	{name: "table-loses-answers", inject: tableLosesAnswers},
 	{name: "cut-owner-from-platform", inject: cutOwnerFromPlatform},
 	{name: "cut-owner-from-peers", inject: cutOwnerFromPeers},
 	{name: "runner-faults", inject: runnerFaults},
 	{name: "worker-faults", inject: workerFaults},
+	{name: "urgent-preempts", options: harness.Options{WorkerCPUMilli: 4000}, inject: func(_ *testing.T, r *run) { r.rest(5000) }},
+	{name: "objects-down", options: harness.Options{WorkerCPUMilli: 4000}, inject: objectsDown},
+	{name: "leaving-runner", inject: leavingRunner, verify: nothingAfterLeaving},
+	{name: "operators-race", inject: operatorsRace, verify: neverReverts},
+	{name: "frozen-through-changes", inject: frozenThroughChanges, verify: neverReverts},
+	{name: "domain-cut", inject: domainCut, verify: neverReverts},
 }
 
 // rest waits for about ms milliseconds, as the seed draws.
@@ -142,6 +152,45 @@
 	}
 }
 
+func objectsDown(_ *testing.T, r *run) {
+	r.rest(1000)
+	r.Platform.SetFaults(standin.PlatformFaults{Objects: standin.PartFaults{Down: true}})
+	r.rest(3000)
+	r.Platform.SetFaults(standin.PlatformFaults{})
+	r.rest(1500)
+}
+
+// leavingRunner makes a runner leave while the membership list lags or cannot
+// be read, so that only the runner's own answers tell of it.
+func leavingRunner(t *testing.T, r *run) {
+	r.rest(800)
+	faults := standin.PlatformFaults{ListLagMS: 60_000}
+	if r.random.IntN(2) == 0 {
+		faults = standin.PlatformFaults{List: standin.PartFaults{Down: true}}
+	}
+	r.Platform.SetFaults(faults)
+	runner := r.Runners[r.random.IntN(len(r.Runners))]
+	r.must(t, r.PostFaults(runner, "/leave", struct{}{}))
+	r.left[runner.Name] = time.Now().UnixNano()
+	r.rest(5000)
+	r.Platform.SetFaults(standin.PlatformFaults{})
+}
+
+// nothingAfterLeaving checks that a leaving runner was sent nothing after the
+// bound, by the runner's own record of what it refused.
+func nothingAfterLeaving(r *run) []history.Violation {
+	var out []history.Violation
+	for name, at := range r.left {
+		for _, sent := range r.RefusedAsLeaving(name) {
+			if late := sent - at; late > harness.LeavingBoundMS*int64(time.Millisecond) {
+				out = append(out, history.Violation{Property: history.LeavingBound,
+					Detail: fmt.Sprintf("%s was sent a request %d ms after it began to leave", name, late/int64(time.Millisecond))})
+			}
+		}
+	}
+	return out
+}
+
 func workerFaults(t *testing.T, r *run) {
 	for _, n := range r.Workers {
 		r.must(t, r.PostFaults(n, "/faults", standin.WorkerFaults{
@@ -154,6 +203,7 @@
 	victim.Link.SetFaults(standin.ProxyFaults{})
 	r.rest(500)
 	r.must(t, r.PostFaults(r.Workers[0], "/restart", struct{}{}))
+	r.restarted[r.Workers[0].Name] = time.Now().UnixNano()
 	for _, n := range r.Workers {
 		r.must(t, r.PostFaults(n, "/faults", standin.WorkerFaults{}))
 	}
--- a/scenario/load_test.go
+++ b/scenario/load_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"bergamotstile/harness"
@@ -25,10 +26,12 @@
 
 // load is the callers of one run.
 type load struct {
-	run    *run
-	calls  history.Recorder
-	cancel context.CancelFunc
-	wait   sync.WaitGroup
+	run     *run
+	calls   history.Recorder
+	context context.Context
+	cancel  context.CancelFunc
+	wait    sync.WaitGroup
+	ready   atomic.Pointer[[]*harness.Node]
 
 	mu        sync.Mutex
 	accepted  map[structs.WorkID]string // job of each accepted work item
@@ -40,10 +43,11 @@
 func startLoad(r *run) *load {
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &load{
-		run: r, cancel: cancel,
+		run: r, context: context.Background(), cancel: cancel,
 		accepted: map[structs.WorkID]string{}, cancelled: map[structs.WorkID]bool{},
 		unsure: map[structs.WorkID]string{}, final: map[structs.WorkID]structs.WorkStatus{},
 	}
+	go l.balance(ctx)
 	for n := range proofCallers {
 		l.caller(ctx, fmt.Sprintf("proof-%d", n), n, harness.KindProof)
 	}
@@ -69,9 +73,32 @@
 	l.wait.Wait()
 }
 
-// entry returns any entry instance, as a balancer may.
+// balancerPoll is how often the balancer asks instances whether they are ready.
+const balancerPoll = 100 * time.Millisecond
+
+// balance keeps the list of instances that were ready when last asked, as the
+// platform's balancer does.
+func (l *load) balance(ctx context.Context) {
+	for ctx.Err() == nil {
+		var ready []*harness.Node
+		for _, n := range l.run.Entries {
+			if l.run.Ready(n) {
+				ready = append(ready, n)
+			}
+		}
+		l.ready.Store(&ready)
+		pause(ctx, balancerPoll)
+	}
+}
+
+// entry returns any instance that the balancer holds for ready, and any at all
+// if there is none.
 func (l *load) entry(random *rand.Rand) *harness.Node {
-	return l.run.Entries[random.IntN(len(l.run.Entries))]
+	nodes := l.run.Entries
+	if ready := l.ready.Load(); ready != nil && len(*ready) > 0 {
+		nodes = *ready
+	}
+	return nodes[random.IntN(len(nodes))]
 }
 
 // caller sends requests one after the other. Unless it gets an answer, it
@@ -209,7 +236,7 @@
 	finished, runs := map[string]int{}, map[string]int{}
 	for _, s := range spans {
 		runs[s.Work]++
-		if s.Finished {
+		if s.Finished && !l.forgotten(s) {
 			finished[s.Work]++
 		}
 	}
@@ -238,6 +265,14 @@
 	return out
 }
 
+// forgotten reports a finish that its worker may have forgotten in a restart
+// before the owner learned of it. Idempotent work may then run again.
+func (l *load) forgotten(s history.Span) bool {
+	restart, ok := l.run.restarted[s.Place]
+	return ok && s.End <= restart && l.accepted[structs.WorkID(s.Work)] == harness.JobIdempotent &&
+		l.final[structs.WorkID(s.Work)].Attempts > 1
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -34,6 +34,8 @@
 	name    string
 	options harness.Options
 	inject  func(t *testing.T, r *run)
+	// verify adds checks of the scenario's own.
+	verify func(r *run) []history.Violation
 }
 
 // run is one execution of a scenario.
@@ -41,6 +43,12 @@
 	*harness.Cluster
 	random *rand.Rand
 	load   *load
+	// config is what the configuration scenarios record.
+	config configHistory
+	// left is when each runner was told to leave, in nanoseconds.
+	left map[string]int64
+	// restarted is when each worker was restarted, in nanoseconds.
+	restarted map[string]int64
 }
 
 // TestScenarios guards against faults that make the system break one of its
@@ -62,7 +70,7 @@
 	s.inject(t, r)
 	r.load.stop()
 	r.settle(t)
-	r.check(t)
+	r.check(t, s)
 }
 
 // start runs a deployment until it is ready for load.
@@ -85,7 +93,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := &run{Cluster: cluster, random: rand.New(rand.NewPCG(seed, seed))}
+	r := &run{Cluster: cluster, random: rand.New(rand.NewPCG(seed, seed)), left: map[string]int64{}, restarted: map[string]int64{}}
 	r.applyFirst(t)
 	if err := cluster.WaitReady(settleLimit); err != nil {
 		t.Fatalf("%v\n%s", err, cluster.Logs(4000))
@@ -115,7 +123,7 @@
 }
 
 // check judges the history against the workers' and runners' own records.
-func (r *run) check(t *testing.T) {
+func (r *run) check(t *testing.T, s scenario) {
 	requests, err := r.RequestSpans()
 	if err != nil {
 		t.Fatal(err)
@@ -132,6 +140,9 @@
 	violations = append(violations, history.CheckResumeOnce(work, r.load.billedWork)...)
 	violations = append(violations, history.CheckCalls(calls, requests)...)
 	violations = append(violations, r.load.checkWork(work)...)
+	if s.verify != nil {
+		violations = append(violations, s.verify(r)...)
+	}
 	for _, v := range violations {
 		t.Error(v)
 	}
@@ -141,7 +152,13 @@
 			answered++
 		}
 	}
-	t.Logf("%d calls, %d answered, %d request runs, %d work items, %d work runs", len(calls), answered, len(requests), r.load.submitted(), len(work))
+	resumed := 0
+	for _, s := range work {
+		if s.ResumedFrom != "" {
+			resumed++
+		}
+	}
+	t.Logf("%d calls, %d answered, %d request runs, %d work items, %d work runs, %d resumed", len(calls), answered, len(requests), r.load.submitted(), len(work), resumed)
 	if answered == 0 {
 		t.Error("no call was answered, so the run shows nothing")
 	}
