Claim non-idempotent requests durably before dispatch

A billed render that is retried after its owner died would run twice, since the in-flight table dies with the owner. The claim row is committed under the shard's fence before the first dispatch, by a serialized writer that commits what accumulated meanwhile in one transaction. A lost answer of a write is resolved by reading back the write ID; the same conditional transaction is sent again only if the row is still at its precondition.

A claim whose request was not dispatched is closed as not run before not_run is answered. Its row stays as a mark, so that a delayed copy of the claim's write cannot land. Deleting the row instead was ruled out: the absent condition of the delayed copy would hold again.

Routing tests run in virtual time (testing/synctest) on in-process fakes.

--- a/routing/dispatch.go
+++ b/routing/dispatch.go
@@ -29,6 +29,9 @@
 	// endsBy is set if a dispatch may still run: no other dispatch of the same
 	// key may start before it.
 	endsBy time.Time
+	// pending is set if the call's claim is not resolved yet. It gives the
+	// refusal that holds once it is.
+	pending <-chan result
 }
 
 func refused(r *structs.Refusal) result {
--- a/routing/faketable_test.go
+++ b/routing/faketable_test.go
@@ -31,6 +31,12 @@
 	return f.rows[key].Version
 }
 
+func (f *fakeTable) committed() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.commits
+}
+
 func (f *fakeTable) force(key, value string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -38,6 +44,13 @@
 	f.rows[key] = platform.Row{Key: key, Version: f.next, Value: []byte(value)}
 }
 
+// setFault replaces the fault while calls are under way.
+func (f *fakeTable) setFault(fault func(op string) string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.fault = fault
+}
+
 func (f *fakeTable) decide(op string) string {
 	if f.fault == nil {
 		return ""
@@ -128,3 +141,13 @@
 	data, err := f.Get(context.Background(), name)
 	return int64(len(data)), err
 }
+
+// land applies the transactions that were delayed in the network.
+func (f *fakeTable) land() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, tx := range f.delayed {
+		_, _ = f.apply(tx)
+	}
+	f.delayed = nil
+}
--- a/routing/handle_test.go
+++ b/routing/handle_test.go
@@ -2,34 +2,193 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
-	"github.com/jonboulle/clockwork"
+	"bergamotstile/peer"
+	"bergamotstile/runnerapi"
+	"bergamotstile/structs"
 )
 
-// Guards against a request that is answered only on the shard owner.
+// handle returns the answer, or the refusal's reason and outcome.
+func handle(n *node, req structs.Request) (string, structs.Reason, structs.Outcome) {
+	answer, err := n.router.Handle(context.Background(), req)
+	if err != nil {
+		refusal := structs.AsRefusal(err)
+		return "", refusal.Reason, refusal.Outcome
+	}
+	return string(answer.Body), "", structs.OutcomeRan
+}
+
+// bubble runs a test in virtual time.
+func bubble(t *testing.T, f func(t *testing.T, c *cluster)) {
+	synctest.Test(t, func(t *testing.T) {
+		f(t, newCluster(t, Settings{}, "a", "b"))
+	})
+}
+
+// Guards against a request that is answered only on the shard owner, and
+// against a keyed request that runs again while its answer is remembered.
 func TestHandleLocallyAndForwarded(t *testing.T) {
-	c := newCluster(t, clockwork.NewRealClock(), "a", "b")
-	for _, at := range []string{"a", "b"} {
-		for _, key := range []string{"", "key-" + at} {
-			answer, err := c.nodes[at].router.Handle(context.Background(), request("r", key, "x"+key))
-			if err != nil || string(answer.Body) != "answer:x"+key || answer.RequestID != "r" {
-				t.Errorf("at %s key %q: %+v %v", at, key, answer, err)
+	bubble(t, func(t *testing.T, c *cluster) {
+		for _, at := range []string{"a", "b"} {
+			for _, req := range []structs.Request{request(at, "", "x"+at), request(at, "k", "y"), billed(at, "l", "z")} {
+				answer, err := c.nodes[at].router.Handle(t.Context(), req)
+				if err != nil || string(answer.Body) != "answer:"+string(req.Body) || answer.RequestID != at {
+					t.Errorf("at %s %q: %+v %v", at, req.Body, answer, err)
+				}
 			}
 		}
+		if runs := c.runners.record(); len(runs) != 4 {
+			t.Errorf("ran %d times, want 4: %v", len(runs), runs)
+		}
+	})
+}
+
+// Guards against each refusal that a caller relies on being given for another
+// cause, or with an outcome that is not true.
+func TestRefusalsOfRouting(t *testing.T) {
+	cases := []struct {
+		name    string
+		prepare func(c *cluster)
+		at      string
+		req     structs.Request
+		reason  structs.Reason
+		outcome structs.Outcome
+	}{
+		{"key required", nil, "a", billed("r", "", "x"), structs.ReasonKeyRequired, structs.OutcomeNotRun},
+		{"key reused", func(c *cluster) { handle(c.nodes["a"], request("q", "k", "other")) }, "a", request("r", "k", "x"), structs.ReasonKeyReused, structs.OutcomeNotRun},
+		{"key reused after its memory", func(c *cluster) { handle(c.nodes["a"], billed("q", "k", "other")); time.Sleep(time.Minute) }, "a", billed("r", "k", "x"), structs.ReasonKeyReused, structs.OutcomeNotRun},
+		{"owner unreachable", func(c *cluster) { c.forward = func(string) error { return peer.ErrUnreachable } }, "b", request("r", "k", "x"), structs.ReasonOwnerUnreachable, structs.OutcomeNotRun},
+		{"forward lost", func(c *cluster) { c.forward = func(string) error { return peer.ErrOutcomeUnknown } }, "b", request("r", "k", "x"), structs.ReasonOwnerUnreachable, structs.OutcomeMayHaveRun},
+		{"forward crossed", func(c *cluster) { c.forward = func(string) error { return errCrossed } }, "b", request("r", "k", "x"), structs.ReasonAnswerIncomplete, structs.OutcomeMayHaveRun},
+		{"lease too short", func(c *cluster) { c.own("a", 900*time.Millisecond, 0) }, "a", request("r", "k", "x"), structs.ReasonOwnershipUnproven, structs.OutcomeNotRun},
+		{"predecessor not quiet", func(c *cluster) { c.own("a", time.Hour, 2*time.Second) }, "a", request("r", "k", "x"), structs.ReasonOwnershipUnproven, structs.OutcomeNotRun},
+		{"no runner", func(c *cluster) { c.members = nil }, "a", request("r", "k", "x"), structs.ReasonNoRunner, structs.OutcomeNotRun},
+		{"answer cut off", func(c *cluster) { c.runners.behave = always(0, runnerapi.ErrIncomplete) }, "a", request("r", "k", "x"), structs.ReasonAnswerIncomplete, structs.OutcomeMayHaveRun},
+		{"too slow", func(c *cluster) { c.runners.behave = always(time.Hour, nil) }, "a", request("r", "", "x"), structs.ReasonDeadlineExceeded, structs.OutcomeMayHaveRun},
+		{"failed", func(c *cluster) { c.runners.behave = always(0, runnerapi.ErrFailed) }, "a", request("r", "", "x"), structs.ReasonRunnerFailed, structs.OutcomeMayHaveRun},
+		{"budget", func(c *cluster) { c.runners.behave = always(0, runnerapi.ErrBusy) }, "a", request("r", "", "x"), structs.ReasonRetryBudget, structs.OutcomeNotRun},
+		{"table down", func(c *cluster) { c.table.fault = func(string) string { return "down" } }, "a", billed("r", "k", "x"), structs.ReasonStoreUnavailable, structs.OutcomeNotRun},
+		{"claim dropped", func(c *cluster) { c.table.fault = func(string) string { return "dropped" } }, "a", billed("r", "k", "x"), structs.ReasonWriteUnresolved, structs.OutcomeMayHaveRun},
 	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			bubble(t, func(t *testing.T, c *cluster) {
+				if tc.prepare != nil {
+					tc.prepare(c)
+				}
+				before := len(c.runners.record())
+				_, reason, outcome := handle(c.nodes[tc.at], tc.req)
+				if reason != tc.reason || outcome != tc.outcome {
+					t.Errorf("got %s %s, want %s %s", reason, outcome, tc.reason, tc.outcome)
+				}
+				if ran := len(c.runners.record()) - before; outcome == structs.OutcomeNotRun && ran > 0 {
+					t.Errorf("answered not_run, but %d dispatches ran", ran)
+				}
+			})
+		})
+	}
+}
+
+func always(took time.Duration, err error) func(string, runnerapi.Dispatch) (time.Duration, error) {
+	return func(string, runnerapi.Dispatch) (time.Duration, error) { return took, err }
 }
 
-// Guards against a keyed request that runs again while its answer is
-// remembered.
-func TestDuplicateGetsTheRememberedAnswer(t *testing.T) {
-	c := newCluster(t, clockwork.NewRealClock(), "a", "b")
-	for _, at := range []string{"a", "b", "a"} {
-		if _, err := c.nodes[at].router.Handle(context.Background(), request("r"+at, "k", "x")); err != nil {
-			t.Fatal(err)
+// Guards against a caller whose disconnect cuts off the others that joined its
+// attempt.
+func TestFirstCallerLeaves(t *testing.T) {
+	bubble(t, func(t *testing.T, c *cluster) {
+		c.runners.behave = always(300*time.Millisecond, nil)
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _, _ = c.nodes["a"].router.Handle(ctx, request("first", "k", "x")) }()
+		time.Sleep(100 * time.Millisecond)
+		go func() { time.Sleep(50 * time.Millisecond); cancel() }()
+		body, reason, _ := handle(c.nodes["b"], request("second", "k", "x"))
+		if body != "answer:x" || len(c.runners.record()) != 1 {
+			t.Errorf("second caller got %q %s after %d runs", body, reason, len(c.runners.record()))
 		}
-	}
-	if runs := c.runners.record(); len(runs) != 1 {
-		t.Errorf("ran %d times", len(runs))
+	})
+}
+
+// Guards against a retry under a key that overlaps a dispatch whose answer was
+// lost before its deadline.
+func TestRetryWaitsForLostDispatch(t *testing.T) {
+	bubble(t, func(t *testing.T, c *cluster) {
+		c.runners.behave = always(time.Second, runnerapi.ErrIncomplete)
+		handle(c.nodes["a"], request("r", "k", "x"))
+		c.runners.behave = always(10*time.Millisecond, nil)
+		if _, reason, outcome := handle(c.nodes["a"], request("s", "k", "x")); reason != structs.ReasonAnswerIncomplete || outcome != structs.OutcomeMayHaveRun {
+			t.Errorf("retry while the first may run: %s %s", reason, outcome)
+		}
+		time.Sleep(1100 * time.Millisecond)
+		if body, reason, _ := handle(c.nodes["a"], request("s", "k", "x")); body != "answer:x" {
+			t.Errorf("retry after the first ended: %s", reason)
+		}
+	})
+}
+
+// Guards against un-keyed requests that fail although other runners of the
+// domain accept them, and against keyed ones that are dispatched by a
+// non-owner.
+func TestFallbackWithoutOwner(t *testing.T) {
+	bubble(t, func(t *testing.T, c *cluster) {
+		c.forward = func(string) error { return peer.ErrUnreachable }
+		c.runners.behave = always(100*time.Millisecond, nil)
+		done := make(chan string)
+		for range 12 {
+			go func() { body, _, _ := handle(c.nodes["b"], request("r", "", "x")); done <- body }()
+		}
+		time.Sleep(50 * time.Millisecond)
+		// Three runners with two reserved connections each.
+		if n := len(c.runners.record()); n != 6 {
+			t.Errorf("%d dispatches at once on reserved connections, want 6", n)
+		}
+		for range 12 {
+			if body := <-done; body != "answer:x" {
+				t.Errorf("answer %q", body)
+			}
+		}
+	})
+}
+
+// Guards against a request that fails in a domain without runners although
+// another domain has some, and against one that crosses domains for ever.
+func TestOtherDomainServes(t *testing.T) {
+	bubble(t, func(t *testing.T, c *cluster) {
+		far := c.add("far", "iseyin", Settings{})
+		req := request("r", "", "x")
+		req.Domain = ""
+		if body, reason, _ := handle(far, req); body != "answer:x" {
+			t.Errorf("refused: %s", reason)
+		}
+		c.members = nil
+		if _, reason, outcome := handle(far, req); reason != structs.ReasonNoRunner || outcome != structs.OutcomeNotRun {
+			t.Errorf("without any runner: %s %s", reason, outcome)
+		}
+	})
+}
+
+// Guards against a large answer that is lost with the in-memory table, and
+// against a claim whose missing answer is taken for a request that did not run.
+func TestLargeAnswerOfClaim(t *testing.T) {
+	for _, down := range []bool{false, true} {
+		bubble(t, func(t *testing.T, c *cluster) {
+			c.objects.down = down
+			body := strings.Repeat("x", 65<<10)
+			if got, reason, _ := handle(c.nodes["a"], billed("r", "k", body)); got != "answer:"+body {
+				t.Fatalf("first answer: %s", reason)
+			}
+			time.Sleep(time.Minute)
+			got, reason, outcome := handle(c.nodes["a"], billed("r", "k", body))
+			if !down && got != "answer:"+body || down && (reason != structs.ReasonAnswerUnavailable || outcome != structs.OutcomeRan) {
+				t.Errorf("object store down %v: second answer: %s %s", down, reason, outcome)
+			}
+			if len(c.runners.record()) != 1 {
+				t.Errorf("ran %d times", len(c.runners.record()))
+			}
+		})
 	}
 }
--- a/routing/keyed.go
+++ b/routing/keyed.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
 
 	"bergamotstile/structs"
 )
@@ -27,7 +28,8 @@
 	done        chan struct{} // closed when res is set
 	res         result
 	finished    bool
-	expires     time.Time // of a finished entry
+	held        bool      // the claim of the finished attempt is not resolved
+	expires     time.Time // of a finished entry that is not held
 }
 
 // keyTable holds the keys in flight and the answers that are remembered.
@@ -81,9 +83,10 @@
 }
 
 // replaceable reports whether a new attempt may start under the entry's key:
-// the last one ended without an answer, and no dispatch of it can still run.
+// the last one ended without an answer, no dispatch of it can still run, and
+// its claim is resolved.
 func (t *keyTable) replaceable(e *keyEntry) bool {
-	return e.finished && e.res.refusal != nil && !t.clock.Now().Before(e.res.endsBy)
+	return e.finished && !e.held && e.res.refusal != nil && !t.clock.Now().Before(e.res.endsBy)
 }
 
 // finish records how an attempt ended and wakes everyone who joined it.
@@ -92,15 +95,35 @@
 	defer t.mu.Unlock()
 	e.res = res
 	e.finished = true
-	e.expires = t.clock.Now().Add(t.settings.AnswerRetention)
-	if e.expires.Before(res.endsBy) {
-		e.expires = res.endsBy
+	close(e.done)
+	if e.held = res.pending != nil; !e.held {
+		t.retain(e)
 	}
+}
+
+// resolve replaces the outcome of an attempt whose claim is resolved now.
+func (t *keyTable) resolve(e *keyEntry, res result) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e.res = res
+	e.held = false
+	t.retain(e)
+}
+
+// outcome returns how a finished attempt ended, as far as it is known now.
+func (t *keyTable) outcome(e *keyEntry) result {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return e.res
+}
+
+// retain remembers a finished entry for a while.
+func (t *keyTable) retain(e *keyEntry) {
+	e.expires = t.clock.Now().Add(t.settings.AnswerRetention)
 	t.finished = append(t.finished, e)
-	t.bytes += len(res.answer.Body)
+	t.bytes += len(e.res.answer.Body)
 	for t.bytes > t.settings.MaxRememberedBytes && t.dropOldest() {
 	}
-	close(e.done)
 }
 
 // dropOldest forgets the entry that ended first, unless it may still run.
@@ -178,7 +201,15 @@
 func (r *Router) runKeyed(ctx context.Context, c call, e *keyEntry) {
 	res := refused(structs.MayHaveRun(structs.ReasonInternal, "the attempt ended abnormally"))
 	res.endsBy = c.deadline.Add(r.Settings.Settle)
-	defer func() { r.keys.finish(e, res) }()
+	defer func() {
+		if p := recover(); p != nil {
+			logrus.Errorf("routing: attempt of request %s: panic: %v", c.req.ID, p)
+		}
+		r.keys.finish(e, res)
+		if res.pending != nil {
+			r.keys.resolve(e, <-res.pending)
+		}
+	}()
 	res = r.attemptKeyed(ctx, c, e.shard)
 }
 
@@ -188,7 +219,7 @@
 	defer late.Stop()
 	select {
 	case <-e.done:
-		res := e.res
+		res := r.keys.outcome(e)
 		res.answer.RequestID = c.req.ID
 		return res
 	case <-ctx.Done():
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -9,10 +9,12 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"golang.org/x/sync/errgroup"
 
 	"bergamotstile/metrics"
 	"bergamotstile/peer"
@@ -79,6 +81,10 @@
 	budgets *retry.Budgets
 	keys    *keyTable
 	latency *latencies
+	writer  *claimWriter
+
+	stopOnce sync.Once
+	stopped  chan struct{} // closed when Serve ends for good
 
 	mu       sync.Mutex
 	lanes    map[laneID]*lane
@@ -99,14 +105,37 @@
 		budgets:  retry.New(c.Settings.Retry, c.Clock, c.Metrics),
 		keys:     newKeyTable(c.Settings, c.Clock),
 		latency:  newLatencies(c.Clock),
+		writer:   newClaimWriter(c),
+		stopped:  make(chan struct{}),
 		lanes:    map[laneID]*lane{},
 		reserved: map[laneID]*lane{},
 	}
 }
 
-// Serve gives free slots to waiting requests when the set of runners changes,
-// and drops remembered answers that expired, until ctx ends.
+// Serve writes claims, gives free slots to waiting requests when the set of
+// runners changes, and drops remembered answers that expired, until ctx ends.
+// After a panic of the writer it returns an error and may be called again.
 func (r *Router) Serve(ctx context.Context) error {
+	group, gctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return r.serveClaims(gctx) })
+	group.Go(func() error { return r.serveTicks(gctx) })
+	err := group.Wait()
+	if ctx.Err() != nil {
+		r.stopOnce.Do(func() { close(r.stopped) })
+	}
+	return err
+}
+
+func (r *Router) serveClaims(ctx context.Context) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			err = fmt.Errorf("claim writer: panic: %v", p)
+		}
+	}()
+	return r.writer.serve(ctx)
+}
+
+func (r *Router) serveTicks(ctx context.Context) error {
 	ticker := r.Clock.NewTicker(r.Settings.Tick)
 	defer ticker.Stop()
 	for {
--- a/routing/settings.go
+++ b/routing/settings.go
@@ -53,9 +53,13 @@
 	// transaction.
 	ClaimRing  int
 	ClaimGroup int
-	// ClaimRetry is the pause between two tries of a write that the table did
-	// not accept, OutcomeGiveUp when the outcome of a claim is given up.
+	// TableTimeout bounds each call of the table and the object store.
+	TableTimeout time.Duration
+	// ClaimRetry and ClaimRetryMax are the shortest and the longest pause
+	// between two tries of a write that the table did not accept.
 	ClaimRetry    time.Duration
+	ClaimRetryMax time.Duration
+	// OutcomeGiveUp is when the outcome of a claim is given up.
 	OutcomeGiveUp time.Duration
 	// InlineAnswerBytes is the largest answer that is kept in a claim row.
 	InlineAnswerBytes int
@@ -75,7 +79,9 @@
 	setDuration(&s.BusyPause, 20*time.Millisecond)
 	setDuration(&s.UnreachablePause, 500*time.Millisecond)
 	setDuration(&s.LeavingPause, 3*time.Second)
+	setDuration(&s.TableTimeout, time.Second)
 	setDuration(&s.ClaimRetry, 20*time.Millisecond)
+	setDuration(&s.ClaimRetryMax, time.Second)
 	setDuration(&s.OutcomeGiveUp, 30*time.Second)
 	setInt(&s.DefaultSlots, 8)
 	setInt(&s.DefaultConnections, 64)
@@ -86,6 +92,8 @@
 	setInt(&s.ClaimRing, 4096)
 	setInt(&s.ClaimGroup, 64)
 	setInt(&s.InlineAnswerBytes, 64<<10)
+	// A key must not be forgotten while its dispatch may still run.
+	s.AnswerRetention = max(s.AnswerRetention, s.RequestTimeoutMax+s.Settle)
 	if s.Admission == (admission.Settings{}) {
 		s.Admission = admission.DefaultSettings()
 	}
