--- a/admission/fairqueue.go
+++ b/admission/fairqueue.go
@@ -131,7 +131,7 @@
 // newest of the longest queue in the least urgent class below the new one's,
 // or else of a caller in its class that has at least two more than its own.
 func (f *fairQueue[T]) victim(class structs.Class, caller string) (T, bool) {
-	for i := classes - 1; i > int(class); i-- {
+	for i := classes - 1; i > max(int(class), 0); i-- {
 		if item, _, ok := f.classes[i].newestOfLongest(); ok {
 			return item, true
 		}
--- a/routing/dispatch.go
+++ b/routing/dispatch.go
@@ -166,8 +166,6 @@
 	}
 	endsBy := c.deadline.Add(r.Settings.Settle)
 	r.observe(c, true)
-	// The time until the loss bounds the service time from below only.
-	s.releaseAt(endsBy, c.req.Kind, took)
 	reason := structs.ReasonRunnerFailed
 	switch {
 	case errors.Is(err, runnerapi.ErrTimeout), errors.Is(err, context.DeadlineExceeded):
@@ -175,6 +173,10 @@
 	case errors.Is(err, runnerapi.ErrIncomplete):
 		reason = structs.ReasonAnswerIncomplete
 	}
+	if reason != structs.ReasonDeadlineExceeded {
+		took = 0 // the time until an answer was lost says little of the service time
+	}
+	s.releaseAt(endsBy, c.req.Kind, took)
 	left := max(endsBy.Sub(r.Clock.Now()), 0)
 	refusal := structs.MayHaveRun(reason, "runner %s: %v", s.runner.Name, err).WithRetryAfter(left)
 	return result{refusal: refusal, endsBy: endsBy}
--- a/routing/handle.go
+++ b/routing/handle.go
@@ -276,8 +276,13 @@
 	if left <= 0 {
 		return refused(structs.NotRun(structs.ReasonDeadlineExceeded, "the deadline passed before the request was forwarded")), true
 	}
+	if !r.forwards.enter(to.Name) {
+		return refused(structs.NotRun(structs.ReasonQueueFull, "%d requests are being forwarded to %s", r.Settings.MaxForwards, to.Name).WithRetryAfter(r.Settings.Settle)), true
+	}
+	defer r.forwards.leave(to.Name)
 	c.req.Timeout = left
-	fctx, cancel := clockwork.WithDeadline(ctx, r.Clock, c.deadline.Add(r.Settings.WaitGrace))
+	// The peer itself waits a grace for the outcome, which then travels back.
+	fctx, cancel := clockwork.WithDeadline(ctx, r.Clock, c.deadline.Add(2*r.Settings.WaitGrace))
 	defer cancel()
 	res, err := r.Peers.Forward(fctx, to.Address, &peer.ForwardRequest{Request: c.req, From: r.Instance, Hops: c.hops + 1})
 	switch {
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -78,10 +78,11 @@
 // Router handles requests on one instance.
 type Router struct {
 	Config
-	budgets *retry.Budgets
-	keys    *keyTable
-	latency *latencies
-	writer  *claimWriter
+	budgets  *retry.Budgets
+	keys     *keyTable
+	latency  *latencies
+	writer   *claimWriter
+	forwards *forwardCounts
 
 	stopOnce sync.Once
 	stopped  chan struct{} // closed when Serve ends for good
@@ -106,6 +107,7 @@
 		keys:     newKeyTable(c.Settings, c.Clock),
 		latency:  newLatencies(c.Clock),
 		writer:   newClaimWriter(c),
+		forwards: newForwardCounts(c.Settings.MaxForwards),
 		stopped:  make(chan struct{}),
 		lanes:    map[laneID]*lane{},
 		reserved: map[laneID]*lane{},
--- a/routing/settings.go
+++ b/routing/settings.go
@@ -45,6 +45,9 @@
 	ReservedConnections int
 	// MaxHops bounds how often a request is forwarded.
 	MaxHops int
+	// MaxForwards bounds the requests forwarded to one peer at once. It is below
+	// the connections to a peer, so that heartbeats never wait for requests.
+	MaxForwards int
 	// MaxKeys bounds the keys in flight and remembered.
 	MaxKeys int
 	// MaxRememberedBytes bounds the answers that are remembered.
@@ -87,6 +90,7 @@
 	setInt(&s.DefaultConnections, 64)
 	setInt(&s.ReservedConnections, 2)
 	setInt(&s.MaxHops, 3)
+	setInt(&s.MaxForwards, 48)
 	setInt(&s.MaxKeys, 1<<16)
 	setInt(&s.MaxRememberedBytes, 8<<20)
 	setInt(&s.ClaimRing, 4096)
