End a request's context when its client disconnects

nbhttp gives every request the engine's base context and runs its close callback only after the handler has returned, so a waiting request of a client that left would stay in its queue until the deadline. Using the close callback was tried and hung for that reason. The server now looks at the connections of requests in flight every 50 ms and ends the contexts of closed ones.

--- a/callerapi/callerapi.go
+++ b/callerapi/callerapi.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net/http"
+	"path"
 	"time"
 
 	"bergamotstile/metrics"
@@ -104,7 +105,19 @@
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		a.refuse(w, structs.NotRun(structs.ReasonNotFound, "no such path"))
 	})
-	return mux
+	return a.cleanPaths(mux)
+}
+
+// cleanPaths refuses paths that the mux would answer with a redirect. A client
+// that follows one may drop the body or the method.
+func (a *api) cleanPaths(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != path.Clean(r.URL.Path) {
+			a.refuse(w, structs.NotRun(structs.ReasonNotFound, "no such path"))
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 // endpoint answers a request or returns a refusal.
@@ -114,8 +127,8 @@
 
 // route registers a path. A method that it does not have is refused as JSON
 // too, which the mux's own method patterns would not do.
-func (a *api) route(mux *http.ServeMux, path string, m methods) {
-	mux.HandleFunc(path, func(w http.ResponseWriter, r *http.Request) {
+func (a *api) route(mux *http.ServeMux, pattern string, m methods) {
+	mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
 		serve, ok := m[r.Method]
 		if !ok {
 			a.refuseMethod(w, r, m)
--- a/httpserver/httpserver.go
+++ b/httpserver/httpserver.go
@@ -34,11 +34,12 @@
 	engine   *nbhttp.Engine
 	inFlight atomic.Int64
 	draining atomic.Bool
+	watch    *disconnectWatch
 }
 
 // Start listens on address and serves handler until Close.
 func Start(address string, handler http.Handler) (*Server, error) {
-	s := &Server{}
+	s := &Server{watch: newDisconnectWatch()}
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
 		Network:         "tcp",
 		Addrs:           []string{address},
@@ -50,11 +51,13 @@
 	if err := s.engine.Start(); err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
+	go s.watch.serve()
 	return s, nil
 }
 
-// track counts requests in flight. While draining, it asks clients to open
-// their next connection elsewhere.
+// track counts requests in flight and ends their contexts when the client
+// disconnects. While draining, it asks clients to open their next connection
+// elsewhere.
 func (s *Server) track(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.inFlight.Add(1)
@@ -62,7 +65,9 @@
 		if s.draining.Load() {
 			w.Header().Set("Connection", "close")
 		}
-		next.ServeHTTP(w, r)
+		ctx, done := s.watch.enter(r.Context(), w)
+		defer done()
+		next.ServeHTTP(w, r.WithContext(ctx))
 	})
 }
 
@@ -92,5 +97,6 @@
 
 // Close stops listening and closes every connection.
 func (s *Server) Close() {
+	s.watch.close()
 	s.engine.Stop()
 }
