Test slots of the owner and claims that are not dispatched

No test showed that an owner keeps to a runner's eight slots, that one lost answer of a claim's write does not cost the request, or that a request told not_run leaves its key free.

--- a/routing/handle_test.go
+++ b/routing/handle_test.go
@@ -154,6 +154,43 @@
 	})
 }
 
+// Guards against more dispatches to a runner than it has slots, and against a
+// leaving runner that gets new requests.
+func TestSlotsOfOwner(t *testing.T) {
+	bubble(t, func(t *testing.T, c *cluster) {
+		c.runners.behave = always(100*time.Millisecond, nil)
+		done := make(chan string)
+		for range 40 {
+			go func() { body, _, _ := handle(c.nodes["a"], request("r", "", "x")); done <- body }()
+		}
+		time.Sleep(50 * time.Millisecond)
+		perRunner := map[string]int{}
+		for _, r := range c.runners.record() {
+			perRunner[r.runner]++
+		}
+		if perRunner["runner-0"] != 8 || perRunner["runner-1"] != 8 || perRunner["runner-2"] != 8 {
+			t.Errorf("dispatches at once: %v, want 8 each", perRunner)
+		}
+		for range 40 {
+			<-done
+		}
+		c.runners.setBehave(func(address string, _ runnerapi.Dispatch) (time.Duration, error) {
+			if address == "runner-0" {
+				return 0, runnerapi.ErrLeaving
+			}
+			return 0, nil
+		})
+		for range 10 {
+			if body, reason, _ := handle(c.nodes["a"], request("r", "", "x")); body != "answer:x" {
+				t.Errorf("beside a leaving runner: %s", reason)
+			}
+		}
+		if !c.left["runner-0"] {
+			t.Error("the leaving runner was not reported")
+		}
+	})
+}
+
 // Guards against a request that fails in a domain without runners although
 // another domain has some, and against one that crosses domains for ever.
 func TestOtherDomainServes(t *testing.T) {
--- a/routing/kill_test.go
+++ b/routing/kill_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"bergamotstile/runnerapi"
 	"bergamotstile/structs"
 )
 
@@ -188,3 +190,52 @@
 		}
 	})
 }
+
+// Guards against a lost answer of a claim's write that costs the request: it is
+// resolved by reading back, and the request goes on.
+func TestLostClaimAnswerIsResolved(t *testing.T) {
+	for _, fault := range []string{"lost", "dropped", "delayed"} {
+		bubble(t, func(t *testing.T, c *cluster) {
+			c.table.fault = killCase{fault: fault}.faultOnce()
+			if body, reason, _ := handle(c.nodes["a"], billed("r", "k", "x")); body != "answer:x" {
+				t.Errorf("%s: %s", fault, reason)
+			}
+			c.table.land()
+			time.Sleep(time.Minute)
+			if body, reason, _ := handle(c.nodes["a"], billed("s", "k", "x")); body != "answer:x" {
+				t.Errorf("%s: duplicate: %s", fault, reason)
+			}
+			if n := len(c.runners.record()); n != 1 {
+				t.Errorf("%s: ran %d times", fault, n)
+			}
+		})
+	}
+}
+
+// Guards against a request that was told not_run while its claim still blocks
+// its key, and against not_run before the claim is closed.
+func TestNotRunClosesTheClaim(t *testing.T) {
+	bubble(t, func(t *testing.T, c *cluster) {
+		c.runners.behave = always(0, runnerapi.ErrBusy)
+		if _, reason, outcome := handle(c.nodes["a"], billed("r", "k", "x")); reason != structs.ReasonRetryBudget || outcome != structs.OutcomeNotRun {
+			t.Errorf("busy runners: %s %s", reason, outcome)
+		}
+		var outage sync.Once
+		c.step = func(_ *node, step string) {
+			if step == "dispatch" {
+				outage.Do(func() { c.table.setFault(func(string) string { return "down" }) })
+			}
+		}
+		if _, reason, outcome := handle(c.nodes["a"], billed("s", "l", "y")); reason != structs.ReasonWriteUnresolved || outcome != structs.OutcomeMayHaveRun {
+			t.Errorf("busy runners and no table: %s %s", reason, outcome)
+		}
+		c.table.setFault(nil)
+		c.runners.setBehave(always(0, nil))
+		time.Sleep(5 * time.Second)
+		for key, body := range map[string]string{"k": "x", "l": "y"} {
+			if got, reason, _ := handle(c.nodes["a"], billed("u", key, body)); got != "answer:"+body {
+				t.Errorf("key %s is still taken: %s", key, reason)
+			}
+		}
+	})
+}
