--- a/httpserver/httpserver.go
+++ b/httpserver/httpserver.go
@@ -38,13 +38,14 @@
 	draining   atomic.Bool
 	// lastActive is when the last request began or ended, in Unix nanoseconds.
 	lastActive atomic.Int64
+	watch      *disconnectWatch
 }
 
 // Start listens on address and serves handler until Close. Requests for
 // probePaths do not count as activity in a drain: a balancer asks them for as
 // long as the server answers.
 func Start(address string, handler http.Handler, probePaths ...string) (*Server, error) {
-	s := &Server{probePaths: probePaths}
+	s := &Server{probePaths: probePaths, watch: newDisconnectWatch()}
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
 		Network:         "tcp",
 		Addrs:           []string{address},
@@ -56,11 +57,13 @@
 	if err := s.engine.Start(); err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
+	go s.watch.serve()
 	return s, nil
 }
 
-// track counts requests in flight. While draining, it asks clients to open
-// their next connection elsewhere.
+// track counts requests in flight and ends their contexts when the client
+// disconnects. While draining, it asks clients to open their next connection
+// elsewhere.
 func (s *Server) track(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if slices.Contains(s.probePaths, r.URL.Path) {
@@ -76,7 +79,9 @@
 		if s.draining.Load() {
 			w.Header().Set("Connection", "close")
 		}
-		next.ServeHTTP(w, r)
+		ctx, done := s.watch.enter(r.Context(), w)
+		defer done()
+		next.ServeHTTP(w, r.WithContext(ctx))
 	})
 }
 
@@ -121,5 +126,6 @@
 
 // Close stops listening and closes every connection.
 func (s *Server) Close() {
+	s.watch.close()
 	s.engine.Stop()
 }
--- a/routing/dispatch.go
+++ b/routing/dispatch.go
@@ -29,6 +29,9 @@
 	// endsBy is set if a dispatch may still run: no other dispatch of the same
 	// key may start before it.
 	endsBy time.Time
+	// pending is set if the call's claim is not resolved yet. It gives the
+	// refusal that holds once it is.
+	pending <-chan result
 }
 
 func refused(r *structs.Refusal) result {
@@ -163,8 +166,6 @@
 	}
 	endsBy := c.deadline.Add(r.Settings.Settle)
 	r.observe(c, true)
-	// The time until the loss bounds the service time from below only.
-	s.releaseAt(endsBy, c.req.Kind, took)
 	reason := structs.ReasonRunnerFailed
 	switch {
 	case errors.Is(err, runnerapi.ErrTimeout), errors.Is(err, context.DeadlineExceeded):
@@ -172,6 +173,10 @@
 	case errors.Is(err, runnerapi.ErrIncomplete):
 		reason = structs.ReasonAnswerIncomplete
 	}
+	if reason != structs.ReasonDeadlineExceeded {
+		took = 0 // the time until an answer was lost says little of the service time
+	}
+	s.releaseAt(endsBy, c.req.Kind, took)
 	left := max(endsBy.Sub(r.Clock.Now()), 0)
 	refusal := structs.MayHaveRun(reason, "runner %s: %v", s.runner.Name, err).WithRetryAfter(left)
 	return result{refusal: refusal, endsBy: endsBy}
--- a/routing/settings.go
+++ b/routing/settings.go
@@ -45,6 +45,9 @@
 	ReservedConnections int
 	// MaxHops bounds how often a request is forwarded.
 	MaxHops int
+	// MaxForwards bounds the requests forwarded to one peer at once. It is below
+	// the connections to a peer, so that heartbeats never wait for requests.
+	MaxForwards int
 	// MaxKeys bounds the keys in flight and remembered.
 	MaxKeys int
 	// MaxRememberedBytes bounds the answers that are remembered.
@@ -53,9 +56,13 @@
 	// transaction.
 	ClaimRing  int
 	ClaimGroup int
-	// ClaimRetry is the pause between two tries of a write that the table did
-	// not accept, OutcomeGiveUp when the outcome of a claim is given up.
+	// TableTimeout bounds each call of the table and the object store.
+	TableTimeout time.Duration
+	// ClaimRetry and ClaimRetryMax are the shortest and the longest pause
+	// between two tries of a write that the table did not accept.
 	ClaimRetry    time.Duration
+	ClaimRetryMax time.Duration
+	// OutcomeGiveUp is when the outcome of a claim is given up.
 	OutcomeGiveUp time.Duration
 	// InlineAnswerBytes is the largest answer that is kept in a claim row.
 	InlineAnswerBytes int
@@ -75,17 +82,22 @@
 	setDuration(&s.BusyPause, 20*time.Millisecond)
 	setDuration(&s.UnreachablePause, 500*time.Millisecond)
 	setDuration(&s.LeavingPause, 3*time.Second)
+	setDuration(&s.TableTimeout, time.Second)
 	setDuration(&s.ClaimRetry, 20*time.Millisecond)
+	setDuration(&s.ClaimRetryMax, time.Second)
 	setDuration(&s.OutcomeGiveUp, 30*time.Second)
 	setInt(&s.DefaultSlots, 8)
 	setInt(&s.DefaultConnections, 64)
 	setInt(&s.ReservedConnections, 2)
 	setInt(&s.MaxHops, 3)
+	setInt(&s.MaxForwards, 48)
 	setInt(&s.MaxKeys, 1<<16)
 	setInt(&s.MaxRememberedBytes, 8<<20)
 	setInt(&s.ClaimRing, 4096)
 	setInt(&s.ClaimGroup, 64)
 	setInt(&s.InlineAnswerBytes, 64<<10)
+	// A key must not be forgotten while its dispatch may still run.
+	s.AnswerRetention = max(s.AnswerRetention, s.RequestTimeoutMax+s.Settle)
 	if s.Admission == (admission.Settings{}) {
 		s.Admission = admission.DefaultSettings()
 	}
