lifecycle: check properties in a simulated failure domain

It found that a standing job marked as not idempotent was treated as work that must not run again; a standing job restarts by definition, so it is now always repeatable. Two other failures were faults of the test: an outcome that dies with its worker's memory is not known to anyone, and standing jobs can fill all workers.

--- a/lifecycle/fakes_test.go
+++ b/lifecycle/fakes_test.go
@@ -221,6 +221,9 @@
 	for attempt := range w.running {
 		w.record(runEntry{worker: w.name, attempt: attempt, what: "killed"})
 	}
+	for attempt := range w.ended {
+		w.record(runEntry{worker: w.name, attempt: attempt, what: "forgotten"})
+	}
 	w.boot++
 	w.bootedAt = w.clock.Now().UnixMilli() - 1
 	w.running = map[structs.AttemptID]*task{}
--- a/lifecycle/machine.go
+++ b/lifecycle/machine.go
@@ -189,7 +189,7 @@
 	case workerapi.EndFailed:
 		return afterFailure(item, ev.Ended.Detail, limits), EffectNone, true
 	}
-	if item.Spec.Idempotent && ev.Checkpoint != "" {
+	if repeatable(item) && ev.Checkpoint != "" {
 		item.Checkpoint = ev.Checkpoint
 	}
 	return requeueOrLose(item, ev), EffectNone, true
@@ -204,7 +204,7 @@
 		return end(item, structs.StateFailed, detail)
 	}
 	exhausted := distinct(item.FailedOn) >= limits.MaxFailedWorkers || len(item.FailedOn) >= limits.MaxFailures
-	if exhausted || !item.Spec.Idempotent {
+	if exhausted || !repeatable(item) {
 		return end(item, structs.StateFailed, detail)
 	}
 	return requeue(item, detail)
@@ -212,7 +212,7 @@
 
 // requeueOrLose decides about an attempt that ended without an outcome.
 func requeueOrLose(item structs.WorkItem, ev Event) structs.WorkItem {
-	if item.Spec.Idempotent || ev.NeverStarted {
+	if repeatable(item) || ev.NeverStarted {
 		return requeue(item, ev.Detail)
 	}
 	return end(item, structs.StateLost, ev.Detail)
@@ -237,6 +237,12 @@
 	return len(slices.Compact(sorted))
 }
 
+// repeatable reports whether the item may run again after an attempt of which
+// the outcome is not known. A standing job is restarted whenever it ends.
+func repeatable(item structs.WorkItem) bool {
+	return item.Spec.Idempotent || item.Spec.Kind == structs.KindStanding
+}
+
 // over reports whether nothing leaves the item's state any more.
 func over(item structs.WorkItem) bool {
 	standing := item.Spec.Kind == structs.KindStanding
--- a/lifecycle/starts.go
+++ b/lifecycle/starts.go
@@ -122,7 +122,7 @@
 	if r.ended.State != workerapi.EndStopped || r.ended.Checkpoint == "" {
 		return false
 	}
-	return r.item.State == structs.StateEvicting || r.item.Spec.Idempotent && r.item.State != structs.StateCancelling
+	return r.item.State == structs.StateEvicting || repeatable(r.item) && r.item.State != structs.StateCancelling
 }
 
 func (c *core) checkCheckpoint(r *record) {
--- a/relay/main_test.go
+++ b/relay/main_test.go
@@ -8,7 +8,7 @@
 
 // propertyDefaults fix the seed of property tests and make more of them
 // than the library does, unless flags say otherwise.
-var propertyDefaults = map[string]string{"rapid.seed": "1", "rapid.checks": "2000"}
+var propertyDefaults = map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true", "rapid.checks": "2000"}
 
 func TestMain(m *testing.M) {
 	flag.Parse()
