--- a/configuration/apply.go
+++ b/configuration/apply.go
@@ -24,9 +24,10 @@
 	applyTimeout = 10 * time.Second
 	// maxOperator is the longest name of an operator.
 	maxOperator = 128
-	// keepChanges is the number of change rows below the snapshot that stay in
-	// the table. An instance that is further behind starts from the snapshot.
-	keepChanges = 512
+	// snapshotTimeout bounds what a slow object store adds to an apply.
+	snapshotTimeout = time.Second
+	// confirmTries bounds the readings of a head that pushes overtake.
+	confirmTries = 3
 )
 
 // proposal is a change on its way into the table.
@@ -60,7 +61,7 @@
 	ctx, cancel := clockwork.WithTimeout(ctx, s.o.Clock, applyTimeout)
 	defer cancel()
 	if base == 0 {
-		h, err := s.confirm(ctx)
+		h, _, err := s.confirm(ctx)
 		if err != nil {
 			return 0, err
 		}
@@ -77,31 +78,36 @@
 
 // applyOn writes entries as the version after base.
 func (s *Store) applyOn(ctx context.Context, operator string, base uint64, entries declaration.Entries) (uint64, error) {
-	h, err := s.confirm(ctx)
+	h, current, err := s.confirm(ctx)
 	if err != nil {
 		return 0, err
 	}
-	delta := declaration.Diff(s.current().entries, entries)
+	delta := declaration.Diff(current.entries, entries)
 	if delta.Empty() {
 		return h.Version, nil
 	}
 	if base != h.Version {
 		return 0, s.lostTo(ctx, h.Version, base)
 	}
-	return s.commit(ctx, s.propose(ctx, h, operator, entries, delta))
+	h.Snapshot = s.storeSnapshot(ctx, h, current)
+	return s.commit(ctx, s.propose(h, operator, entries, delta))
 }
 
-// confirm brings the instance up to the table's head.
-func (s *Store) confirm(ctx context.Context) (headRow, error) {
-	h, err := s.catchUp(ctx)
-	if err != nil {
-		return h, structs.NotRun(structs.ReasonStoreUnavailable, "the configuration cannot be read: %v", err)
-	}
-	if at := s.current().version; h.Version != at {
-		return h, structs.NotRun(structs.ReasonStoreUnavailable,
-			"the table's head is at version %d and version %d is in force", h.Version, at)
+// confirm brings the instance up to the table's head and returns the head with
+// the state at that version. A push may overtake the reading of the head; then
+// the head is read again.
+func (s *Store) confirm(ctx context.Context) (headRow, state, error) {
+	for range confirmTries {
+		h, err := s.catchUp(ctx)
+		if err != nil {
+			return h, state{}, structs.NotRun(structs.ReasonStoreUnavailable, "the configuration cannot be read: %v", err)
+		}
+		if current := s.current(); h.Version == current.version {
+			return h, current, nil
+		}
 	}
-	return h, nil
+	return headRow{}, state{}, structs.NotRun(structs.ReasonStoreUnavailable,
+		"the table's head differs from version %d in force", s.current().version)
 }
 
 func (s *Store) checkApply(operator string, d *declaration.Deployment) error {
@@ -119,13 +125,12 @@
 }
 
 // propose builds the transaction that turns the head into the next version.
-func (s *Store) propose(ctx context.Context, h headRow, operator string,
-	entries declaration.Entries, delta declaration.Delta) proposal {
+func (s *Store) propose(h headRow, operator string, entries declaration.Entries, delta declaration.Delta) proposal {
 	writeID := uuid.NewString()
 	version := h.Version + 1
 	digest := entries.Digest()
 	record := change{Version: version, Operator: operator, Base: h.Version, WriteID: writeID, Digest: digest, Delta: delta}
-	next := head{Version: version, Digest: digest, Snapshot: s.storeSnapshot(ctx, h), WriteID: writeID}
+	next := head{Version: version, Digest: digest, Snapshot: h.Snapshot, WriteID: writeID}
 	value := encode(record)
 	return proposal{
 		change: peer.ConfigChange{Version: version, Value: value},
@@ -135,7 +140,7 @@
 			WriteID:    writeID,
 			Conditions: []platform.Condition{{Key: keyHead, Version: h.rowVersion}, {Key: changeKey(version)}},
 			Puts:       []platform.Put{{Key: keyHead, Value: encode(next)}, {Key: changeKey(version), Value: value}},
-			Deletes:    expiredChanges(version, next.Snapshot),
+			Deletes:    s.expiredChanges(version, next.Snapshot),
 		},
 	}
 }
@@ -143,21 +148,22 @@
 // expiredChanges returns the change row that the snapshot has made
 // unnecessary, if any. One row goes with each apply, so the number of rows
 // stays bounded while the object store works.
-func expiredChanges(version, snapshot uint64) []string {
-	if version <= keepChanges+snapshotEvery || version-keepChanges-snapshotEvery > snapshot {
+func (s *Store) expiredChanges(version, snapshot uint64) []string {
+	if version <= s.keepChanges || version-s.keepChanges > snapshot {
 		return nil
 	}
-	return []string{changeKey(version - keepChanges - snapshotEvery)}
+	return []string{changeKey(version - s.keepChanges)}
 }
 
 // storeSnapshot stores the version in force once the last snapshot is
 // snapshotEvery versions old, and returns the newest stored version. If the
 // object store fails, the next apply tries again.
-func (s *Store) storeSnapshot(ctx context.Context, h headRow) uint64 {
-	current := s.current()
-	if current.version < h.Snapshot+snapshotEvery {
+func (s *Store) storeSnapshot(ctx context.Context, h headRow, current state) uint64 {
+	if current.version < h.Snapshot+s.snapshotEvery {
 		return h.Snapshot
 	}
+	ctx, cancel := clockwork.WithTimeout(ctx, s.o.Clock, snapshotTimeout)
+	defer cancel()
 	if err := s.o.Objects.Put(ctx, snapshotName(current.version), current.snapshot()); err != nil {
 		s.o.Metrics.Count("config_snapshot_failed", 1)
 		s.o.Log.Warnf(logPrefix+"snapshot %d was not stored: %v", current.version, err)
--- a/configuration/catchup.go
+++ b/configuration/catchup.go
@@ -42,17 +42,17 @@
 // catchUp installs what the table has above the version in force and returns
 // the head that it reached.
 func (s *Store) catchUp(ctx context.Context) (headRow, error) {
+	at := s.current().version
 	h, err := s.readHeadRow(ctx)
 	if err != nil {
 		return h, err
 	}
-	at := s.current().version
 	if h.Version < at {
 		s.o.Metrics.Count("config_head_behind", 1)
 		s.o.Log.Warnf(logPrefix+"the table's head is at version %d, below version %d in force", h.Version, at)
 		return h, nil
 	}
-	if h.Snapshot > at && h.Version-at > snapshotEvery {
+	if h.Snapshot > at && h.Version-at > s.snapshotEvery {
 		s.loadSnapshot(ctx, h.Snapshot)
 	}
 	return h, s.readChanges(ctx, h.Version)
--- a/configuration/spread.go
+++ b/configuration/spread.go
@@ -82,14 +82,18 @@
 // pushBranch pushes to the first name of a branch that answers. That peer
 // passes the changes on to the rest.
 func (s *Store) pushBranch(ctx context.Context, addresses map[string]string, changes []peer.ConfigChange, names []string) {
+	tries := 0
 	for i, name := range names {
 		address, ok := addresses[name]
-		if !ok || name == s.o.Name {
+		if !ok {
 			continue
 		}
 		if s.pushTo(ctx, address, &peer.PushRequest{Changes: changes, Relay: names[i+1:]}) {
 			return
 		}
+		if tries++; tries == branchTries {
+			return
+		}
 	}
 }
 
--- a/configuration/store.go
+++ b/configuration/store.go
@@ -27,12 +27,18 @@
 	fanOut = 4
 	// snapshotEvery is the number of versions between snapshots.
 	snapshotEvery = 256
+	// keepChanges is the number of newest change rows that stay in the table.
+	// An instance that is further behind starts from the snapshot.
+	keepChanges = 3 * snapshotEvery
 	// recentMaxBytes bounds the changes kept for peers that are behind. It is
 	// about a thousand changes of the usual size.
 	recentMaxBytes = 1 << 20
 	// pushQueue bounds the pushes that wait; a push that is dropped costs its
 	// receivers one poll.
 	pushQueue = 64
+	// branchTries is the number of peers of a branch that a push tries, so that
+	// a domain that is cut off does not hold up later pushes.
+	branchTries = 3
 	// pushTimeout bounds one push to a peer, so that a dead one holds up the
 	// rest of its branch only briefly.
 	pushTimeout = 500 * time.Millisecond
@@ -96,6 +102,9 @@
 	// instance race in order and not against each other's reads.
 	applying chan struct{}
 
+	// snapshotEvery and keepChanges are the constants, but smaller in tests.
+	snapshotEvery, keepChanges uint64
+
 	mu     sync.Mutex
 	state  state
 	recent []peer.ConfigChange
@@ -129,6 +138,9 @@
 		kick:     make(chan struct{}, 1),
 		applying: make(chan struct{}, 1),
 		state:    state{entries: declaration.Entries{}},
+
+		snapshotEvery: snapshotEvery,
+		keepChanges:   keepChanges,
 	}
 }
 
--- /dev/null
+++ b/configuration/store_test.go
@@ -0,0 +1,293 @@
+package configuration
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"bergamotstile/peer"
+	"bergamotstile/structs"
+)
+
+func mustApply(t *testing.T, i *instance, operator string, variant int) uint64 {
+	t.Helper()
+	version, err := i.apply(operator, 0, variant)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return version
+}
+
+func expectRefusal(t *testing.T, err error, reason structs.Reason, outcome structs.Outcome, detail string) {
+	t.Helper()
+	r := reasonOf(t, err)
+	if r.Reason != reason || r.Outcome != outcome || !strings.Contains(r.Detail, detail) {
+		t.Errorf("got %v, want %s (%s) with %q", r, reason, outcome, detail)
+	}
+}
+
+func expectVersions(t *testing.T, c *cluster, want uint64) {
+	t.Helper()
+	for _, i := range c.instances {
+		if got := i.version(); got != want {
+			t.Errorf("%s has version %d, want %d", i.name, got, want)
+		}
+	}
+}
+
+// Guards against two winners of one version and a loser that is not told whom
+// it lost to.
+func TestRacingOperatorsHaveOneWinner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster("a1", "a2")
+		mustApply(t, c.instances[0], "first", 1)
+		c.instances[1].link.before = func() { mustApply(t, c.instances[0], "winner", 2) }
+		_, err := c.instances[1].apply("loser", 0, 3)
+		expectRefusal(t, err, structs.ReasonVersionConflict, structs.OutcomeNotRun, `lost to version 2 of operator "winner"`)
+		if got := c.instances[1].version(); got != 2 {
+			t.Errorf("the loser's instance has version %d", got)
+		}
+	})
+}
+
+// Guards against an apply that overwrites a change its operator has not seen.
+func TestApplyOnOldBaseIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster("a1")
+		mustApply(t, c.instances[0], "first", 1)
+		mustApply(t, c.instances[0], "second", 2)
+		_, err := c.instances[0].apply("late", 1, 3)
+		expectRefusal(t, err, structs.ReasonVersionConflict, structs.OutcomeNotRun, `lost to version 2 of operator "second"`)
+		_, err = c.instances[0].apply("early", 9, 3)
+		expectRefusal(t, err, structs.ReasonVersionConflict, structs.OutcomeNotRun, "base 9 is above version 2")
+	})
+}
+
+// Guards against a new version for a repeated apply, such as the retry of an
+// apply whose answer the operator did not receive.
+func TestIdenticalApplyIsAnsweredWithTheVersionInForce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster("a1", "a2")
+		first := mustApply(t, c.instances[0], "operator", 1)
+		again, err := c.instances[1].apply("operator", 0, 1)
+		if err != nil || again != first || c.table.head().Version != first {
+			t.Errorf("got version %d and %v, head %d", again, err, c.table.head().Version)
+		}
+	})
+}
+
+// Guards against a wrong account of a write whose answer was lost.
+func TestLostAnswersAreResolvedByReadBack(t *testing.T) {
+	cases := map[string]struct {
+		faults []fault
+		want   uint64
+	}{
+		"took effect":               {[]fault{faultLost}, 1},
+		"had no effect":             {[]fault{faultDropped}, 1},
+		"no effect, then lost":      {[]fault{faultDropped, faultLost}, 1},
+		"late copy after a resend":  {[]fault{faultLate, faultDropped}, 1},
+		"unavailable after unknown": {[]fault{faultDropped, faultDown}, 1},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster("a1")
+				c.instances[0].link.faults = test.faults
+				if got := mustApply(t, c.instances[0], "operator", 1); got != test.want {
+					t.Errorf("version %d", got)
+				}
+				c.instances[0].link.deliverLate()
+				if got := c.table.head().Version; got != 1 {
+					t.Errorf("head is at version %d after the late copy", got)
+				}
+			})
+		})
+	}
+}
+
+// Guards against "not run" for a write that takes effect after the instance
+// gave up on it.
+func TestUnresolvedWriteMayHaveRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster("a1")
+		link := c.instances[0].link
+		link.faults, link.blackout = []fault{faultLate}, true
+		_, err := c.instances[0].apply("operator", 0, 1)
+		expectRefusal(t, err, structs.ReasonWriteUnresolved, structs.OutcomeMayHaveRun, "version 1")
+		link.deliverLate()
+		link.set(false, false)
+		c.instances[0].poll()
+		expectVersions(t, c, 1)
+	})
+}
+
+// Guards against applies during an outage that are neither made nor refused.
+func TestApplyDuringOutageIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster("a1")
+		link := c.instances[0].link
+		link.set(true, false)
+		_, err := c.instances[0].apply("operator", 0, 1)
+		expectRefusal(t, err, structs.ReasonStoreUnavailable, structs.OutcomeNotRun, "")
+		link.set(false, true)
+		_, err = c.instances[0].apply("operator", 0, 1)
+		expectRefusal(t, err, structs.ReasonStoreUnavailable, structs.OutcomeNotRun, "")
+		link.set(false, false)
+		link.faults = []fault{faultDown}
+		_, err = c.instances[0].apply("operator", 0, 1)
+		expectRefusal(t, err, structs.ReasonStoreUnavailable, structs.OutcomeNotRun, "")
+		bad := deployment(1)
+		bad.Teams[0].Weight = 0
+		_, err = c.instances[0].store.Apply(context.Background(), "operator", 0, bad)
+		expectRefusal(t, err, structs.ReasonDeclarationInvalid, structs.OutcomeNotRun, "teams[0].weight")
+		_, err = c.instances[0].store.Apply(context.Background(), " ", 0, deployment(1))
+		expectRefusal(t, err, structs.ReasonBadRequest, structs.OutcomeNotRun, "operator")
+	})
+}
+
+// Guards against a relay tree that leaves instances out: every instance gets
+// the change by pushes alone, and no instance sends more than fanOut.
+func TestPushReachesEveryInstance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var names []string
+		for i := range 30 {
+			names = append(names, "a"+string(rune('A'+i)))
+		}
+		c := newCluster(names...)
+		mustApply(t, c.instances[7], "operator", 1)
+		for range 3 {
+			for _, i := range c.instances {
+				i.push()
+			}
+		}
+		expectVersions(t, c, 1)
+		for _, i := range c.instances {
+			if n := i.sent.Load(); n > fanOut {
+				t.Errorf("%s sent %d pushes", i.name, n)
+			}
+		}
+	})
+}
+
+// Guards against a branch of the tree that is lost with its first instance.
+func TestPushPassesByADeadInstance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster("a1", "a2", "a3", "a4", "a5", "a6", "a7", "a8", "a9")
+		c.instances[1].paused = true
+		mustApply(t, c.instances[0], "operator", 1)
+		for _, i := range c.instances {
+			i.push()
+		}
+		for _, i := range c.instances {
+			if i.version() != 1 && !i.paused {
+				t.Errorf("%s has version %d", i.name, i.version())
+			}
+		}
+	})
+}
+
+// Guards against changes that are applied out of order or taken back: an
+// instance paused across two changes gets them late and crossed.
+func TestChangesApplyInOrderAndNeverGoBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster("a1", "a2")
+		paused := c.instances[1]
+		mustApply(t, c.instances[0], "first", 1)
+		mustApply(t, c.instances[0], "second", 2)
+		var pushes []peer.PushRequest
+		for _, req := range c.instances[0].store.pushes.Drain(2) {
+			req.Relay = nil
+			pushes = append(pushes, req)
+		}
+		for _, n := range []int{1, 0, 1, 0} {
+			before := paused.version()
+			if _, err := paused.store.Push(context.Background(), pushes[n]); err != nil {
+				t.Fatal(err)
+			}
+			if paused.version() < before {
+				t.Fatalf("version went from %d to %d", before, paused.version())
+			}
+		}
+		expectVersions(t, c, 2)
+		old := c.instances[0].store.current()
+		mustApply(t, c.instances[0], "third", 3)
+		if err := c.instances[0].store.installSnapshot(old.snapshot()); err != nil {
+			t.Fatal(err)
+		}
+		if got := c.instances[0].version(); got != 3 {
+			t.Errorf("a snapshot of version 2 replaced version 3 by %d", got)
+		}
+	})
+}
+
+// Guards against a fresh instance that starts from a stale peer while another
+// has a newer configuration, or that is ready without any.
+func TestFreshInstanceDuringOutageTakesTheHighestVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster("a1", "a2", "a3", "b1")
+		mustApply(t, c.instances[0], "first", 1)
+		c.instances[0].push()
+		mustApply(t, c.instances[2], "second", 2)
+		for _, i := range c.instances {
+			i.link.set(true, false)
+		}
+		fresh := c.instances[1]
+		fresh.restart()
+		c.cut["a"] = true
+		lone := c.instances[3]
+		lone.restart()
+		lone.poll()
+		if lone.store.Synced() {
+			t.Error("an instance without table and peers is ready")
+		}
+		fresh.poll()
+		if got := fresh.version(); got != 2 || !fresh.store.Synced() {
+			t.Errorf("fresh instance has version %d", got)
+		}
+	})
+}
+
+// Guards against a configuration that differs between instances because a
+// change was damaged on its way.
+func TestDamagedChangeIsNotInstalled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster("a1", "a2")
+		mustApply(t, c.instances[0], "first", 1)
+		good, _ := c.table.change(1)
+		good.Digest = strings.Repeat("0", 64)
+		damaged := peer.ConfigChange{Version: 1, Value: encode(good)}
+		for _, c2 := range []peer.ConfigChange{damaged, {Version: 1, Value: []byte("{")}, {Version: 2, Value: encode(good)}} {
+			if err := c.instances[1].store.install(c2); err == nil {
+				t.Error("installed")
+			}
+		}
+		if got := c.instances[1].version(); got != 0 {
+			t.Errorf("version %d is in force", got)
+		}
+	})
+}
+
+// Guards against change rows that pile up, and against instances that cannot
+// start once rows are gone.
+func TestSnapshotsReplaceOldChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster("a1", "a2")
+		c.table.objectsDown = true
+		for v := 1; v <= 20; v++ {
+			if v == 8 {
+				c.table.objectsDown = false
+			}
+			mustApply(t, c.instances[0], "operator", v)
+		}
+		if got := c.table.head().Snapshot; got != 19 {
+			t.Errorf("newest snapshot is %d", got)
+		}
+		if rows := len(c.table.rows); rows > 1+8+6 {
+			t.Errorf("%d rows are left", rows)
+		}
+		delete(c.table.rows, changeKey(1))
+		c.instances[1].poll()
+		expectVersions(t, c, 20)
+	})
+}
