Keep one precondition per apply and name the winner of every race

Cause: breaking each mechanism of the store on a scratch copy showed two that no test needed: the condition on the change row repeats the one on the head, and the lock around applies repeats the conditional commit. Both are gone.

Ruled out: refusing a loser without the winner's name when the read-back fails once. A conflict is now read back until the apply's time is up.

--- a/configuration/apply.go
+++ b/configuration/apply.go
@@ -67,12 +67,6 @@
 		}
 		base = h.Version
 	}
-	select {
-	case s.applying <- struct{}{}:
-		defer func() { <-s.applying }()
-	case <-ctx.Done():
-		return 0, structs.NotRun(structs.ReasonStoreUnavailable, "another apply is under way")
-	}
 	return s.applyOn(ctx, operator, base, d.Entries())
 }
 
@@ -138,7 +132,7 @@
 		base:   h,
 		tx: platform.Transaction{
 			WriteID:    writeID,
-			Conditions: []platform.Condition{{Key: keyHead, Version: h.rowVersion}, {Key: changeKey(version)}},
+			Conditions: []platform.Condition{{Key: keyHead, Version: h.rowVersion}},
 			Puts:       []platform.Put{{Key: keyHead, Value: encode(next)}, {Key: changeKey(version), Value: value}},
 			Deletes:    s.expiredChanges(version, next.Snapshot),
 		},
@@ -180,11 +174,14 @@
 	case err == nil:
 		return s.accept(p)
 	case errors.As(err, &conflict):
-		return s.lookUp(ctx, p)
+		return s.resolve(ctx, p, structs.NotRun(structs.ReasonVersionConflict,
+			"version %d was taken by another operator, whose name cannot be read now", p.change.Version))
 	case errors.Is(err, platform.ErrUnavailable):
 		return 0, structs.NotRun(structs.ReasonStoreUnavailable, "%v", err)
 	}
-	return s.resolve(ctx, p, err)
+	s.o.Metrics.Count("config_write_unknown", 1)
+	return s.resolve(ctx, p, structs.MayHaveRun(structs.ReasonWriteUnresolved,
+		"whether version %d was accepted is not known: %v", p.change.Version, err))
 }
 
 // accept puts a committed change in force here and starts its push.
--- a/configuration/concurrent_test.go
+++ b/configuration/concurrent_test.go
@@ -243,19 +243,26 @@
 }
 
 // Guards against an instance that is cut off from the table and misses a push,
-// but does not ask the peers that it reaches.
+// but does not ask the peers that it reaches, all of them in turn.
 func TestServeAsksPeersWhileTheTableIsDown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster("a1", "a2", "a3", "a4", "a5", "a6", "a7")
 		serve(t, c)
-		c.instances[6].paused = true
-		c.instances[6].link.set(true, false)
+		cutOff := c.instances[6]
 		mustApply(t, c.instances[0], "operator", 1)
+		mustApply(t, c.instances[0], "operator", 2)
+		synctest.Wait()
+		cutOff.paused = true
+		cutOff.link.set(true, false)
+		mustApply(t, c.instances[0], "operator", 3)
 		time.Sleep(testPoll / 2)
 		c.mu.Lock()
-		c.instances[6].paused = false
+		cutOff.paused = false
+		for _, i := range c.instances[:4] {
+			i.paused = true
+		}
 		c.mu.Unlock()
 		time.Sleep(2 * testPoll)
-		expectVersions(t, c, 1)
+		expectVersions(t, c, 3)
 	})
 }
--- a/configuration/fake_test.go
+++ b/configuration/fake_test.go
@@ -55,6 +55,18 @@
 	return platform.CommitResult{Version: t.version}, nil
 }
 
+func (t *fakeTable) read(keys []string) []platform.Row {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var rows []platform.Row
+	for _, key := range keys {
+		if row, ok := t.rows[key]; ok {
+			rows = append(rows, row)
+		}
+	}
+	return rows
+}
+
 // record refuses a second winner of a version.
 func (t *fakeTable) record(p platform.Put) {
 	if !strings.HasPrefix(p.Key, keyChangePrefix) {
@@ -115,13 +127,13 @@
 	blackout bool
 	// before runs once before the next commit reaches the table.
 	before func()
-	reads  int
+	// afterRead runs once after the next read of the table.
+	afterRead func()
 }
 
 func (l *link) state() (bool, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.reads++
 	return l.down, l.slow
 }
 
@@ -134,13 +146,10 @@
 	if down {
 		return nil, platform.ErrUnavailable
 	}
-	l.table.mu.Lock()
-	defer l.table.mu.Unlock()
-	var rows []platform.Row
-	for _, key := range keys {
-		if row, ok := l.table.rows[key]; ok {
-			rows = append(rows, row)
-		}
+	rows := l.table.read(keys)
+	if hook := l.afterRead; hook != nil {
+		l.afterRead = nil
+		hook()
 	}
 	return rows, nil
 }
--- a/configuration/resolve.go
+++ b/configuration/resolve.go
@@ -52,11 +52,11 @@
 	return fateLost, winner, nil
 }
 
-// resolve finds out what became of a write whose answer was lost. While the
-// table shows no effect, it sends the same conditional transaction again, of
-// which only one copy can take effect.
-func (s *Store) resolve(ctx context.Context, p proposal, cause error) (uint64, error) {
-	s.o.Metrics.Count("config_write_unknown", 1)
+// resolve reads back what became of a write whose answer was lost or was a
+// conflict. While the table shows no effect, it sends the same conditional
+// transaction again, of which only one copy can take effect. It returns giveUp
+// if the table does not tell before ctx ends.
+func (s *Store) resolve(ctx context.Context, p proposal, giveUp error) (uint64, error) {
 	for {
 		result, winner, err := s.readBack(ctx, p)
 		switch {
@@ -71,27 +71,12 @@
 		}
 		select {
 		case <-ctx.Done():
-			return 0, structs.MayHaveRun(structs.ReasonWriteUnresolved,
-				"whether version %d was accepted is not known: %v", p.change.Version, cause)
+			return 0, giveUp
 		case <-s.o.Clock.After(resolveWait):
 		}
 	}
 }
 
-// lookUp is called after a conflict: the write had no effect, unless the
-// conflict is with a copy of the write itself.
-func (s *Store) lookUp(ctx context.Context, p proposal) (uint64, error) {
-	result, winner, err := s.readBack(ctx, p)
-	if err == nil && result == fateWon {
-		return s.accept(p)
-	}
-	if err == nil && result == fateLost {
-		return 0, s.refuseLost(ctx, winner)
-	}
-	return 0, structs.NotRun(structs.ReasonVersionConflict,
-		"version %d was taken by another operator, whose name cannot be read now", p.change.Version)
-}
-
 // refuseLost names the winner of a race and brings its change in force here.
 func (s *Store) refuseLost(ctx context.Context, winner change) error {
 	if _, err := s.catchUp(ctx); err != nil {
--- a/configuration/store.go
+++ b/configuration/store.go
@@ -98,9 +98,6 @@
 	o      Options
 	pushes *ring.Ring[peer.PushRequest]
 	kick   chan struct{}
-	// applying admits one apply at a time, so that operators on the same
-	// instance race in order and not against each other's reads.
-	applying chan struct{}
 
 	// snapshotEvery and keepChanges are the constants, but smaller in tests.
 	snapshotEvery, keepChanges uint64
@@ -133,11 +130,10 @@
 		o.Metrics = metrics.NewSet()
 	}
 	return &Store{
-		o:        o,
-		pushes:   ring.New[peer.PushRequest](pushQueue),
-		kick:     make(chan struct{}, 1),
-		applying: make(chan struct{}, 1),
-		state:    state{entries: declaration.Entries{}},
+		o:      o,
+		pushes: ring.New[peer.PushRequest](pushQueue),
+		kick:   make(chan struct{}, 1),
+		state:  state{entries: declaration.Entries{}},
 
 		snapshotEvery: snapshotEvery,
 		keepChanges:   keepChanges,
--- a/configuration/store_test.go
+++ b/configuration/store_test.go
@@ -64,6 +64,24 @@
 	})
 }
 
+// Guards against an answer about another version than the one read: a push
+// raises the version in force between the reading of the head and its use.
+func TestPushMayOvertakeTheHead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster("a1", "a2")
+		mustApply(t, c.instances[0], "first", 1)
+		c.instances[0].push()
+		c.instances[1].link.afterRead = func() {
+			mustApply(t, c.instances[0], "second", 2)
+			c.instances[0].push()
+		}
+		version, err := c.instances[1].apply("third", 1, 2)
+		if err != nil || version != 2 {
+			t.Errorf("an apply equal to version 2 is answered with version %d and %v", version, err)
+		}
+	})
+}
+
 // Guards against a new version for a repeated apply, such as the retry of an
 // apply whose answer the operator did not receive.
 func TestIdenticalApplyIsAnsweredWithTheVersionInForce(t *testing.T) {
@@ -221,6 +239,31 @@
 	})
 }
 
+// Guards against a change that is applied on another version than the one
+// before it, where the digest happens to match: only one entry ever changes.
+func TestGapIsNotInstalled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster("a1", "a2")
+		for v := 1; v <= 3; v++ {
+			d := deployment(1)
+			d.Objective.Evictions = float64(v)
+			if _, err := c.instances[0].store.Apply(context.Background(), "operator", 0, d); err != nil {
+				t.Fatal(err)
+			}
+		}
+		changes := c.instances[0].store.recent
+		for _, n := range []int{0, 2} {
+			req := peer.PushRequest{Changes: changes[n : n+1]}
+			if _, err := c.instances[1].store.Push(context.Background(), req); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if got := c.instances[1].version(); got != 1 {
+			t.Errorf("version %d is in force without version 2", got)
+		}
+	})
+}
+
 // Guards against a fresh instance that starts from a stale peer while another
 // has a newer configuration, or that is ready without any.
 func TestFreshInstanceDuringOutageTakesTheHighestVersion(t *testing.T) {
@@ -268,26 +311,32 @@
 	})
 }
 
-// Guards against change rows that pile up, and against instances that cannot
-// start once rows are gone.
+// Guards against change rows that pile up, against rows that are deleted
+// before a snapshot has them, and against instances that cannot start once
+// rows are gone.
 func TestSnapshotsReplaceOldChanges(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := newCluster("a1", "a2")
+		c := newCluster("a1", "b1")
+		c.cut["b"] = true
+		fresh := c.instances[1]
 		c.table.objectsDown = true
 		for v := 1; v <= 20; v++ {
-			if v == 8 {
+			if v == 9 {
+				fresh.poll()
+				expectVersions(t, c, 8)
+				fresh.restart()
 				c.table.objectsDown = false
 			}
 			mustApply(t, c.instances[0], "operator", v)
 		}
-		if got := c.table.head().Snapshot; got != 19 {
+		if got := c.table.head().Snapshot; got != 17 {
 			t.Errorf("newest snapshot is %d", got)
 		}
 		if rows := len(c.table.rows); rows > 1+8+6 {
 			t.Errorf("%d rows are left", rows)
 		}
 		delete(c.table.rows, changeKey(1))
-		c.instances[1].poll()
+		fresh.poll()
 		expectVersions(t, c, 20)
 	})
 }
