Test the command line with scripts against a fake entry instance

Cause: exit statuses and refusals of the commands were not checked. The scripts run check, apply, submit, status, cancel and the commands that are not built in, and compare the exact exit status.

Ruled out: messages that name a missing option instead of its placeholder; go-arg prints the placeholder and the usage line, which names the option.

--- /dev/null
+++ b/command/command_test.go
@@ -0,0 +1,185 @@
+package command
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"bergamotstile/declaration"
+	"bergamotstile/settings"
+	"bergamotstile/structs"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"bergamotstile": func() {
+			os.Exit(Run(context.Background(), os.Args[1:], Registry{}, os.Stdout, os.Stderr))
+		},
+	})
+}
+
+func TestScripts(t *testing.T) {
+	examples, err := filepath.Abs("../examples")
+	if err != nil {
+		t.Fatal(err)
+	}
+	entry := httptest.NewServer(fakeEntry())
+	t.Cleanup(entry.Close)
+	closed := httptest.NewServer(nil)
+	closed.Close()
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata/script",
+		Setup: func(env *testscript.Env) error {
+			env.Setenv("EXAMPLES", examples)
+			env.Setenv("ENTRY", strings.TrimPrefix(entry.URL, "http://"))
+			env.Setenv("CLOSED", strings.TrimPrefix(closed.URL, "http://"))
+			return nil
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){"exits": exits},
+	})
+}
+
+// exits runs a command and compares its exit status with the first argument.
+func exits(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) < 2 {
+		ts.Fatalf("usage: exits STATUS COMMAND...")
+	}
+	want, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	got := 0
+	if err := ts.Exec(args[1], args[2:]...); err != nil {
+		var exit *exec.ExitError
+		if !errors.As(err, &exit) {
+			ts.Fatalf("%v", err)
+		}
+		got = exit.ExitCode()
+	}
+	if got != want {
+		ts.Fatalf("exit status %d, want %d", got, want)
+	}
+}
+
+// fakeEntry answers like the caller API of an entry instance.
+func fakeEntry() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/declarations", serveApply)
+	mux.HandleFunc("POST /v1/work", serveSubmit)
+	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) {
+		answer(w, http.StatusOK, declaration.ApplyResponse{Version: 7})
+	})
+	mux.HandleFunc("GET /v1/work/w1", func(w http.ResponseWriter, _ *http.Request) {
+		answer(w, http.StatusOK, structs.WorkStatus{ID: "w1", State: structs.StateRunning})
+	})
+	mux.HandleFunc("DELETE /v1/work/w1", func(w http.ResponseWriter, _ *http.Request) {
+		answer(w, http.StatusOK, structs.WorkStatus{ID: "w1", Outcome: structs.OutcomeNotRun})
+	})
+	mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) {
+		refuse(w, structs.NotRun(structs.ReasonNotFound, "no such work item"))
+	})
+	return mux
+}
+
+func answer(w http.ResponseWriter, status int, body any) {
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func refuse(w http.ResponseWriter, r *structs.Refusal) {
+	answer(w, r.HTTPStatus(), r)
+}
+
+func serveApply(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	request, err := declaration.DecodeApply(body)
+	if err == nil {
+		err = request.Declaration.Check(declaration.DefaultLimits())
+	}
+	if err != nil {
+		refuse(w, structs.NotRun(structs.ReasonDeclarationInvalid, "%v", err))
+		return
+	}
+	switch request.Operator {
+	case "loser":
+		refuse(w, structs.NotRun(structs.ReasonVersionConflict, `lost to version 7 of operator "ayo"`))
+	case "late":
+		refuse(w, &structs.Refusal{Reason: structs.ReasonStoreUnavailable, Outcome: structs.OutcomeNotRun, RetryAfterMS: 1500})
+	case "garbled":
+		http.Error(w, "<html>", http.StatusInternalServerError)
+	case "hangup":
+		panic(http.ErrAbortHandler)
+	default:
+		answer(w, http.StatusOK, declaration.ApplyResponse{Version: max(request.Base, 6) + 1})
+	}
+}
+
+func serveSubmit(w http.ResponseWriter, r *http.Request) {
+	var spec structs.WorkSpec
+	if err := json.NewDecoder(r.Body).Decode(&spec); err != nil || r.Header.Get(structs.HeaderIdempotencyKey) != spec.Key {
+		refuse(w, structs.NotRun(structs.ReasonBadRequest, "%v", err))
+		return
+	}
+	if spec.Team != "members" {
+		refuse(w, structs.NotRun(structs.ReasonUnknownTeam, "team %q is not declared", spec.Team))
+		return
+	}
+	detail := fmt.Sprint(spec.Team, " ", spec.Key, " ", spec.Job, " ", spec.Kind, " ", spec.Domain, " ",
+		int(spec.Class), " ", spec.Size.CPUMilli, " ", strings.TrimSpace(string(spec.Payload)))
+	answer(w, http.StatusAccepted, structs.WorkStatus{ID: spec.ID(), State: structs.StateQueued, Detail: detail})
+}
+
+// Guards against options that do not reach the parts that main wires, and
+// against an exit status that hides their failure.
+func TestRunPassesOptionsToTheRegistry(t *testing.T) {
+	var got string
+	failed := errors.New("the part failed")
+	registry := Registry{
+		Entry: func(_ context.Context, s *settings.Settings) error {
+			got = s.Name + " " + s.PeerAddress
+			return nil
+		},
+		Bench: func(_ context.Context, o BenchOptions, _ io.Writer) error {
+			got = fmt.Sprint(o.Deployment, " ", o.Seeds)
+			return failed
+		},
+		StandinProxy: func(_ context.Context, o ProxyOptions, _ io.Writer) error {
+			got = o.Listen + " " + o.Target
+			return nil
+		},
+		StandinWorker: func(ctx context.Context, o WorkerOptions, _ io.Writer) error {
+			got = fmt.Sprint(o.Name, " ", o.Domain, " ", o.CPUMilli)
+			return fmt.Errorf("stopped: %w", context.Canceled)
+		},
+	}
+	cases := []struct {
+		line, want string
+		status     int
+	}{
+		{"entry --settings ../examples/entry.json", "entry-ogbomoso-1 127.0.0.1:7001", ExitAccepted},
+		{"bench --deployment lavigne --seeds 3", "lavigne 3", ExitRefused},
+		{"standin proxy --listen 127.0.0.1:0 --target 127.0.0.1:9", "127.0.0.1:0 127.0.0.1:9", ExitAccepted},
+		{"standin worker --listen 127.0.0.1:0 --platform 127.0.0.1:9 --name w --domain d", "w d 32000", ExitAccepted},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	for _, c := range cases {
+		got = ""
+		var out, errOut bytes.Buffer
+		status := Run(ctx, strings.Fields(c.line), registry, &out, &errOut)
+		if got != c.want || status != c.status {
+			t.Errorf("%s: got %q and status %d, stderr %s", c.line, got, status, &errOut)
+		}
+	}
+}
