Add README and operations page

Cause: a newcomer had no entry point and operators no account of subcommands, settings, refusals and counters.

Ruled out: naming counters of packages that are not in this tree. They are to be added when those packages land.

--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"os"
 	"reflect"
 	"strings"
 	"testing"
@@ -86,6 +88,25 @@
 	}
 }
 
+// Guards against settings that an operator cannot look up.
+func TestEverySettingIsDocumented(t *testing.T) {
+	docs, err := os.ReadFile("../docs/operations.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	v := reflect.ValueOf(*Default())
+	for i := range v.NumField() {
+		name, _, _ := strings.Cut(v.Type().Field(i).Tag.Get("json"), ",")
+		row := "\n| `" + name + "` | "
+		if !v.Field(i).IsZero() {
+			row += fmt.Sprint(v.Field(i).Interface(), " | ")
+		}
+		if !strings.Contains(string(docs), row) {
+			t.Errorf("docs/operations.md has no row %q", row)
+		}
+	}
+}
+
 // FuzzDecode guards against panics and against accepted settings that do not
 // hold the relation on which exclusive dispatch rests.
 func FuzzDecode(f *testing.F) {
