--- a/configuration/store.go
+++ b/configuration/store.go
@@ -27,12 +27,18 @@
 	fanOut = 4
 	// snapshotEvery is the number of versions between snapshots.
 	snapshotEvery = 256
+	// keepChanges is the number of newest change rows that stay in the table.
+	// An instance that is further behind starts from the snapshot.
+	keepChanges = 3 * snapshotEvery
 	// recentMaxBytes bounds the changes kept for peers that are behind. It is
 	// about a thousand changes of the usual size.
 	recentMaxBytes = 1 << 20
 	// pushQueue bounds the pushes that wait; a push that is dropped costs its
 	// receivers one poll.
 	pushQueue = 64
+	// branchTries is the number of peers of a branch that a push tries, so that
+	// a domain that is cut off does not hold up later pushes.
+	branchTries = 3
 	// pushTimeout bounds one push to a peer, so that a dead one holds up the
 	// rest of its branch only briefly.
 	pushTimeout = 500 * time.Millisecond
@@ -92,9 +98,9 @@
 	o      Options
 	pushes *ring.Ring[peer.PushRequest]
 	kick   chan struct{}
-	// applying admits one apply at a time, so that operators on the same
-	// instance race in order and not against each other's reads.
-	applying chan struct{}
+
+	// snapshotEvery and keepChanges are the constants, but smaller in tests.
+	snapshotEvery, keepChanges uint64
 
 	mu     sync.Mutex
 	state  state
@@ -112,6 +118,7 @@
 	version    uint64
 	digest     string
 	entries    declaration.Entries
+	parts      declaration.Parts
 	deployment *declaration.Deployment
 }
 
@@ -124,11 +131,13 @@
 		o.Metrics = metrics.NewSet()
 	}
 	return &Store{
-		o:        o,
-		pushes:   ring.New[peer.PushRequest](pushQueue),
-		kick:     make(chan struct{}, 1),
-		applying: make(chan struct{}, 1),
-		state:    state{entries: declaration.Entries{}},
+		o:      o,
+		pushes: ring.New[peer.PushRequest](pushQueue),
+		kick:   make(chan struct{}, 1),
+		state:  state{entries: declaration.Entries{}, parts: declaration.Parts{}},
+
+		snapshotEvery: snapshotEvery,
+		keepChanges:   keepChanges,
 	}
 }
 
