Relay table calls through neighbours and apply files as they are

Cause: an instance cut off from the platform waited for time-outs and refused, although its neighbours reach the table. And apply had two message formats, one in the command and one in the API.

Ruled out for relaying: repeating a commit through a neighbour after a lost answer; that could not be told from a second write. Instead the table monitor refuses calls unsent while its probe fails, which lets the relay go at once.

--- a/command/command_test.go
+++ b/command/command_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"bergamotstile/callerapi"
 	"bergamotstile/declaration"
 	"bergamotstile/settings"
 	"bergamotstile/structs"
@@ -78,7 +79,7 @@
 	mux.HandleFunc("POST /v1/declarations", serveApply)
 	mux.HandleFunc("POST /v1/work", serveSubmit)
 	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) {
-		answer(w, http.StatusOK, declaration.ApplyResponse{Version: 7})
+		answer(w, http.StatusOK, callerapi.Applied{Version: 7})
 	})
 	mux.HandleFunc("GET /v1/work/w1", func(w http.ResponseWriter, _ *http.Request) {
 		answer(w, http.StatusOK, structs.WorkStatus{ID: "w1", State: structs.StateRunning})
@@ -103,15 +104,15 @@
 
 func serveApply(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
-	request, err := declaration.DecodeApply(body)
+	d, err := declaration.Decode(body)
 	if err == nil {
-		err = request.Declaration.Check(declaration.DefaultLimits())
+		err = d.Check(declaration.DefaultLimits())
 	}
 	if err != nil {
 		refuse(w, structs.NotRun(structs.ReasonDeclarationInvalid, "%v", err))
 		return
 	}
-	switch request.Operator {
+	switch r.Header.Get(callerapi.HeaderOperator) {
 	case "loser":
 		refuse(w, structs.NotRun(structs.ReasonVersionConflict, `lost to version 7 of operator "ayo"`))
 	case "late":
@@ -121,7 +122,8 @@
 	case "hangup":
 		panic(http.ErrAbortHandler)
 	default:
-		answer(w, http.StatusOK, declaration.ApplyResponse{Version: max(request.Base, 6) + 1})
+		base, _ := strconv.ParseUint(r.Header.Get(callerapi.HeaderBaseVersion), 10, 64)
+		answer(w, http.StatusOK, callerapi.Applied{Version: max(base, 6) + 1})
 	}
 }
 
@@ -151,7 +153,7 @@
 			return nil
 		},
 		Bench: func(_ context.Context, o BenchOptions, _ io.Writer) error {
-			got = fmt.Sprint(o.Deployment, " ", o.Seeds)
+			got = fmt.Sprint(o.Deployment, " ", o.Policy, " ", o.Seed)
 			return failed
 		},
 		StandinProxy: func(_ context.Context, o ProxyOptions, _ io.Writer) error {
@@ -168,8 +170,8 @@
 		status     int
 	}{
 		{"entry --settings ../examples/entry.json", "entry-ogbomoso-1 127.0.0.1:7001", ExitAccepted},
-		{"bench --deployment lavigne --seeds 3", "lavigne 3", ExitRefused},
-		{"standin proxy --listen 127.0.0.1:0 --target 127.0.0.1:9", "127.0.0.1:0 127.0.0.1:9", ExitAccepted},
+		{"bench --deployment lavigne --policy best-fit --seed 3", "lavigne best-fit 3", ExitRefused},
+		{"standin proxy --listen 127.0.0.1:0 --control 127.0.0.1:0 --target 127.0.0.1:9", "127.0.0.1:0 127.0.0.1:9", ExitAccepted},
 		{"standin worker --listen 127.0.0.1:0 --platform 127.0.0.1:9 --name w --domain d", "w d 32000", ExitAccepted},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/declaration/declaration_test.go
+++ b/declaration/declaration_test.go
@@ -215,13 +215,13 @@
 		if err != nil || again.Entries().Digest() != digest || again.Check(DefaultLimits()) != nil {
 			t.Fatalf("entries of an accepted declaration are refused: %v", err)
 		}
-		body, err := json.Marshal(ApplyRequest{Operator: "o", Declaration: *d})
+		body, err := json.Marshal(d)
 		if err != nil {
 			t.Fatal(err)
 		}
-		r, err := DecodeApply(body)
-		if err != nil || r.Declaration.Entries().Digest() != digest {
-			t.Fatalf("an accepted declaration does not survive its way to the instance: %v", err)
+		r, err := Decode(body)
+		if err != nil || r.Entries().Digest() != digest {
+			t.Fatalf("an accepted declaration does not survive being written and read again: %v", err)
 		}
 	})
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -19,6 +19,7 @@
 	"bergamotstile/metrics"
 	"bergamotstile/peer"
 	"bergamotstile/platform/httpapi"
+	"bergamotstile/relay"
 	"bergamotstile/runnerapi"
 	"bergamotstile/settings"
 	"bergamotstile/structs"
@@ -34,10 +35,12 @@
 	metrics  *metrics.Set
 
 	platform *httpapi.Client
-	table    *tableMonitor
-	peers    *peer.Client
-	runners  *runnerapi.HTTPClient
-	workers  *workerapi.HTTPClient
+	// direct is the platform's table; table also goes through neighbours.
+	direct  *tableMonitor
+	table   *relay.Table
+	peers   *peer.Client
+	runners *runnerapi.HTTPClient
+	workers *workerapi.HTTPClient
 
 	view   *membership.View
 	config *configuration.Store
@@ -59,8 +62,9 @@
 		runners:  runnerapi.NewHTTPClient(0),
 		workers:  workerapi.NewHTTPClient(),
 	}
-	i.table = newTableMonitor(i.platform, clock)
+	i.direct = newTableMonitor(i.platform, clock)
 	i.view = membership.New(i.membershipConfig())
+	i.table = relay.NewTable(i.direct, i.member(), i.view, i.peers)
 	i.config = configuration.New(configuration.Options{
 		Name: s.Name, Table: i.table, Objects: i.platform, Peers: i.peers, View: i.view,
 		Clock: clock, Poll: s.ConfigPollMS.Duration(), Limits: s.Limits(),
@@ -85,7 +89,7 @@
 		Clock:         i.clock,
 		Log:           prefixed(i.log, "membership"),
 		Draining:      i.draining.Load,
-		TableUp:       i.table.Up,
+		TableUp:       i.direct.Up,
 		ConfigVersion: func() uint64 { _, version := i.config.Current(); return version },
 		Shards:        i.ownedShards,
 		Probe:         func(m structs.Member) bool { return m.Domain == s.Domain },
@@ -148,7 +152,7 @@
 
 func (i *Instance) newTree() *supervisor.Tree {
 	tree := supervisor.New(i.settings.Name, prefixed(i.log, "supervisor"))
-	tree.Add("table monitor", i.table)
+	tree.Add("table monitor", i.direct)
 	tree.Add("membership", i.view)
 	tree.Add("configuration", i.config)
 	tree.Add("core", &coreLoader{instance: i, tree: tree})
--- a/entry/peerservice.go
+++ b/entry/peerservice.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"bergamotstile/peer"
+	"bergamotstile/relay"
 	"bergamotstile/structs"
 )
 
@@ -94,7 +95,7 @@
 func (p *peerService) Promise(_ context.Context, m *peer.PromiseRequest) (*peer.PromiseResponse, error) {
 	c := p.instance.core.Load()
 	if c == nil {
-		return &peer.PromiseResponse{TableUp: p.instance.table.Up()}, nil
+		return &peer.PromiseResponse{TableUp: p.instance.direct.Up()}, nil
 	}
 	res := c.ownership.Promise(*m)
 	return &res, nil
@@ -110,7 +111,8 @@
 	return &res, nil
 }
 
-// Relay answers that nothing was done: relaying is not built in yet.
-func (p *peerService) Relay(context.Context, *peer.RelayRequest) (*peer.RelayResponse, error) {
-	return &peer.RelayResponse{Failure: peer.RelayUnavailable}, nil
+// Relay makes one table call for a neighbour, on this instance's own way to
+// the platform only.
+func (p *peerService) Relay(ctx context.Context, m *peer.RelayRequest) (*peer.RelayResponse, error) {
+	return relay.NewHandler(p.instance.direct).Relay(ctx, m)
 }
--- a/entry/status.go
+++ b/entry/status.go
@@ -33,7 +33,7 @@
 // isolated reports whether the instance reaches neither the table nor any of
 // the neighbours that its last list shows.
 func (i *Instance) isolated() bool {
-	if i.table.Up() {
+	if i.direct.Up() {
 		return false
 	}
 	neighbours := 0
@@ -81,7 +81,7 @@
 	_, version := i.config.Current()
 	status := Status{
 		Instance: i.settings.Name, Domain: i.settings.Domain, Draining: i.draining.Load(),
-		TableUp: i.table.Up(), ConfigVersion: version,
+		TableUp: i.direct.Up(), ConfigVersion: version,
 	}
 	for _, owned := range i.ownedShards() {
 		status.Shards = append(status.Shards, OwnedShard{Shard: owned.Shard.String(), Epoch: owned.Epoch})
--- a/entry/table.go
+++ b/entry/table.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"errors"
+	"fmt"
 	"sync/atomic"
 	"time"
 
@@ -18,18 +18,20 @@
 	tableProbeKey      = "config/head"
 )
 
-// tableMonitor passes calls to the table and keeps whether it is reachable.
+// tableMonitor passes calls to the table while it is known to be reachable.
+// Otherwise it refuses them unsent, so that nothing waits for time-outs and a
+// neighbour can be asked at once.
 type tableMonitor struct {
-	platform.Table
+	table platform.Table
 	clock clockwork.Clock
 	up    atomic.Bool
 }
 
 func newTableMonitor(table platform.Table, clock clockwork.Clock) *tableMonitor {
-	return &tableMonitor{Table: table, clock: clock}
+	return &tableMonitor{table: table, clock: clock}
 }
 
-// Up reports whether the last call that tells reached the table.
+// Up reports whether the last probe reached the table.
 func (t *tableMonitor) Up() bool {
 	return t.up.Load()
 }
@@ -39,7 +41,7 @@
 func (t *tableMonitor) Serve(ctx context.Context) error {
 	for {
 		probe, cancel := context.WithTimeout(ctx, tableProbeTimeout)
-		_, err := t.Table.Read(probe, tableProbeKey)
+		_, err := t.table.Read(probe, tableProbeKey)
 		cancel()
 		if ctx.Err() != nil {
 			return nil
@@ -53,13 +55,30 @@
 	}
 }
 
-// Commit passes a transaction on. A conflict is an answer, so it shows that
-// the table is reachable.
+func (t *tableMonitor) refuse() error {
+	return fmt.Errorf("table did not answer the last probe: %w", platform.ErrUnavailable)
+}
+
+// Read returns the rows that exist among keys.
+func (t *tableMonitor) Read(ctx context.Context, keys ...string) ([]platform.Row, error) {
+	if !t.Up() {
+		return nil, t.refuse()
+	}
+	return t.table.Read(ctx, keys...)
+}
+
+// Scan returns at most limit rows with the prefix and a key above after.
+func (t *tableMonitor) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	if !t.Up() {
+		return nil, t.refuse()
+	}
+	return t.table.Scan(ctx, prefix, after, limit)
+}
+
+// Commit applies a transaction.
 func (t *tableMonitor) Commit(ctx context.Context, tx platform.Transaction) (platform.CommitResult, error) {
-	result, err := t.Table.Commit(ctx, tx)
-	var conflict *platform.ConflictError
-	if err == nil || errors.As(err, &conflict) {
-		t.up.Store(true)
+	if !t.Up() {
+		return platform.CommitResult{}, t.refuse()
 	}
-	return result, err
+	return t.table.Commit(ctx, tx)
 }
