--- a/scheduler/cycle.go
+++ b/scheduler/cycle.go
@@ -25,7 +25,6 @@
 	index   *roomIndex
 	plugins Plugins
 	limits  Limits
-	offset  int
 	seen    []int32 // last placement that scored the node
 	stamp   int32
 	refused map[string][]structs.Resources // by job: sizes that found no node
@@ -109,12 +108,11 @@
 // full scan follows only if the bounded visits found none.
 func (c *Cycle) search(item *Item) *Node {
 	c.stamp++
-	c.offset++
 	best := &selection{cycle: c, item: item}
-	c.index.ascend(item.Size.CPUMilli, c.offset, best.visitor(c.limits.Tight, c.limits.Visits))
-	c.index.descend(item.Size.CPUMilli, c.offset, best.visitor(c.limits.Roomy, c.limits.Visits))
+	c.index.ascend(item.Size.CPUMilli, best.visitor(c.limits.Tight, c.limits.Visits))
+	c.index.descend(item.Size.CPUMilli, best.visitor(c.limits.Roomy, c.limits.Visits))
 	if best.node == nil {
-		c.index.ascend(item.Size.CPUMilli, c.offset, best.visitor(1, len(c.nodes)))
+		c.index.ascend(item.Size.CPUMilli, best.visitor(1, len(c.nodes)))
 	}
 	return best.node
 }
--- a/scheduler/headroom.go
+++ b/scheduler/headroom.go
@@ -100,8 +100,12 @@
 	return &Headroom{sizes: sizes, expected: make([]structs.Resources, len(s.Workers)), known: make([]bool, len(s.Workers))}
 }
 
-// Filter implements FilterPlugin.
+// Filter implements FilterPlugin. Urgent work needs only its declared size, as
+// others make room for it.
 func (h *Headroom) Filter(item *Item, node *Node) bool {
+	if item.Class == structs.ClassUrgent {
+		return true
+	}
 	add := h.sizes.Expected(item.Job, item.Size)
 	after := h.use(node).Add(add)
 	return after.CPUMilli <= node.Capacity.CPUMilli && after.MemoryMB <= node.Capacity.MemoryMB ||
