Feed the policy, and take work submits by declared job

Cause: the policy knew neither the teams' quotas nor changes of configuration nor what the request path measures; and a submit without a class was urgent, since the zero value of the class is.

Before: quotas were not applied; interference could not be learned. After: a duty passes weights, quota shares and per-runner windows to the policy each 500 ms; a submit names the declared job and class by name and is checked against the team's quota.

Limit: a small quota can be exceeded by the team's largest job in each other shard, since a share below that job could never start it.

--- a/builtin/builtin.go
+++ b/builtin/builtin.go
@@ -10,6 +10,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"bergamotstile/bench"
 	"bergamotstile/command"
 	"bergamotstile/entry"
 	"bergamotstile/settings"
@@ -28,6 +29,7 @@
 func Registry() command.Registry {
 	return command.Registry{
 		Entry:           runEntry,
+		Bench:           runBench,
 		StandinPlatform: runPlatform,
 		StandinWorker:   runWorker,
 		StandinRunner:   runRunner,
@@ -41,6 +43,10 @@
 	return entry.New(s, logrus.NewEntry(log)).Run(ctx)
 }
 
+func runBench(_ context.Context, o command.BenchOptions, out io.Writer) error {
+	return bench.Main(o.Deployment, o.Policy, o.Seed, out)
+}
+
 func runPlatform(ctx context.Context, o command.PlatformOptions, _ io.Writer) error {
 	return standin.RunPlatform(ctx, standin.ArgsPlatform{Address: o.Listen, Seed: o.Seed, ListLagMS: o.ListLagMS})
 }
--- a/callerapi/callerapi.go
+++ b/callerapi/callerapi.go
@@ -21,7 +21,7 @@
 // Work handles work items. Domain is the failure domain that the caller
 // names, or "".
 type Work interface {
-	Submit(ctx context.Context, spec structs.WorkSpec) (structs.WorkStatus, error)
+	Submit(ctx context.Context, submit Submit) (structs.WorkStatus, error)
 	Status(ctx context.Context, domain string, id structs.WorkID) (structs.WorkStatus, error)
 	Cancel(ctx context.Context, domain string, id structs.WorkID) (structs.WorkStatus, error)
 }
--- a/callerapi/callerapi_test.go
+++ b/callerapi/callerapi_test.go
@@ -37,11 +37,11 @@
 	return structs.Answer{RequestID: req.ID, Body: append([]byte("answer to "), req.Body...)}, f.err
 }
 
-type fakeWork struct{ got []structs.WorkSpec }
+type fakeWork struct{ got []Submit }
 
-func (f *fakeWork) Submit(_ context.Context, spec structs.WorkSpec) (structs.WorkStatus, error) {
-	f.got = append(f.got, spec)
-	return structs.WorkStatus{ID: spec.ID(), State: structs.StateQueued, Outcome: structs.OutcomeNotRun}, nil
+func (f *fakeWork) Submit(_ context.Context, submit Submit) (structs.WorkStatus, error) {
+	f.got = append(f.got, submit)
+	return structs.WorkStatus{ID: structs.NewWorkID(submit.Team, submit.Key), State: structs.StateQueued, Outcome: structs.OutcomeNotRun}, nil
 }
 
 func (f *fakeWork) Status(_ context.Context, _ string, id structs.WorkID) (structs.WorkStatus, error) {
@@ -87,7 +87,7 @@
 // refusals that callers cannot read or operators cannot count.
 func TestRefusals(t *testing.T) {
 	const path = "/v1/requests/pathworks/proof"
-	spec := `{"team":"t","key":"k","job":"j","kind":"batch","class":1,"size":{"cpu_milli":1}`
+	spec := `{"team":"t","key":"k","job":"j","class":"normal","size":{"cpu_milli":1}`
 	cases := []struct {
 		name, method, path, body string
 		headers                  []string
--- a/callerapi/fuzz_test.go
+++ b/callerapi/fuzz_test.go
@@ -46,9 +46,9 @@
 		w := httptest.NewRecorder()
 		h.ServeHTTP(w, r)
 		checkResponse(t, w, http.StatusAccepted, len(work.got) > 0)
-		for _, spec := range work.got {
-			if checkSpec(spec) != nil || key != "" && spec.Key != key {
-				t.Fatalf("passed on %+v", spec)
+		for _, submit := range work.got {
+			if checkSubmit(submit) != nil || key != "" && submit.Key != key {
+				t.Fatalf("passed on %+v", submit)
 			}
 		}
 	})
@@ -85,7 +85,7 @@
 // it in another way, and against one whose nesting exhausts the stack.
 func FuzzDecodeStrict(f *testing.F) {
 	f.Fuzz(func(t *testing.T, data []byte) {
-		var spec structs.WorkSpec
+		var spec Submit
 		if decodeStrict(data, &spec) != nil {
 			return
 		}
@@ -93,7 +93,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		var second structs.WorkSpec
+		var second Submit
 		if err := decodeStrict(again, &second); err != nil {
 			t.Fatalf("%s became %s, which is refused: %v", data, again, err)
 		}
--- a/command/command_test.go
+++ b/command/command_test.go
@@ -128,18 +128,18 @@
 }
 
 func serveSubmit(w http.ResponseWriter, r *http.Request) {
-	var spec structs.WorkSpec
-	if err := json.NewDecoder(r.Body).Decode(&spec); err != nil || r.Header.Get(structs.HeaderIdempotencyKey) != spec.Key {
+	var submit callerapi.Submit
+	if err := json.NewDecoder(r.Body).Decode(&submit); err != nil || r.Header.Get(structs.HeaderIdempotencyKey) != submit.Key {
 		refuse(w, structs.NotRun(structs.ReasonBadRequest, "%v", err))
 		return
 	}
-	if spec.Team != "members" {
-		refuse(w, structs.NotRun(structs.ReasonUnknownTeam, "team %q is not declared", spec.Team))
+	if submit.Team != "members" {
+		refuse(w, structs.NotRun(structs.ReasonUnknownTeam, "team %q is not declared", submit.Team))
 		return
 	}
-	detail := fmt.Sprint(spec.Team, " ", spec.Key, " ", spec.Job, " ", spec.Kind, " ", spec.Domain, " ",
-		int(spec.Class), " ", spec.Size.CPUMilli, " ", strings.TrimSpace(string(spec.Payload)))
-	answer(w, http.StatusAccepted, structs.WorkStatus{ID: spec.ID(), State: structs.StateQueued, Detail: detail})
+	detail := fmt.Sprint(submit.Team, " ", submit.Key, " ", submit.Job, " ", submit.Domain, " ",
+		submit.Class, " ", submit.Size.CPUMilli, " ", strings.TrimSpace(string(submit.Payload)))
+	answer(w, http.StatusAccepted, structs.WorkStatus{ID: structs.NewWorkID(submit.Team, submit.Key), State: structs.StateQueued, Detail: detail})
 }
 
 // Guards against options that do not reach the parts that main wires, and
--- a/command/submit.go
+++ b/command/submit.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 
+	"bergamotstile/callerapi"
 	"bergamotstile/declaration"
 	"bergamotstile/structs"
 )
@@ -15,7 +16,7 @@
 	Key           string `arg:"--key,required" help:"idempotency key; a repeated submit with the same key is the same work item"`
 	Job           string `arg:"--job,required" help:"declared kind of job"`
 	Domain        string `arg:"--domain" help:"failure domain; chosen by hash if left out"`
-	Class         string `arg:"--class" default:"normal" help:"urgent, normal or low"`
+	Class         string `arg:"--class" help:"urgent, normal or low; as declared if left out"`
 	CPUMilli      int64  `arg:"--cpu-milli" help:"processors in thousandths; as declared if left out"`
 	MemoryMB      int64  `arg:"--memory-mb" help:"memory in MB; as declared if left out"`
 	Accelerators  int64  `arg:"--accelerators" help:"number of accelerators; as declared if left out"`
@@ -25,36 +26,35 @@
 }
 
 func (c *submitCommand) run(ctx context.Context, _ Registry, out io.Writer) error {
-	spec, err := c.spec()
+	submit, err := c.submit()
 	if err != nil {
 		return err
 	}
 	headers := map[string]string{structs.HeaderIdempotencyKey: c.Key}
 	var answer structs.WorkStatus
-	if err := call(ctx, c.Entry, http.MethodPost, "/v1/work", headers, spec, &answer); err != nil {
+	if err := call(ctx, c.Entry, http.MethodPost, "/v1/work", headers, submit, &answer); err != nil {
 		return err
 	}
 	return printJSON(out, answer)
 }
 
-// spec builds what is submitted. Sizes and run times that are left out stay
+// submit builds what is submitted. Sizes and run times that are left out stay
 // zero, which stands for those of the declared job.
-func (c *submitCommand) spec() (structs.WorkSpec, error) {
+func (c *submitCommand) submit() (callerapi.Submit, error) {
 	if err := c.check(); err != nil {
-		return structs.WorkSpec{}, err
+		return callerapi.Submit{}, err
 	}
-	spec := structs.WorkSpec{
-		Team: c.Team, Key: c.Key, Job: c.Job, Kind: structs.KindBatch,
-		Class:  declaration.ClassName(c.Class).Class(),
+	submit := callerapi.Submit{
+		Team: c.Team, Key: c.Key, Job: c.Job, Class: declaration.ClassName(c.Class),
 		Size:   structs.Resources{CPUMilli: c.CPUMilli, MemoryMB: c.MemoryMB, Accelerators: c.Accelerators},
 		Domain: c.Domain, ExpectedRunMS: c.ExpectedRunMS, MaxRunMS: c.MaxRunMS,
 	}
 	if c.Payload == "" {
-		return spec, nil
+		return submit, nil
 	}
 	data, err := readInput(c.Payload)
-	spec.Payload = data
-	return spec, err
+	submit.Payload = data
+	return submit, err
 }
 
 func (c *submitCommand) check() error {
@@ -65,7 +65,7 @@
 		return misuse("--team, --key and --job must not be empty")
 	}
 	switch declaration.ClassName(c.Class) {
-	case declaration.ClassUrgent, declaration.ClassNormal, declaration.ClassLow:
+	case "", declaration.ClassUrgent, declaration.ClassNormal, declaration.ClassLow:
 	default:
 		return misuse("--class must be urgent, normal or low, not %q", c.Class)
 	}
--- a/entry/core.go
+++ b/entry/core.go
@@ -58,7 +58,7 @@
 func (i *Instance) startCore(d *declaration.Deployment, tree *supervisor.Tree) {
 	c := &core{shards: max(d.ShardsPerDomain, 1)}
 	c.ownership = i.newOwnership(c.shards)
-	c.policy = policy.New(policySettings(d))
+	c.policy = policy.New(policy.Settings{Weights: policyWeights(d)})
 	c.lifecycle = i.newLifecycle(c)
 	c.router = i.newRouter(c)
 	c.standing = &standingJobs{instance: i, core: c}
@@ -66,6 +66,7 @@
 	tree.Add("lifecycle", c.lifecycle)
 	tree.Add("routing", c.router)
 	tree.Add("standing jobs", c.standing)
+	tree.Add("policy feed", &policyFeed{instance: i, core: c})
 	i.core.Store(c)
 	prefixed(i.log, "core").WithField("shards_per_domain", c.shards).Info("Configuration found; work is accepted.")
 }
@@ -144,14 +145,6 @@
 	return c, nil
 }
 
-func policySettings(d *declaration.Deployment) policy.Settings {
-	return policy.Settings{Weights: policy.Weights{
-		TailLatency:     d.Objective.TailLatency,
-		BatchThroughput: d.Objective.BatchThroughput,
-		Evictions:       d.Objective.Evictions,
-	}}
-}
-
 // checkShardCount refuses a change of the number of shards: rows are keyed by
 // shard, so work recorded under the old number would be found by nobody.
 func checkShardCount(current, next *declaration.Deployment) error {
--- a/entry/work.go
+++ b/entry/work.go
@@ -1,10 +1,12 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"slices"
 
+	"bergamotstile/callerapi"
 	"bergamotstile/declaration"
 	"bergamotstile/peer"
 	"bergamotstile/structs"
@@ -16,41 +18,43 @@
 }
 
 // Submit checks the work against the declared job and records it.
-func (w *work) Submit(ctx context.Context, spec structs.WorkSpec) (structs.WorkStatus, error) {
+func (w *work) Submit(ctx context.Context, submit callerapi.Submit) (structs.WorkStatus, error) {
 	c, err := w.instance.ready()
 	if err != nil {
 		return structs.WorkStatus{}, err
 	}
 	d, _ := w.instance.config.Current()
-	spec, err = completeSpec(d, spec)
+	spec, err := workSpec(d, submit)
 	if err != nil {
 		return structs.WorkStatus{}, err
 	}
 	return c.lifecycle.Submit(ctx, spec)
 }
 
-// completeSpec takes what a submit leaves out from the declared job.
-func completeSpec(d *declaration.Deployment, spec structs.WorkSpec) (structs.WorkSpec, error) {
-	if _, ok := d.Team(spec.Team); !ok {
-		return spec, structs.NotRun(structs.ReasonUnknownTeam, "team %q is not declared", spec.Team)
+// workSpec takes what a submit leaves out from the declared job, and refuses
+// work that can never run.
+func workSpec(d *declaration.Deployment, s callerapi.Submit) (structs.WorkSpec, error) {
+	team, ok := d.Team(s.Team)
+	if !ok {
+		return structs.WorkSpec{}, structs.NotRun(structs.ReasonUnknownTeam, "team %q is not declared", s.Team)
 	}
-	job, ok := d.BatchJob(spec.Job)
+	job, ok := d.BatchJob(s.Job)
 	if !ok {
-		return spec, structs.NotRun(structs.ReasonUnknownJob, "batch job %q is not declared", spec.Job)
+		return structs.WorkSpec{}, structs.NotRun(structs.ReasonUnknownJob, "batch job %q is not declared", s.Job)
+	}
+	if job.Team != s.Team {
+		return structs.WorkSpec{}, structs.NotRun(structs.ReasonUnknownJob, "batch job %q belongs to team %q", job.Kind, job.Team)
 	}
-	if job.Team != spec.Team {
-		return spec, structs.NotRun(structs.ReasonUnknownJob, "batch job %q belongs to team %q", job.Kind, job.Team)
+	spec := structs.WorkSpec{
+		Team: s.Team, Key: s.Key, Job: s.Job, Kind: structs.KindBatch, Class: cmp.Or(s.Class, job.Class).Class(),
+		Size: s.Size, Idempotent: job.Idempotent, Domain: s.Domain, Payload: s.Payload,
+		ExpectedRunMS: cmp.Or(s.ExpectedRunMS, job.ExpectedRunMS), MaxRunMS: cmp.Or(s.MaxRunMS, job.MaxRunMS),
 	}
-	spec.Kind = structs.KindBatch
-	spec.Idempotent = job.Idempotent
 	if spec.Size == (structs.Resources{}) {
 		spec.Size = job.Size
 	}
-	if spec.ExpectedRunMS == 0 {
-		spec.ExpectedRunMS = job.ExpectedRunMS
-	}
-	if spec.MaxRunMS == 0 {
-		spec.MaxRunMS = job.MaxRunMS
+	if !spec.Size.Fits(team.Quota) {
+		return spec, structs.NotRun(structs.ReasonOverQuota, "size %+v is above the quota of team %q", spec.Size, team.Name)
 	}
 	return spec, checkPlaceable(d, spec)
 }
--- a/harness/client.go
+++ b/harness/client.go
@@ -15,6 +15,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"bergamotstile/callerapi"
+	"bergamotstile/declaration"
 	"bergamotstile/entry"
 	"bergamotstile/history"
 	"bergamotstile/structs"
@@ -104,9 +105,9 @@
 
 // Submit submits a batch job and returns its account, or false if the call
 // was refused or not answered.
-func (c *Cluster) Submit(ctx context.Context, n *Node, job, key string, runMS int, class structs.Class) (structs.WorkStatus, bool) {
+func (c *Cluster) Submit(ctx context.Context, n *Node, job, key string, runMS int, class declaration.ClassName) (structs.WorkStatus, bool) {
 	body, _ := json.Marshal(map[string]any{
-		"team": Team, "job": job, "kind": "batch", "class": class, "size": JobSize,
+		"team": Team, "job": job, "class": class,
 		"payload": []byte(fmt.Sprintf(`{"run_ms":%d}`, runMS)),
 	})
 	status, answer, err := send(ctx, http.MethodPost, "http://"+n.Address+"/v1/work",
--- a/routing/dispatch.go
+++ b/routing/dispatch.go
@@ -116,6 +116,7 @@
 	if err == nil {
 		s.release(c.req.Kind, took)
 		r.observe(c, false)
+		r.windows.observe(s.runner, took)
 		return result{answer: structs.Answer{RequestID: c.req.ID, Runner: s.runner.Name, Body: body}}, ""
 	}
 	if cause := notRunCause(err); cause != "" {
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -81,6 +81,7 @@
 	budgets  *retry.Budgets
 	keys     *keyTable
 	latency  *latencies
+	windows  *windows
 	writer   *claimWriter
 	forwards *forwardCounts
 
@@ -106,6 +107,7 @@
 		budgets:  retry.New(c.Settings.Retry, c.Clock, c.Metrics),
 		keys:     newKeyTable(c.Settings, c.Clock),
 		latency:  newLatencies(c.Clock),
+		windows:  newWindows(c.Clock),
 		writer:   newClaimWriter(c),
 		forwards: newForwardCounts(c.Settings.MaxForwards),
 		stopped:  make(chan struct{}),
--- a/scenario/load_test.go
+++ b/scenario/load_test.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"bergamotstile/declaration"
 	"bergamotstile/harness"
 	"bergamotstile/history"
 	"bergamotstile/structs"
@@ -142,9 +143,9 @@
 		if random.IntN(2) == 0 {
 			job = harness.JobBilled
 		}
-		class := structs.ClassNormal
+		class := declaration.ClassNormal
 		if random.IntN(5) == 0 {
-			class = structs.ClassUrgent
+			class = declaration.ClassUrgent
 		}
 		key := fmt.Sprintf("work-%d.%d", n, i)
 		l.submitOne(job, key, 100+random.IntN(500), class, random)
@@ -152,7 +153,7 @@
 	}
 }
 
-func (l *load) submitOne(job, key string, runMS int, class structs.Class, random *rand.Rand) {
+func (l *load) submitOne(job, key string, runMS int, class declaration.ClassName, random *rand.Rand) {
 	id := structs.NewWorkID(harness.Team, key)
 	cancelIt := random.IntN(8) == 0
 	for range 1 + retriesOfKey {
--- a/structs/member.go
+++ b/structs/member.go
@@ -21,14 +21,16 @@
 
 // Member is one line of the platform's membership list.
 type Member struct {
-	Name        string      `json:"name"`
-	Role        Role        `json:"role"`
-	Domain      string      `json:"domain"`
-	Rack        string      `json:"rack,omitempty"`
-	Address     string      `json:"address"`
-	State       MemberState `json:"state"`
-	Service     string      `json:"service,omitempty"`
-	Slots       int         `json:"slots,omitempty"`
-	Connections int         `json:"connections,omitempty"`
-	Capacity    Resources   `json:"capacity,omitzero"`
+	Name    string      `json:"name"`
+	Role    Role        `json:"role"`
+	Domain  string      `json:"domain"`
+	Rack    string      `json:"rack,omitempty"`
+	Address string      `json:"address"`
+	State   MemberState `json:"state"`
+	Service string      `json:"service,omitempty"`
+	// Worker names the worker that a runner shares, if any.
+	Worker      string    `json:"worker,omitempty"`
+	Slots       int       `json:"slots,omitempty"`
+	Connections int       `json:"connections,omitempty"`
+	Capacity    Resources `json:"capacity,omitzero"`
 }
