--- a/callerapi/callerapi_test.go
+++ b/callerapi/callerapi_test.go
@@ -87,7 +87,7 @@
 // refusals that callers cannot read or operators cannot count.
 func TestRefusals(t *testing.T) {
 	const path = "/v1/requests/pathworks/proof"
-	spec := `{"team":"t","key":"k","job":"j","class":"normal","size":{"cpu_milli":1}`
+	spec := `{"team":"t","key":"k","job":"j","class":"normal","size":{"cpu_milli":1,"memory_mb":1}`
 	cases := []struct {
 		name, method, path, body string
 		headers                  []string
@@ -161,7 +161,7 @@
 func TestOtherRoutes(t *testing.T) {
 	h := New(Config{Requests: &fakeRequests{}, Work: &fakeWork{}, Declarations: fakeDeclarations{}, Catalog: fakeCatalog{}})
 	id := string(structs.NewWorkID("t", "k"))
-	spec := `{"team":"t","job":"j","kind":"standing","class":2,"size":{"memory_mb":1},"payload":"aGk="}`
+	spec := `{"team":"t","job":"j","class":"low","size":{"cpu_milli":1,"memory_mb":1},"payload":"aGk="}`
 	for _, c := range []struct {
 		method, path, body string
 		code               int
--- a/entry/work.go
+++ b/entry/work.go
@@ -56,7 +56,14 @@
 	if !spec.Size.Fits(team.Quota) {
 		return spec, structs.NotRun(structs.ReasonOverQuota, "size %+v is above the quota of team %q", spec.Size, team.Name)
 	}
-	return spec, checkPlaceable(d, spec)
+	if err := checkPlaceable(d, spec); err != nil {
+		return spec, err
+	}
+	// A hash over all domains could choose one without a worker that holds it.
+	if fitting := d.DomainsFitting(spec.Size); spec.Domain == "" && len(fitting) < len(d.Domains) {
+		spec.Domain = structs.HomeDomain(string(spec.ID()), fitting)
+	}
+	return spec, nil
 }
 
 // checkPlaceable refuses work that no declared worker can ever hold.
