--- a/configuration/concurrent_test.go
+++ b/configuration/concurrent_test.go
@@ -13,7 +13,6 @@
 
 	"github.com/anishathalye/porcupine"
 
-	"bergamotstile/platform"
 	"bergamotstile/structs"
 )
 
@@ -47,34 +46,6 @@
 	},
 }
 
-// slowLink adds latency to a link, so that calls overlap.
-type slowLink struct {
-	*link
-	rng *rand.Rand
-	mu  sync.Mutex
-}
-
-func (l *slowLink) delay() {
-	l.mu.Lock()
-	d := time.Duration(l.rng.Intn(40)) * time.Millisecond
-	l.mu.Unlock()
-	time.Sleep(d)
-}
-
-func (l *slowLink) Read(ctx context.Context, keys ...string) ([]platform.Row, error) {
-	l.delay()
-	rows, err := l.link.Read(ctx, keys...)
-	l.delay()
-	return rows, err
-}
-
-func (l *slowLink) Commit(ctx context.Context, tx platform.Transaction) (platform.CommitResult, error) {
-	l.delay()
-	result, err := l.link.Commit(ctx, tx)
-	l.delay()
-	return result, err
-}
-
 // recorder collects the history of all clients on a logical clock.
 type recorder struct {
 	clock      atomic.Int64
@@ -155,7 +126,7 @@
 					f := []fault{faultNone, faultNone, faultLost, faultDropped, faultLate, faultDown}[rng.Intn(6)]
 					i.link.faults = append(i.link.faults, f)
 				}
-				i.store.o.Table = &slowLink{link: i.link, rng: rand.New(rand.NewSource(rng.Int63()))}
+				i.link.latency = rand.New(rand.NewSource(rng.Int63()))
 			}
 			r := &recorder{}
 			var clients sync.WaitGroup
@@ -202,23 +173,21 @@
 
 // Guards against changes that wait for a poll although every peer is reachable.
 func TestServePushesBeforeTheNextPoll(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster("a1", "a2", "a3", "b1", "b2", "b3")
+	inCluster(t, func(t *testing.T, c *cluster) {
 		serve(t, c)
 		for v := uint64(1); v <= 3; v++ {
 			mustApply(t, c.instances[v], "operator", int(v))
 			synctest.Wait()
 			expectVersions(t, c, v)
 		}
-	})
+	}, "a1", "a2", "a3", "b1", "b2", "b3")
 }
 
 // Guards against instances that need more than two polls after a heal: a cut
 // domain, a paused instance that missed two changes, and one whose table is
 // slow.
 func TestServeConvergesWithinTwoPollsOfAHeal(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster("a1", "a2", "a3", "b1", "b2")
+	inCluster(t, func(t *testing.T, c *cluster) {
 		serve(t, c)
 		c.cut["b"] = true
 		c.instances[3].link.set(true, false)
@@ -239,14 +208,13 @@
 		}
 		time.Sleep(2 * testPoll)
 		expectVersions(t, c, 2)
-	})
+	}, "a1", "a2", "a3", "b1", "b2")
 }
 
 // Guards against an instance that is cut off from the table and misses a push,
 // but does not ask the peers that it reaches, all of them in turn.
 func TestServeAsksPeersWhileTheTableIsDown(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster("a1", "a2", "a3", "a4", "a5", "a6", "a7")
+	inCluster(t, func(t *testing.T, c *cluster) {
 		serve(t, c)
 		cutOff := c.instances[6]
 		mustApply(t, c.instances[0], "operator", 1)
@@ -264,5 +232,5 @@
 		c.mu.Unlock()
 		time.Sleep(2 * testPoll)
 		expectVersions(t, c, 3)
-	})
+	}, "a1", "a2", "a3", "a4", "a5", "a6", "a7")
 }
--- a/configuration/fake_test.go
+++ b/configuration/fake_test.go
@@ -4,10 +4,12 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -125,6 +127,8 @@
 	late   []platform.Transaction
 	// blackout takes the link down after the next faulty commit.
 	blackout bool
+	// latency, if set, delays calls so that they overlap.
+	latency *rand.Rand
 	// before runs once before the next commit reaches the table.
 	before func()
 	// afterRead runs once after the next read of the table.
@@ -137,7 +141,20 @@
 	return l.down, l.slow
 }
 
+// delay is called before and after each call.
+func (l *link) delay() {
+	l.mu.Lock()
+	var d time.Duration
+	if l.latency != nil {
+		d = time.Duration(l.latency.Intn(40)) * time.Millisecond
+	}
+	l.mu.Unlock()
+	time.Sleep(d)
+}
+
 func (l *link) Read(ctx context.Context, keys ...string) ([]platform.Row, error) {
+	l.delay()
+	defer l.delay()
 	down, slow := l.state()
 	if slow {
 		<-ctx.Done()
@@ -175,6 +192,8 @@
 }
 
 func (l *link) Commit(ctx context.Context, tx platform.Transaction) (platform.CommitResult, error) {
+	l.delay()
+	defer l.delay()
 	f, before := l.nextFault()
 	if before != nil {
 		before()
@@ -254,6 +273,12 @@
 	sent         atomic.Int64
 }
 
+// inCluster runs a test inside a bubble with a cluster of its own.
+func inCluster(t *testing.T, test func(t *testing.T, c *cluster), names ...string) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) { test(t, newCluster(names...)) })
+}
+
 func newCluster(names ...string) *cluster {
 	c := &cluster{table: newFakeTable(), cut: map[string]bool{}}
 	for _, name := range names {
@@ -355,12 +380,3 @@
 	}
 	return d
 }
-
-// reasonOf returns the refusal of a call that must have been refused.
-func reasonOf(t *testing.T, err error) *structs.Refusal {
-	t.Helper()
-	if err == nil {
-		t.Fatal("accepted")
-	}
-	return structs.AsRefusal(err)
-}
--- a/configuration/store_test.go
+++ b/configuration/store_test.go
@@ -21,7 +21,10 @@
 
 func expectRefusal(t *testing.T, err error, reason structs.Reason, outcome structs.Outcome, detail string) {
 	t.Helper()
-	r := reasonOf(t, err)
+	if err == nil {
+		t.Fatal("accepted")
+	}
+	r := structs.AsRefusal(err)
 	if r.Reason != reason || r.Outcome != outcome || !strings.Contains(r.Detail, detail) {
 		t.Errorf("got %v, want %s (%s) with %q", r, reason, outcome, detail)
 	}
@@ -39,8 +42,7 @@
 // Guards against two winners of one version and a loser that is not told whom
 // it lost to.
 func TestRacingOperatorsHaveOneWinner(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster("a1", "a2")
+	inCluster(t, func(t *testing.T, c *cluster) {
 		mustApply(t, c.instances[0], "first", 1)
 		c.instances[1].link.before = func() { mustApply(t, c.instances[0], "winner", 2) }
 		_, err := c.instances[1].apply("loser", 0, 3)
@@ -48,27 +50,25 @@
 		if got := c.instances[1].version(); got != 2 {
 			t.Errorf("the loser's instance has version %d", got)
 		}
-	})
+	}, "a1", "a2")
 }
 
 // Guards against an apply that overwrites a change its operator has not seen.
 func TestApplyOnOldBaseIsRefused(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster("a1")
+	inCluster(t, func(t *testing.T, c *cluster) {
 		mustApply(t, c.instances[0], "first", 1)
 		mustApply(t, c.instances[0], "second", 2)
 		_, err := c.instances[0].apply("late", 1, 3)
 		expectRefusal(t, err, structs.ReasonVersionConflict, structs.OutcomeNotRun, `lost to version 2 of operator "second"`)
 		_, err = c.instances[0].apply("early", 9, 3)
 		expectRefusal(t, err, structs.ReasonVersionConflict, structs.OutcomeNotRun, "base 9 is above version 2")
-	})
+	}, "a1")
 }
 
 // Guards against an answer about another version than the one read: a push
 // raises the version in force between the reading of the head and its use.
 func TestPushMayOvertakeTheHead(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster("a1", "a2")
+	inCluster(t, func(t *testing.T, c *cluster) {
 		mustApply(t, c.instances[0], "first", 1)
 		c.instances[0].push()
 		c.instances[1].link.afterRead = func() {
@@ -79,47 +79,42 @@
 		if err != nil || version != 2 {
 			t.Errorf("an apply equal to version 2 is answered with version %d and %v", version, err)
 		}
-	})
+	}, "a1", "a2")
 }
 
 // Guards against a new version for a repeated apply, such as the retry of an
 // apply whose answer the operator did not receive.
 func TestIdenticalApplyIsAnsweredWithTheVersionInForce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster("a1", "a2")
+	inCluster(t, func(t *testing.T, c *cluster) {
 		first := mustApply(t, c.instances[0], "operator", 1)
 		again, err := c.instances[1].apply("operator", 0, 1)
 		if err != nil || again != first || c.table.head().Version != first {
 			t.Errorf("got version %d and %v, head %d", again, err, c.table.head().Version)
 		}
-	})
+	}, "a1", "a2")
 }
 
 // Guards against a wrong account of a write whose answer was lost.
 func TestLostAnswersAreResolvedByReadBack(t *testing.T) {
-	cases := map[string]struct {
-		faults []fault
-		want   uint64
-	}{
-		"took effect":               {[]fault{faultLost}, 1},
-		"had no effect":             {[]fault{faultDropped}, 1},
-		"no effect, then lost":      {[]fault{faultDropped, faultLost}, 1},
-		"late copy after a resend":  {[]fault{faultLate, faultDropped}, 1},
-		"unavailable after unknown": {[]fault{faultDropped, faultDown}, 1},
+	cases := map[string][]fault{
+		"took effect":               {faultLost},
+		"had no effect":             {faultDropped},
+		"no effect, then lost":      {faultDropped, faultLost},
+		"late copy after a resend":  {faultLate, faultDropped},
+		"unavailable after unknown": {faultDropped, faultDown},
 	}
-	for name, test := range cases {
+	for name, faults := range cases {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				c := newCluster("a1")
-				c.instances[0].link.faults = test.faults
-				if got := mustApply(t, c.instances[0], "operator", 1); got != test.want {
+			inCluster(t, func(t *testing.T, c *cluster) {
+				c.instances[0].link.faults = faults
+				if got := mustApply(t, c.instances[0], "operator", 1); got != 1 {
 					t.Errorf("version %d", got)
 				}
 				c.instances[0].link.deliverLate()
 				if got := c.table.head().Version; got != 1 {
 					t.Errorf("head is at version %d after the late copy", got)
 				}
-			})
+			}, "a1")
 		})
 	}
 }
@@ -127,8 +122,7 @@
 // Guards against "not run" for a write that takes effect after the instance
 // gave up on it.
 func TestUnresolvedWriteMayHaveRun(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster("a1")
+	inCluster(t, func(t *testing.T, c *cluster) {
 		link := c.instances[0].link
 		link.faults, link.blackout = []fault{faultLate}, true
 		_, err := c.instances[0].apply("operator", 0, 1)
@@ -137,13 +131,12 @@
 		link.set(false, false)
 		c.instances[0].poll()
 		expectVersions(t, c, 1)
-	})
+	}, "a1")
 }
 
 // Guards against applies during an outage that are neither made nor refused.
 func TestApplyDuringOutageIsRefused(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster("a1")
+	inCluster(t, func(t *testing.T, c *cluster) {
 		link := c.instances[0].link
 		link.set(true, false)
 		_, err := c.instances[0].apply("operator", 0, 1)
@@ -161,7 +154,7 @@
 		expectRefusal(t, err, structs.ReasonDeclarationInvalid, structs.OutcomeNotRun, "teams[0].weight")
 		_, err = c.instances[0].store.Apply(context.Background(), " ", 0, deployment(1))
 		expectRefusal(t, err, structs.ReasonBadRequest, structs.OutcomeNotRun, "operator")
-	})
+	}, "a1")
 }
 
 // Guards against a relay tree that leaves instances out: every instance gets
@@ -190,8 +183,7 @@
 
 // Guards against a branch of the tree that is lost with its first instance.
 func TestPushPassesByADeadInstance(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster("a1", "a2", "a3", "a4", "a5", "a6", "a7", "a8", "a9")
+	inCluster(t, func(t *testing.T, c *cluster) {
 		c.instances[1].paused = true
 		mustApply(t, c.instances[0], "operator", 1)
 		for _, i := range c.instances {
@@ -202,14 +194,13 @@
 				t.Errorf("%s has version %d", i.name, i.version())
 			}
 		}
-	})
+	}, "a1", "a2", "a3", "a4", "a5", "a6", "a7", "a8", "a9")
 }
 
 // Guards against changes that are applied out of order or taken back: an
 // instance paused across two changes gets them late and crossed.
 func TestChangesApplyInOrderAndNeverGoBack(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster("a1", "a2")
+	inCluster(t, func(t *testing.T, c *cluster) {
 		paused := c.instances[1]
 		mustApply(t, c.instances[0], "first", 1)
 		mustApply(t, c.instances[0], "second", 2)
@@ -236,14 +227,13 @@
 		if got := c.instances[0].version(); got != 3 {
 			t.Errorf("a snapshot of version 2 replaced version 3 by %d", got)
 		}
-	})
+	}, "a1", "a2")
 }
 
 // Guards against a change that is applied on another version than the one
 // before it, where the digest happens to match: only one entry ever changes.
 func TestGapIsNotInstalled(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster("a1", "a2")
+	inCluster(t, func(t *testing.T, c *cluster) {
 		for v := 1; v <= 3; v++ {
 			d := deployment(1)
 			d.Objective.Evictions = float64(v)
@@ -261,14 +251,13 @@
 		if got := c.instances[1].version(); got != 1 {
 			t.Errorf("version %d is in force without version 2", got)
 		}
-	})
+	}, "a1", "a2")
 }
 
 // Guards against a fresh instance that starts from a stale peer while another
 // has a newer configuration, or that is ready without any.
 func TestFreshInstanceDuringOutageTakesTheHighestVersion(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster("a1", "a2", "a3", "b1")
+	inCluster(t, func(t *testing.T, c *cluster) {
 		mustApply(t, c.instances[0], "first", 1)
 		c.instances[0].push()
 		mustApply(t, c.instances[2], "second", 2)
@@ -288,14 +277,13 @@
 		if got := fresh.version(); got != 2 || !fresh.store.Synced() {
 			t.Errorf("fresh instance has version %d", got)
 		}
-	})
+	}, "a1", "a2", "a3", "b1")
 }
 
 // Guards against a configuration that differs between instances because a
 // change was damaged on its way.
 func TestDamagedChangeIsNotInstalled(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster("a1", "a2")
+	inCluster(t, func(t *testing.T, c *cluster) {
 		mustApply(t, c.instances[0], "first", 1)
 		good, _ := c.table.change(1)
 		good.Digest = strings.Repeat("0", 64)
@@ -308,15 +296,14 @@
 		if got := c.instances[1].version(); got != 0 {
 			t.Errorf("version %d is in force", got)
 		}
-	})
+	}, "a1", "a2")
 }
 
 // Guards against change rows that pile up, against rows that are deleted
 // before a snapshot has them, and against instances that cannot start once
 // rows are gone.
 func TestSnapshotsReplaceOldChanges(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster("a1", "b1")
+	inCluster(t, func(t *testing.T, c *cluster) {
 		c.cut["b"] = true
 		fresh := c.instances[1]
 		c.table.objectsDown = true
@@ -338,5 +325,5 @@
 		delete(c.table.rows, changeKey(1))
 		fresh.poll()
 		expectVersions(t, c, 20)
-	})
+	}, "a1", "b1")
 }
--- a/declaration/declaration_test.go
+++ b/declaration/declaration_test.go
@@ -53,6 +53,17 @@
 	}
 }
 
+// Guards against refusals of what can be honoured: a job without a class, and a
+// small quota of a team that has no standing jobs.
+func TestCheckAcceptsWhatFits(t *testing.T) {
+	d := example(t, "society.json")
+	d.BatchJobs[0].Class = ""
+	d.Teams = append(d.Teams, Team{Name: "small", Quota: structs.Resources{CPUMilli: 1, MemoryMB: 1}, Weight: 1})
+	if err := d.Check(DefaultLimits()); err != nil {
+		t.Error(err)
+	}
+}
+
 // Guards against declarations that are accepted although they cannot be
 // honoured, and against reports that name another field.
 func TestCheckRefusesWithPath(t *testing.T) {
@@ -161,7 +172,13 @@
 	rapid.Check(t, func(t *rapid.T) {
 		from, to := drawDeployment(t, base, "from").Entries(), drawDeployment(t, base, "to").Entries()
 		before := maps.Clone(from)
-		got, err := from.Apply(Diff(from, to))
+		delta := Diff(from, to)
+		for name, value := range delta.Upserts {
+			if string(from[name]) == string(value) {
+				t.Fatalf("the delta repeats the entry %s", name)
+			}
+		}
+		got, err := from.Apply(delta)
 		if err != nil || !reflect.DeepEqual(got, to) || got.Digest() != to.Digest() {
 			t.Fatalf("got %v and %v", got, err)
 		}
