--- a/configuration/concurrent_test.go
+++ b/configuration/concurrent_test.go
@@ -183,6 +183,21 @@
 	}, "a1", "a2", "a3", "b1", "b2", "b3")
 }
 
+// Guards against an instance that misses a push and waits for its next poll
+// although a later push shows the gap.
+func TestServePollsAtOnceAfterAGap(t *testing.T) {
+	inCluster(t, func(t *testing.T, c *cluster) {
+		serve(t, c)
+		c.instances[1].paused = true
+		mustApply(t, c.instances[0], "operator", 1)
+		synctest.Wait()
+		c.instances[1].paused = false
+		mustApply(t, c.instances[0], "operator", 2)
+		synctest.Wait()
+		expectVersions(t, c, 2)
+	}, "a1", "a2")
+}
+
 // Guards against instances that need more than two polls after a heal: a cut
 // domain, a paused instance that missed two changes, and one whose table is
 // slow.
--- a/configuration/store.go
+++ b/configuration/store.go
@@ -71,6 +71,8 @@
 	Fetch(ctx context.Context, address string, m *peer.FetchRequest) (*peer.FetchResponse, error)
 }
 
+var _ Peers = (*peer.Client)(nil)
+
 // View lists the entry instances that are live and not draining, this one
 // included; an empty domain stands for all.
 type View interface {
