--- a/membership/membership.go
+++ b/membership/membership.go
@@ -179,7 +179,9 @@
 
 // WorkerGoneFor returns for how long successful readings have shown that a
 // worker is not on the list. Time in which the list cannot be read does not
-// count, since nothing is known of it.
+// count, since nothing is known of it. A list whose lag grows may show a worker
+// as gone after it has come back, so an owner must not renew the task leases of
+// a worker while this is above zero; then the leases bound its tasks.
 func (v *View) WorkerGoneFor(name string) time.Duration {
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/membership/serve.go
+++ b/membership/serve.go
@@ -7,8 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/jonboulle/clockwork"
-
 	"bergamotstile/structs"
 )
 
@@ -124,6 +122,13 @@
 	}
 }
 
+// timeout bounds a call by the view's clock. It does not use
+// clockwork.WithTimeout, since Err of that context blocks until it ends.
 func (v *View) timeout(ctx context.Context, d time.Duration) (context.Context, context.CancelFunc) {
-	return clockwork.WithTimeout(ctx, v.clock, d)
+	ctx, cancel := context.WithCancelCause(ctx)
+	timer := v.clock.AfterFunc(d, func() { cancel(context.DeadlineExceeded) })
+	return ctx, func() {
+		timer.Stop()
+		cancel(nil)
+	}
 }
--- a/standin/runner.go
+++ b/standin/runner.go
@@ -259,7 +259,7 @@
 	}
 	if d.Timeout > 0 {
 		var cancel context.CancelFunc
-		ctx, cancel = clockwork.WithTimeout(ctx, r.clock, d.Timeout)
+		ctx, cancel = withTimeout(ctx, r.clock, d.Timeout)
 		defer cancel()
 	}
 	if err := ctx.Err(); err != nil {
