Read the runners of a lane at most every 20 ms

That age is small against leaving_bound_ms, and a runner that itself answers leaving is still paused at once.

A pause of a runner now ends with a look at the queue rather than at the next tick. Closing a claim no longer reads its row again after the mark was committed. Refusals of requests carry the request ID, and an answer with another ID is not passed on.

--- a/callerapi/requests.go
+++ b/callerapi/requests.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"strconv"
 
+	"github.com/google/uuid"
+
 	"bergamotstile/structs"
 )
 
@@ -15,10 +17,15 @@
 	if refusal != nil {
 		return refusal
 	}
+	// A refusal carries the ID too, so that a caller can name it to operators.
+	w.Header().Set(structs.HeaderRequestID, req.ID)
 	answer, err := a.Requests.Handle(r.Context(), req)
 	if err != nil {
 		return err
 	}
+	if answer.RequestID != req.ID {
+		return structs.MayHaveRun(structs.ReasonAnswerIncomplete, "the answer belongs to another request")
+	}
 	writeAnswer(w, answer)
 	return nil
 }
@@ -45,7 +52,9 @@
 	req.Key = h.text(structs.HeaderIdempotencyKey, maxKeyBytes)
 	req.Domain = h.name(structs.HeaderDomain)
 	req.Caller = h.text(structs.HeaderCaller, maxCallerBytes)
-	req.ID = h.text(structs.HeaderRequestID, maxKeyBytes)
+	if req.ID = h.text(structs.HeaderRequestID, maxKeyBytes); req.ID == "" {
+		req.ID = uuid.NewString()
+	}
 	if timeout := h.milliseconds(structs.HeaderTimeoutMS, a.RequestTimeoutMax); timeout > 0 {
 		req.Timeout = timeout
 	}
@@ -87,7 +96,6 @@
 	h.Set("Content-Type", "application/octet-stream")
 	h.Set("Content-Length", strconv.Itoa(len(answer.Body)))
 	h.Set(structs.HeaderContentDigest, "sha-256=:"+base64.StdEncoding.EncodeToString(sum[:])+":")
-	h.Set(structs.HeaderRequestID, answer.RequestID)
 	w.WriteHeader(http.StatusOK)
 	_, _ = w.Write(answer.Body)
 }
--- a/routing/claims.go
+++ b/routing/claims.go
@@ -136,7 +136,8 @@
 // that the write is unresolved.
 func (r *Router) closeBefore(ctx context.Context, c call, cl *claim, res result) result {
 	open := r.unresolved(ctx, cl, cl.version, "the claim of a request that was not dispatched is not closed yet")
-	late := r.Clock.NewTimer(c.deadline.Sub(r.Clock.Now()))
+	// The caller waits a grace beyond its deadline for such an outcome.
+	late := r.Clock.NewTimer(c.deadline.Add(r.Settings.WaitGrace / 2).Sub(r.Clock.Now()))
 	defer late.Stop()
 	select {
 	case closed := <-open.pending:
@@ -152,28 +153,36 @@
 // closeClaim marks the claim's row as not run, whether or not the claim itself
 // was written. The mark also keeps a delayed copy of the claim's write out.
 func (r *Router) closeClaim(ctx context.Context, cl *claim, precondition uint64) result {
-	mark := cl.row
-	mark.State = claimNotRun
 	for pause := r.Settings.ClaimRetry; ; pause = min(2*pause, r.Settings.ClaimRetryMax) {
-		version, closed, foreign := r.readForClose(ctx, cl, precondition)
+		closed, err := r.tryClose(ctx, cl, precondition)
 		switch {
 		case closed:
 			return refused(structs.NotRun(structs.ReasonDeadlineExceeded, "the request was not dispatched"))
-		case foreign:
-			return refused(structs.MayHaveRun(structs.ReasonWriteUnresolved, "the claim was taken over before it was closed"))
-		case version.known:
-			op := newClaimOp(cl.lease, cl.key, version.version, mark)
-			r.writer.submit(op)
-			if done, ok := r.awaitOp(op); !ok || errors.Is(done.err, errClaimFenced) && r.fenceMoved(cl.lease) {
-				return refused(structs.MayHaveRun(structs.ReasonWriteUnresolved, "the shard was taken over before the claim was closed"))
-			}
-		}
-		if !r.sleepOpen(pause) {
+		case errors.Is(err, errForeignWrite), errors.Is(err, errClaimFenced) && r.fenceMoved(cl.lease):
+			return refused(structs.MayHaveRun(structs.ReasonWriteUnresolved, "the shard was taken over before the claim was closed"))
+		case !r.sleepOpen(pause):
 			return refused(structs.MayHaveRun(structs.ReasonWriteUnresolved, "the instance stopped before the claim was closed"))
 		}
 	}
 }
 
+// tryClose marks the row once, at the version at which it is now.
+func (r *Router) tryClose(ctx context.Context, cl *claim, precondition uint64) (closed bool, err error) {
+	v, closed, foreign := r.readForClose(ctx, cl, precondition)
+	switch {
+	case foreign:
+		return false, errForeignWrite
+	case closed || !v.known:
+		return closed, nil
+	}
+	mark := cl.row
+	mark.State = claimNotRun
+	op := newClaimOp(cl.lease, cl.key, v.version, mark)
+	r.writer.submit(op)
+	done, ok := r.awaitOp(op)
+	return ok && done.err == nil, done.err
+}
+
 type rowVersion struct {
 	version uint64
 	known   bool
--- a/routing/fakes_test.go
+++ b/routing/fakes_test.go
@@ -149,6 +149,12 @@
 	n.lease = Lease{Shard: testShard, Epoch: c.epoch, Fence: platform.Condition{Key: epochKey, Version: c.table.version(epochKey)}}
 }
 
+func (c *cluster) setMembers(members []structs.Member) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.members = members
+}
+
 func (c *cluster) setForward(forward func(string) error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/routing/handle.go
+++ b/routing/handle.go
@@ -202,8 +202,8 @@
 		return refused(r.noRunner(c.req.Service, r.Domain))
 	}
 	for _, shard := range shards {
-		if l := r.lane(shard, c.req.Service); r.serves(shard) && l.live() {
-			return r.attempt(ctx, c, l, func() *structs.Refusal { return nil })
+		if r.serves(shard) {
+			return r.attempt(ctx, c, r.lane(shard, c.req.Service), func() *structs.Refusal { return nil })
 		}
 	}
 	for _, shard := range shards {
@@ -214,22 +214,17 @@
 	return r.attemptReserved(ctx, c, shards)
 }
 
-// shardsWithRunners returns this domain's shards that have runners of the
+// shardsWithRunners returns this domain's shards that have live runners of the
 // call's service, in an order that differs between calls.
 func (r *Router) shardsWithRunners(c call) []structs.ShardID {
 	shards := r.Topology.Shards()
-	byName := map[string]structs.ShardID{}
-	var names []string
-	for _, m := range r.Members.Runners(r.Domain, c.req.Service) {
-		shard := structs.ShardOfMember(r.Domain, m.Name, shards)
-		if _, known := byName[shard.String()]; !known {
-			byName[shard.String()] = shard
-			names = append(names, shard.String())
-		}
-	}
+	first := structs.ShardOf(r.Domain, c.req.ID, shards).Index
 	var out []structs.ShardID
-	for _, name := range structs.RankByHash(c.req.ID, names) {
-		out = append(out, byName[name])
+	for i := range max(shards, 1) {
+		shard := structs.ShardID{Domain: r.Domain, Index: (first + i) % max(shards, 1)}
+		if r.lane(shard, c.req.Service).live() {
+			out = append(out, shard)
+		}
 	}
 	return out
 }
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -153,9 +153,9 @@
 func (r *Router) tick() {
 	r.keys.expire()
 	for _, l := range r.allLanes() {
-		l.prune()
 		l.queue.Kick()
 	}
+	r.dropUnusedLanes()
 }
 
 // Quiet returns the longest remaining time in which a keyed request of the
--- a/routing/settings.go
+++ b/routing/settings.go
@@ -30,6 +30,9 @@
 	LeasePoll time.Duration
 	// Tick is the interval at which queues look for new runners.
 	Tick time.Duration
+	// RunnersMaxAge is how long a reading of the runners is used. It is part of
+	// the time until a leaving runner receives nothing more.
+	RunnersMaxAge time.Duration
 	// BusyPause and UnreachablePause keep requests from a runner that refused
 	// one or could not be reached.
 	BusyPause        time.Duration
@@ -79,6 +82,7 @@
 	setDuration(&s.LeaseWait, 200*time.Millisecond)
 	setDuration(&s.LeasePoll, 20*time.Millisecond)
 	setDuration(&s.Tick, 100*time.Millisecond)
+	setDuration(&s.RunnersMaxAge, 20*time.Millisecond)
 	setDuration(&s.BusyPause, 20*time.Millisecond)
 	setDuration(&s.UnreachablePause, 500*time.Millisecond)
 	setDuration(&s.LeavingPause, 3*time.Second)
--- a/routing/slots.go
+++ b/routing/slots.go
@@ -26,6 +26,7 @@
 	mu      sync.Mutex
 	turn    int
 	runners map[string]*runnerUse
+	view    laneView
 }
 
 type runnerUse struct {
@@ -72,6 +73,19 @@
 	return l
 }
 
+// dropUnusedLanes forgets the lanes of services that have no runners.
+func (r *Router) dropUnusedLanes() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, lanes := range []map[laneID]*lane{r.lanes, r.reserved} {
+		for id, l := range lanes {
+			if l.unused() {
+				delete(lanes, id)
+			}
+		}
+	}
+}
+
 func (r *Router) allLanes() []*lane {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -85,25 +99,36 @@
 	return out
 }
 
-// members returns the lane's runners that may receive new requests now.
-func (l *lane) members() []structs.Member {
-	return l.router.runnersOf(l.id.shard, l.id.service)
+// laneView is what the lane last read of the membership view and the topology.
+type laneView struct {
+	at      time.Time
+	members []structs.Member // that may receive new requests
+	limits  []int            // dispatches at once, of each member
 }
 
-func (r *Router) runnersOf(shard structs.ShardID, service string) []structs.Member {
-	shards := r.Topology.Shards()
-	var out []structs.Member
-	for _, m := range r.Members.Runners(shard.Domain, service) {
-		if structs.ShardOfMember(shard.Domain, m.Name, shards) == shard {
-			out = append(out, m)
+// refresh reads the lane's runners again if the last reading is old, with the
+// lane's lock held. Reading them for each request costs more than all else.
+func (l *lane) refresh(now time.Time) *laneView {
+	if !l.view.at.IsZero() && now.Sub(l.view.at) < l.router.Settings.RunnersMaxAge {
+		return &l.view
+	}
+	l.view = laneView{at: now}
+	shards, domain := l.router.Topology.Shards(), l.id.shard.Domain
+	others := max(len(l.router.Members.Entries(domain))-1, 0)
+	for _, m := range l.router.Members.Runners(domain, l.id.service) {
+		if structs.ShardOfMember(domain, m.Name, shards) == l.id.shard {
+			l.view.members = append(l.view.members, m)
+			l.view.limits = append(l.view.limits, l.limit(m, others))
 		}
 	}
-	return out
+	l.forgetGone(now)
+	return &l.view
 }
 
 // limit is how many dispatches this instance may have at a runner at once. A
-// dispatch takes one slot and one connection.
-func (l *lane) limit(m structs.Member) int {
+// dispatch takes one slot and one connection, and each other entry instance of
+// the domain may use the reserved connections.
+func (l *lane) limit(m structs.Member, others int) int {
 	s := l.router.Settings
 	if l.reserved {
 		return s.ReservedConnections
@@ -115,45 +140,58 @@
 	if connections <= 0 {
 		connections = s.DefaultConnections
 	}
-	others := len(l.router.Members.Entries(l.id.shard.Domain)) - 1
-	return min(slots, max(connections-s.ReservedConnections*max(others, 0), 1))
+	return min(slots, max(connections-s.ReservedConnections*others, 1))
+}
+
+// forgetGone drops the use of runners that are gone and hold no slot.
+func (l *lane) forgetGone(now time.Time) {
+	listed := make(map[string]bool, len(l.view.members))
+	for _, m := range l.view.members {
+		listed[m.Name] = true
+	}
+	for name, u := range l.runners {
+		if !listed[name] && u.inUse == 0 && !now.Before(u.pausedUntil) {
+			delete(l.runners, name)
+		}
+	}
 }
 
 // Take returns a slot of the least used runner.
 func (l *lane) Take() (*slot, bool) {
-	members := l.members()
+	now := l.router.Clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := l.router.Clock.Now()
+	v := l.refresh(now)
 	l.turn++
-	best, bestUse := -1, 0
-	for i := range members {
-		at := (i + l.turn) % len(members)
-		u := l.use(members[at].Name)
-		if now.Before(u.pausedUntil) || u.inUse >= l.limit(members[at]) {
+	var best *runnerUse
+	bestAt := 0
+	for i := range v.members {
+		at := (i + l.turn) % len(v.members)
+		u := l.use(v.members[at].Name)
+		if now.Before(u.pausedUntil) || u.inUse >= v.limits[at] {
 			continue
 		}
-		if best < 0 || u.inUse < bestUse {
-			best, bestUse = at, u.inUse
+		if best == nil || u.inUse < best.inUse {
+			best, bestAt = u, at
 		}
 	}
-	if best < 0 {
+	if best == nil {
 		return nil, false
 	}
-	l.use(members[best].Name).inUse++
-	return &slot{lane: l, runner: members[best]}, true
+	best.inUse++
+	return &slot{lane: l, runner: v.members[bestAt]}, true
 }
 
 // Size returns the number of slots of the runners that are not paused.
 func (l *lane) Size() int {
-	members := l.members()
+	now := l.router.Clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := l.router.Clock.Now()
 	n := 0
-	for _, m := range members {
+	v := l.refresh(now)
+	for i, m := range v.members {
 		if u := l.runners[m.Name]; u == nil || !now.Before(u.pausedUntil) {
-			n += l.limit(m)
+			n += v.limits[i]
 		}
 	}
 	return n
@@ -161,11 +199,10 @@
 
 // live reports whether a runner is left that was not just found unreachable.
 func (l *lane) live() bool {
-	members := l.members()
+	now := l.router.Clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := l.router.Clock.Now()
-	for _, m := range members {
+	for _, m := range l.refresh(now).members {
 		if u := l.runners[m.Name]; u == nil || !u.unreachable || !now.Before(u.pausedUntil) {
 			return true
 		}
@@ -173,6 +210,14 @@
 	return false
 }
 
+// unused reports whether the lane has no runners and nothing in it.
+func (l *lane) unused() bool {
+	waiting := l.queue.Len()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.refresh(l.router.Clock.Now()).members) == 0 && len(l.runners) == 0 && waiting == 0
+}
+
 func (l *lane) use(runner string) *runnerUse {
 	u := l.runners[runner]
 	if u == nil {
@@ -182,29 +227,15 @@
 	return u
 }
 
-// prune forgets runners that are gone and hold no slot.
-func (l *lane) prune() {
-	members := l.members()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	listed := make(map[string]bool, len(members))
-	for _, m := range members {
-		listed[m.Name] = true
-	}
-	for name, u := range l.runners {
-		if !listed[name] && u.inUse == 0 && !l.router.Clock.Now().Before(u.pausedUntil) {
-			delete(l.runners, name)
-		}
-	}
-}
-
-// pause keeps new requests from the slot's runner for a while.
+// pause keeps new requests from the slot's runner for a while. Requests that
+// wait when the pause ends are served at once.
 func (s *slot) pause(d time.Duration, unreachable bool) {
 	s.lane.mu.Lock()
 	defer s.lane.mu.Unlock()
 	u := s.lane.use(s.runner.Name)
 	u.pausedUntil = s.lane.router.Clock.Now().Add(d)
 	u.unreachable = unreachable
+	s.lane.router.Clock.AfterFunc(d, s.lane.queue.Kick)
 }
 
 // release gives the slot back. A positive took is the measured service time.
