lifecycle: judge runs by the table's history too

The test now stops a pump half way, loses objects at birth, lets leases lapse and reads the table's order of commits: only the owner of the present epoch writes items, and no attempt follows a cancel row.

--- a/lifecycle/fakes_test.go
+++ b/lifecycle/fakes_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"iter"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -145,6 +147,9 @@
 	mu   sync.Mutex
 	down bool
 	data map[string][]byte
+	// losing makes objects vanish although their writer is told otherwise.
+	losing    bool
+	stillborn map[string]bool
 }
 
 func (m *memObjects) Put(_ context.Context, name string, data []byte) error {
@@ -153,6 +158,10 @@
 	if m.down {
 		return platform.ErrUnavailable
 	}
+	if m.losing {
+		m.stillborn[name] = true
+		return nil
+	}
 	m.data[name] = data
 	return nil
 }
@@ -218,10 +227,10 @@
 
 // restart ends every task and forgets everything.
 func (w *fakeWorker) restart() {
-	for attempt := range w.running {
+	for _, attempt := range slices.Sorted(maps.Keys(w.running)) {
 		w.record(runEntry{worker: w.name, attempt: attempt, what: "killed"})
 	}
-	for attempt := range w.ended {
+	for _, attempt := range slices.Sorted(maps.Keys(w.ended)) {
 		w.record(runEntry{worker: w.name, attempt: attempt, what: "forgotten"})
 	}
 	w.boot++
@@ -238,8 +247,8 @@
 
 // lapse stops the tasks whose lease is over.
 func (w *fakeWorker) lapse() {
-	for attempt, t := range w.running {
-		if w.uptime() > t.until {
+	for _, attempt := range slices.Sorted(maps.Keys(w.running)) {
+		if w.uptime() > w.running[attempt].until {
 			w.end(attempt, workerapi.Ended{State: workerapi.EndStopped, Detail: "lease lapsed"}, "lapsed")
 		}
 	}
@@ -330,6 +339,17 @@
 	fault   func(op, worker string) callFault
 }
 
+// all ranges over the workers in a fixed order, so that runs can be replayed.
+func (f *fleet) all() iter.Seq2[string, *fakeWorker] {
+	return func(yield func(string, *fakeWorker) bool) {
+		for _, name := range slices.Sorted(maps.Keys(f.workers)) {
+			if !yield(name, f.workers[name]) {
+				return
+			}
+		}
+	}
+}
+
 type callFault int
 
 const (
--- a/lifecycle/ledger.go
+++ b/lifecycle/ledger.go
@@ -99,12 +99,7 @@
 	}
 }
 
-// held returns what counts against a worker.
-func (l *ledger) held(worker string) structs.Resources {
-	return l.account(worker).used
-}
-
-// holds reports whether anything counts against the worker.
+// occupied reports whether anything counts against the worker.
 func (l *ledger) occupied(worker string) bool {
 	a := l.accounts[worker]
 	return a != nil && len(a.holds)+len(a.reported) > 0
--- a/lifecycle/properties_test.go
+++ b/lifecycle/properties_test.go
@@ -51,8 +51,14 @@
 		w.heal()
 		w.settle()
 	})
+	t.Logf("what happened: %v", counts)
 }
 
+// counts tells how often the runs met what they look for.
+var counts = map[string]int{}
+
+func count(what string) { counts[what]++ }
+
 func (w *world) actions() map[string]func(*rapid.T) {
 	return map[string]func(*rapid.T){
 		"submit":      func(t *rapid.T) { w.submit() },
@@ -84,9 +90,17 @@
 		"evict":          func(t *rapid.T) { w.evict() },
 		"objects":        func(t *rapid.T) { w.objects.down = !w.objects.down },
 		"lose object":    func(t *rapid.T) { clear(w.objects.data) },
+		"half pump":      func(t *rapid.T) { w.halfPump(w.anyInstance(), rapid.IntRange(1, 12).Draw(t, "calls")) },
+		"half pump more": func(t *rapid.T) { w.halfPump(w.anyInstance(), rapid.IntRange(1, 12).Draw(t, "calls")) },
+		"pass on":        func(t *rapid.T) { w.pass(time.Second, 500*time.Millisecond) },
+		"pass lease":     func(t *rapid.T) { w.pass(23*time.Second, time.Second) },
+		"finish one":     func(t *rapid.T) { w.endTask(workerapi.EndFinished) },
+		"lose objects":   func(t *rapid.T) { w.objects.losing = !w.objects.losing },
+		"evict one":      func(t *rapid.T) { w.evict() },
+		"freeze owner":   func(t *rapid.T) { w.freezeOwner() },
 		"late write":     func(t *rapid.T) { w.deliverLateWrite() },
 		"": func(t *rapid.T) {
-			for _, worker := range w.fleet.workers {
+			for _, worker := range w.fleet.all() {
 				worker.lapse()
 			}
 			w.truth.checkCapacity()
@@ -177,6 +191,12 @@
 	w.goneAt[name] = time.Time{}
 }
 
+func (w *world) freezeOwner() {
+	if in := w.owner(); in != nil {
+		in.frozen = true
+	}
+}
+
 // cancel asks an instance that believes that it serves the shard.
 func (w *world) cancel() {
 	id, any := w.anyWork()
@@ -209,7 +229,9 @@
 
 func (w *world) evict() {
 	in, id, any := w.owner(), structs.WorkID(""), false
-	if id, any = w.anyWork(); any && in != nil {
+	running := slices.SortedFunc(maps.Keys(w.truth.running), compareIDs)
+	if any = len(running) > 0; any && in != nil {
+		id = rapid.SampledFrom(running).Draw(w.t, "running")
 		_ = in.core.evict(id, "test")
 		in.calls = append(in.calls, in.core.takeCalls()...)
 	}
@@ -227,7 +249,7 @@
 	w.truth.forgetGone()
 	clear(w.cut)
 	clear(w.goneAt)
-	w.objects.down = false
+	w.objects.down, w.objects.losing = false, false
 	for _, in := range w.instances {
 		in.frozen, in.offline = false, false
 	}
@@ -257,6 +279,7 @@
 	for _, item := range w.rows() {
 		w.truth.checkRecord(item)
 	}
+	w.truth.checkHistory()
 	w.checkIdle()
 }
 
@@ -292,7 +315,7 @@
 	if in == nil {
 		w.t.Fatal("the shard has no owner")
 	}
-	for name, worker := range w.fleet.workers {
+	for name, worker := range w.fleet.all() {
 		var used structs.Resources
 		for _, task := range worker.running {
 			used = used.Add(task.spec.Size)
--- a/lifecycle/truth_test.go
+++ b/lifecycle/truth_test.go
@@ -1,8 +1,11 @@
 package lifecycle
 
 import (
+	"encoding/json"
 	"slices"
+	"strings"
 
+	"bergamotstile/platform"
 	"bergamotstile/structs"
 )
 
@@ -59,7 +62,7 @@
 func (tr *truth) checkStart(id structs.WorkID, e runEntry) {
 	t := tr.w.t
 	tr.forgetGone()
-	for name, worker := range tr.w.fleet.workers {
+	for name, worker := range tr.w.fleet.all() {
 		if name != e.worker { // that one has just done so
 			worker.lapse()
 		}
@@ -70,6 +73,9 @@
 	if tr.started[e.attempt] {
 		t.Fatalf("P3: %s starts twice", e.attempt)
 	}
+	if tr.w.objects.stillborn[e.checkpoint] {
+		t.Fatalf("P3: %s starts from %q, which was never stored", e.attempt, e.checkpoint)
+	}
 	if tr.notRun[id] {
 		t.Fatalf("P5: %s starts although its caller was told not_run", e.attempt)
 	}
@@ -85,6 +91,10 @@
 		t.Fatalf("P6: non-idempotent %s starts from %q after %s (%s, checkpoint %q)",
 			e.attempt, e.checkpoint, before.attempt, before.what, before.checkpoint)
 	}
+	count("starts again")
+	if e.checkpoint != "" {
+		count("resumed")
+	}
 	if e.checkpoint != "" && !tr.resumable(id, e.checkpoint) {
 		t.Fatalf("P3: %s resumes from %q, which no attempt of it wrote", e.attempt, e.checkpoint)
 	}
@@ -93,7 +103,7 @@
 // forgetGone notes the ends that can no longer be told: their worker has been
 // off the list for as long as proof 4 takes.
 func (tr *truth) forgetGone() {
-	for name, worker := range tr.w.fleet.workers {
+	for name, worker := range tr.w.fleet.all() {
 		if tr.w.WorkerGoneFor(name) < defaultTaskLease+defaultStartWindow+defaultLeaseMargin {
 			continue
 		}
@@ -109,7 +119,7 @@
 
 // checkCapacity samples P1 in all three dimensions.
 func (tr *truth) checkCapacity() {
-	for name, worker := range tr.w.fleet.workers {
+	for name, worker := range tr.w.fleet.all() {
 		var used structs.Resources
 		for _, task := range worker.running {
 			used = used.Add(task.spec.Size)
@@ -159,5 +169,65 @@
 	default:
 		t.Fatalf("nothing lost: %s ends up %s (%s), last attempt %s", item.ID, item.State, item.Detail, last.what)
 	}
+	count(string(item.State))
 	tr.told(item.Status())
 }
+
+// checkHistory reads the order in which the table took transactions. No one
+// but the owner of the present epoch writes an item after its creation, and
+// no attempt is recorded while a cancel row is in place.
+func (tr *truth) checkHistory() {
+	owner, epoch := "", uint64(0)
+	attempts := map[string]int{}
+	cancelled := map[string]bool{}
+	for _, c := range tr.w.table.commits {
+		for _, put := range c.tx.Puts {
+			switch {
+			case strings.HasPrefix(put.Key, "epoch/"):
+				count("takeovers")
+				owner, epoch = tr.checkTakeover(put, epoch)
+			case strings.HasPrefix(put.Key, "cancel/"):
+				cancelled[strings.TrimPrefix(put.Key, "cancel/")] = true
+			case strings.HasPrefix(put.Key, "work/"):
+				key := strings.TrimPrefix(put.Key, "work/")
+				tr.checkWrite(c, put, owner, epoch, attempts[key], cancelled[key])
+				item, _ := decodeItem(platform.Row{Value: put.Value})
+				attempts[key] = item.Attempt
+			}
+		}
+		for _, key := range c.tx.Deletes {
+			delete(cancelled, strings.TrimPrefix(key, "cancel/"))
+		}
+	}
+}
+
+func (tr *truth) checkTakeover(put platform.Put, epoch uint64) (string, uint64) {
+	var row struct {
+		Owner string
+		Epoch uint64
+	}
+	if err := json.Unmarshal(put.Value, &row); err != nil || row.Epoch <= epoch {
+		tr.w.t.Fatalf("takeover %s after epoch %d", put.Value, epoch)
+	}
+	return row.Owner, row.Epoch
+}
+
+func (tr *truth) checkWrite(c committed, put platform.Put, owner string, epoch uint64, attempt int, cancelled bool) {
+	item, err := decodeItem(platform.Row{Key: put.Key, Value: put.Value})
+	if err != nil {
+		tr.w.t.Fatal(err)
+	}
+	creation := item.State == structs.StateQueued && item.Attempt == 0
+	if writer, _, _ := strings.Cut(c.tx.WriteID, " "); !creation && writer != owner {
+		tr.w.t.Fatalf("%s writes %s at version %d, owned by %s", writer, put.Key, c.version, owner)
+	}
+	if item.Attempt == attempt {
+		return
+	}
+	if item.Attempt != attempt+1 || item.Epoch != epoch {
+		tr.w.t.Fatalf("%s: attempt %d of epoch %d after attempt %d, at epoch %d", put.Key, item.Attempt, item.Epoch, attempt, epoch)
+	}
+	if cancelled {
+		tr.w.t.Fatalf("P5: %s: attempt %d is recorded after its cancel", put.Key, item.Attempt)
+	}
+}
--- a/lifecycle/world_test.go
+++ b/lifecycle/world_test.go
@@ -30,7 +30,6 @@
 	goneAt    map[string]time.Time
 	// quiet is set while calls are performed without drawn faults.
 	quiet  bool
-	writes int
 	specs  map[structs.WorkID]structs.WorkSpec
 	truth  *truth
 	policy Policy
@@ -45,6 +44,7 @@
 	results []func()
 	frozen  bool
 	offline bool // cannot reach the table
+	writes  int
 }
 
 var testShard = structs.ShardID{Domain: "d", Index: 0}
@@ -52,7 +52,7 @@
 func newWorld(t *rapid.T) *world {
 	w := &world{
 		t: t, clock: clockwork.NewFakeClock(), table: newMemTable(),
-		objects: &memObjects{data: map[string][]byte{}},
+		objects: &memObjects{data: map[string][]byte{}, stillborn: map[string]bool{}},
 		fleet:   &fleet{workers: map[string]*fakeWorker{}},
 		cut:     map[string]bool{}, goneAt: map[string]time.Time{},
 		specs:  map[structs.WorkID]structs.WorkSpec{},
@@ -76,17 +76,17 @@
 	table := &tableLink{w, in}
 	in.leases = ownership.NewManager(
 		ownership.Config{Self: structs.Member{Name: name, Address: name, Domain: "d"}},
-		ownership.Dependencies{Table: table, Members: w, Peers: w, NewWriteID: w.newWriteID}, w.clock)
+		ownership.Dependencies{Table: table, Members: w, Peers: w, NewWriteID: in.newWriteID}, w.clock)
 	in.manager = NewManager(Config{Domain: "d", Heartbeat: time.Second, CommitMax: 4}, Dependencies{
 		Table: table, Objects: w.objects, Workers: w.fleet, View: w, Leases: in.leases,
-		Policy: w, Domains: func() []string { return []string{"d"} }, NewWriteID: w.newWriteID,
+		Policy: w, Domains: func() []string { return []string{"d"} }, NewWriteID: in.newWriteID,
 	}, w.clock)
 	w.instances = append(w.instances, in)
 }
 
-func (w *world) newWriteID() string {
-	w.writes++
-	return fmt.Sprintf("write-%d", w.writes)
+func (in *instance) newWriteID() string {
+	in.writes++
+	return fmt.Sprintf("%s %d", in.name, in.writes)
 }
 
 // Schedule lets a test change the policy.
@@ -257,6 +257,22 @@
 	}
 }
 
+// halfPump stops a pump after some calls, so that the others arrive late.
+func (w *world) halfPump(in *instance, n int) {
+	was := w.quiet
+	w.quiet = true
+	defer func() { w.quiet = was }()
+	for ; n > 0 && !in.frozen; n-- {
+		w.tick(in)
+		if len(in.calls) > 0 {
+			w.perform(in, 0)
+		}
+		for len(in.results) > 0 {
+			w.deliver(in, 0)
+		}
+	}
+}
+
 // pass lets time go by with everyone doing their duties.
 func (w *world) pass(total, step time.Duration) {
 	for ; total > 0; total -= step {
