--- a/lifecycle/account.go
+++ b/lifecycle/account.go
@@ -105,7 +105,7 @@
 		return
 	}
 	status := r.item.Status()
-	status.Unconfirmed = !c.held()
+	status.Unconfirmed = !c.recording()
 	reply(status, nil)
 }
 
--- a/lifecycle/resolve.go
+++ b/lifecycle/resolve.go
@@ -4,7 +4,6 @@
 	"context"
 
 	"bergamotstile/platform"
-	"bergamotstile/structs"
 )
 
 // resolveGroup reads back what a group meant to write. It is called after a
@@ -105,42 +104,3 @@
 	a.resume = step
 	c.delayApplier()
 }
-
-// cancelRecord acts on a request to cancel an item.
-func (c *core) cancelRecord(r *record) {
-	if over(r.item) {
-		return
-	}
-	r.cancel = true
-	if t := r.pending; t != nil && t.group == nil && t.kind == EventPlace {
-		c.withdraw(t)
-	}
-	c.advance(r)
-}
-
-// withdraw removes a transition that is not part of a group yet.
-func (c *core) withdraw(t *transition) {
-	for i, waiting := range c.applier.waiting {
-		if waiting == t {
-			c.applier.waiting = append(c.applier.waiting[:i:i], c.applier.waiting[i+1:]...)
-			break
-		}
-	}
-	c.dropTransition(t)
-}
-
-// cancelByID acts on a cancel by its submitter. reply is called once the
-// cancel is recorded, or with what prevents it.
-func (c *core) cancelByID(id structs.WorkID, reply func(structs.WorkStatus, error)) {
-	r := c.items[id]
-	if r == nil {
-		reply(structs.WorkStatus{}, structs.NotRun(structs.ReasonNotFound, "no work item %s", id))
-		return
-	}
-	if over(r.item) || r.item.State == structs.StateCancelling {
-		reply(r.item.Status(), nil)
-		return
-	}
-	r.waiters = append(r.waiters, reply)
-	c.cancelRecord(r)
-}
