Fix the seed of every property test in one place

Ruled out: a flag in the test command, which packages without rapid refuse.

TestOnlyImpossibleWorkIsRefused now lets its items wait an hour: since the never_fits fault, an item is refused only after a minute.

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"flag"
 	"fmt"
 	"strings"
 	"sync"
@@ -14,13 +13,11 @@
 	"github.com/jonboulle/clockwork"
 	"pgregory.net/rapid"
 
+	"bergamotstile/proptest"
 	"bergamotstile/structs"
 )
 
-func init() {
-	// Fixed, so that a failure can be repeated; -rapid.seed overrides it.
-	_ = flag.Set("rapid.seed", "20261204")
-}
+func init() { proptest.Fix() }
 
 type queued struct {
 	caller string
--- a/configuration/machine_test.go
+++ b/configuration/machine_test.go
@@ -1,20 +1,17 @@
 package configuration
 
 import (
-	"flag"
 	"fmt"
 	"testing"
 	"testing/synctest"
 
 	"pgregory.net/rapid"
 
+	"bergamotstile/proptest"
 	"bergamotstile/structs"
 )
 
-// init fixes the seed of property tests; -rapid.seed overrides it.
-func init() {
-	_ = flag.Set("rapid.seed", "20261204")
-}
+func init() { proptest.Fix() }
 
 // machine drives several instances against one table through faults, and
 // checks after each step what P9 promises.
--- a/declaration/declaration_test.go
+++ b/declaration/declaration_test.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"errors"
-	"flag"
 	"maps"
 	"os"
 	"reflect"
@@ -12,14 +11,12 @@
 
 	"pgregory.net/rapid"
 
+	"bergamotstile/proptest"
 	"bergamotstile/strictjson"
 	"bergamotstile/structs"
 )
 
-// init fixes the seed of property tests; -rapid.seed overrides it.
-func init() {
-	_ = flag.Set("rapid.seed", "20261204")
-}
+func init() { proptest.Fix() }
 
 func example(t testing.TB, name string) *Deployment {
 	t.Helper()
--- a/harness/cluster.go
+++ b/harness/cluster.go
@@ -59,7 +59,6 @@
 	closers  []func()
 	host     string
 	port     int
-	starts   int
 }
 
 // Timings of the deployments under test, in milliseconds. They keep the
--- /dev/null
+++ b/interference/seed_test.go
@@ -0,0 +1,5 @@
+package interference
+
+import "bergamotstile/proptest"
+
+func init() { proptest.Fix() }
--- /dev/null
+++ b/lifecycle/seed_test.go
@@ -0,0 +1,12 @@
+package lifecycle
+
+import (
+	"github.com/sirupsen/logrus"
+
+	"bergamotstile/proptest"
+)
+
+func init() {
+	proptest.Fix("rapid.checks", "1000", "rapid.steps", "120")
+	logrus.SetLevel(logrus.ErrorLevel)
+}
--- /dev/null
+++ b/ownership/seed_test.go
@@ -0,0 +1,12 @@
+package ownership
+
+import (
+	"github.com/sirupsen/logrus"
+
+	"bergamotstile/proptest"
+)
+
+func init() {
+	proptest.Fix("rapid.checks", "2000", "rapid.steps", "60")
+	logrus.SetLevel(logrus.ErrorLevel)
+}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -155,7 +155,7 @@
 func TestOnlyImpossibleWorkIsRefused(t *testing.T) {
 	p := New(Settings{})
 	s := scheduler.Snapshot{Now: now, Workers: []scheduler.Worker{{Name: "w", Capacity: cores(32), Held: cores(32), Reachable: true}}}
-	s.Queue = []scheduler.Item{{Work: "fits", Size: cores(32)}, {Work: "never", Size: cores(33)}}
+	s.Queue = []scheduler.Item{{Work: "fits", Size: cores(32), Waiting: time.Hour}, {Work: "never", Size: cores(33), Waiting: time.Hour}}
 	plan := p.Schedule(s)
 	if len(plan.Refusals) != 1 || plan.Refusals[0].Work != "never" || plan.Refusals[0].Reason != structs.ReasonNeverFits {
 		t.Fatalf("refusals %v", plan.Refusals)
--- /dev/null
+++ b/policy/seed_test.go
@@ -0,0 +1,5 @@
+package policy
+
+import "bergamotstile/proptest"
+
+func init() { proptest.Fix() }
--- /dev/null
+++ b/qos/seed_test.go
@@ -0,0 +1,5 @@
+package qos
+
+import "bergamotstile/proptest"
+
+func init() { proptest.Fix() }
--- /dev/null
+++ b/quarantine/seed_test.go
@@ -0,0 +1,5 @@
+package quarantine
+
+import "bergamotstile/proptest"
+
+func init() { proptest.Fix() }
--- /dev/null
+++ b/quota/seed_test.go
@@ -0,0 +1,5 @@
+package quota
+
+import "bergamotstile/proptest"
+
+func init() { proptest.Fix() }
--- /dev/null
+++ b/relay/seed_test.go
@@ -0,0 +1,5 @@
+package relay
+
+import "bergamotstile/proptest"
+
+func init() { proptest.Fix("rapid.checks", "2000") }
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -1,7 +1,6 @@
 package retry
 
 import (
-	"flag"
 	"testing"
 	"time"
 
@@ -9,12 +8,10 @@
 	"pgregory.net/rapid"
 
 	"bergamotstile/metrics"
+	"bergamotstile/proptest"
 )
 
-func init() {
-	// Fixed, so that a failure can be repeated; -rapid.seed overrides it.
-	_ = flag.Set("rapid.seed", "20261204")
-}
+func init() { proptest.Fix() }
 
 // Guards against retries that exceed their share of the requests, and against
 // one cause that uses up the budget of another.
--- a/routing/history_test.go
+++ b/routing/history_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -15,14 +14,12 @@
 	"pgregory.net/rapid"
 
 	"bergamotstile/peer"
+	"bergamotstile/proptest"
 	"bergamotstile/runnerapi"
 	"bergamotstile/structs"
 )
 
-func init() {
-	// Fixed, so that a failure can be repeated; -rapid.seed overrides it.
-	_ = flag.Set("rapid.seed", "20261204")
-}
+func init() { proptest.Fix() }
 
 // submission is one submit of a history, with its end.
 type submission struct {
--- /dev/null
+++ b/scheduler/seed_test.go
@@ -0,0 +1,5 @@
+package scheduler
+
+import "bergamotstile/proptest"
+
+func init() { proptest.Fix() }
--- /dev/null
+++ b/structs/seed_test.go
@@ -0,0 +1,5 @@
+package structs
+
+import "bergamotstile/proptest"
+
+func init() { proptest.Fix() }
