Refuse messages whose body length is given in two ways

nbhttp takes the first of two Content-Length headers, and accepts a length beside a transfer coding; a raw request on loopback with lengths 3 and 5 was answered 200 with three bytes. A balancer that reads such a message otherwise would take the rest of one caller's body for another's request. The API now answers 400 and asks for the connection to be closed; the same raw requests are refused and not passed on.

--- a/callerapi/callerapi.go
+++ b/callerapi/callerapi.go
@@ -105,13 +105,19 @@
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		a.refuse(w, structs.NotRun(structs.ReasonNotFound, "no such path"))
 	})
-	return a.cleanPaths(mux)
+	return a.checked(mux)
 }
 
-// cleanPaths refuses paths that the mux would answer with a redirect. A client
-// that follows one may drop the body or the method.
-func (a *api) cleanPaths(next http.Handler) http.Handler {
+// checked refuses messages whose meaning depends on who reads them.
+func (a *api) checked(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if isAmbiguousLength(r.Header) {
+			w.Header().Set("Connection", "close")
+			a.refuse(w, structs.NotRun(structs.ReasonBadRequest, "the length of the body is given in two ways"))
+			return
+		}
+		// The mux would answer such a path with a redirect, and a client that
+		// follows one may drop the body or the method.
 		if r.URL.Path != path.Clean(r.URL.Path) {
 			a.refuse(w, structs.NotRun(structs.ReasonNotFound, "no such path"))
 			return
@@ -120,6 +126,14 @@
 	})
 }
 
+// isAmbiguousLength reports two lengths, or a length beside a transfer coding.
+// nbhttp takes the first length; a balancer that takes another would see the
+// rest of the body as the next caller's request, or the reverse.
+func isAmbiguousLength(h http.Header) bool {
+	lengths := len(h.Values("Content-Length"))
+	return lengths > 1 || lengths == 1 && len(h.Values("Transfer-Encoding")) > 0
+}
+
 // endpoint answers a request or returns a refusal.
 type endpoint func(w http.ResponseWriter, r *http.Request) error
 
