Test that latency samples forget old measurements

The policy reads a service's recent latency to throttle batch work, and nothing showed that the sample ages or counts late requests. The test passes on the code as it is, in virtual time.

--- a/routing/handle_test.go
+++ b/routing/handle_test.go
@@ -249,3 +249,24 @@
 		})
 	}
 }
+
+// Guards against a latency sample that keeps old measurements, which would
+// have batch work throttled long after a service recovered.
+func TestLatencySampleIsRecent(t *testing.T) {
+	bubble(t, func(t *testing.T, c *cluster) {
+		for i := range 100 {
+			c.runners.setBehave(always(time.Duration(i+1)*time.Millisecond, nil))
+			handle(c.nodes["a"], request("r", "", "x"))
+		}
+		c.runners.setBehave(always(time.Hour, nil))
+		handle(c.nodes["a"], request("r", "", "x"))
+		want := LatencySample{Count: 101, P50: 51 * time.Millisecond, P99: 100 * time.Millisecond, Late: 1}
+		if got := c.nodes["a"].router.Latency(testService); got != want {
+			t.Errorf("got %+v, want %+v", got, want)
+		}
+		time.Sleep(latencyWindow + time.Second)
+		if got := c.nodes["a"].router.Latency(testService); got != (LatencySample{}) {
+			t.Errorf("after the window: %+v", got)
+		}
+	})
+}
