Hold a request's slot and key while its runner overruns the deadline

Cause: an owner gave a key free 100 ms after its deadline, although the runner may still work on the request.

Ruled out: relying on runners to stop at the deadline, which the platform does not promise; and blocking the key for good, which would lose the proof.

Now the dispatch is waited for up to 5 s beyond the deadline. The caller is told may_have_run at its deadline, the slot counts as used, and a late answer serves a retry of the key.

Limit: a run that overruns by more than 5 s, or across a takeover after a crash of its owner, is not covered.

--- a/routing/dispatch.go
+++ b/routing/dispatch.go
@@ -104,10 +104,13 @@
 // cause is returned only if the request is proven not to have run.
 func (r *Router) dispatch(ctx context.Context, c call, s *slot) (result, retry.Cause) {
 	start := r.Clock.Now()
-	// The runner works on whether or not the caller stays, so the slot is held
-	// until the answer or the deadline.
-	dctx, cancel := clockwork.WithDeadline(context.WithoutCancel(ctx), r.Clock, c.deadline)
+	// The runner works on whether or not the caller stays, and may overrun its
+	// deadline. So the slot and the key are held until the answer, within a
+	// bound, and a late answer serves a retry of the key.
+	dctx, cancel := clockwork.WithDeadline(context.WithoutCancel(ctx), r.Clock, c.deadline.Add(r.Settings.Overrun))
 	defer cancel()
+	// A late request is measured at its deadline, not when its runner is done.
+	late := r.Clock.AfterFunc(c.deadline.Sub(start), func() { r.observe(c, true) })
 	body, err := r.Runners.Dispatch(dctx, s.runner.Address, runnerapi.Dispatch{
 		ID: uuid.NewString(), Service: c.req.Service, Kind: c.req.Kind,
 		Timeout: c.deadline.Sub(start), Body: c.req.Body,
@@ -115,15 +118,21 @@
 	took := max(r.Clock.Now().Sub(start), 1)
 	if err == nil {
 		s.release(c.req.Kind, took)
-		r.observe(c, false)
+		if late.Stop() {
+			r.observe(c, false)
+		}
 		r.windows.observe(s.runner, took)
 		return result{answer: structs.Answer{RequestID: c.req.ID, Runner: s.runner.Name, Body: body}}, ""
 	}
+	stopped := late.Stop()
 	if cause := notRunCause(err); cause != "" {
 		r.avoid(s, cause)
 		s.release(c.req.Kind, 0)
 		return result{}, cause
 	}
+	if stopped && !errors.Is(err, runnerapi.ErrFailed) {
+		r.observe(c, true)
+	}
 	return r.dispatchFailed(c, s, took, err), ""
 }
 
@@ -165,8 +174,7 @@
 		s.release(c.req.Kind, took)
 		return refused(structs.MayHaveRun(structs.ReasonRunnerFailed, "runner %s: %v", s.runner.Name, err))
 	}
-	endsBy := c.deadline.Add(r.Settings.Settle)
-	r.observe(c, true)
+	endsBy := latest(c.deadline, r.Clock.Now()).Add(r.Settings.Settle)
 	reason := structs.ReasonRunnerFailed
 	switch {
 	case errors.Is(err, runnerapi.ErrTimeout), errors.Is(err, context.DeadlineExceeded):
@@ -188,3 +196,25 @@
 	r.latency.observe(c.req.Service, took, late)
 	r.Metrics.Observe("request_"+c.req.Service, took.Microseconds())
 }
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// withinDeadline waits for an attempt until its caller's deadline has passed.
+// The attempt itself goes on, since its slot is in use until it ends.
+func (r *Router) withinDeadline(ctx context.Context, c call, attempt func(context.Context) result) result {
+	done := make(chan result, 1)
+	go func() { done <- attempt(ctx) }()
+	late := r.Clock.NewTimer(c.deadline.Add(r.Settings.WaitGrace).Sub(r.Clock.Now()))
+	defer late.Stop()
+	select {
+	case res := <-done:
+		return res
+	case <-late.Chan():
+		return refused(structs.MayHaveRun(structs.ReasonDeadlineExceeded, "the request is still in flight"))
+	}
+}
--- a/routing/handle.go
+++ b/routing/handle.go
@@ -203,7 +203,7 @@
 	}
 	for _, shard := range shards {
 		if r.serves(shard) {
-			return r.attempt(ctx, c, r.lane(shard, c.req.Service), func() *structs.Refusal { return nil })
+			return r.attemptUnkeyed(ctx, c, r.lane(shard, c.req.Service))
 		}
 	}
 	for _, shard := range shards {
@@ -244,12 +244,20 @@
 	r.Metrics.Count("requests_reserved", 1)
 	for _, shard := range shards {
 		if l := r.reservedLane(shard, c.req.Service); l.live() {
-			return r.attempt(ctx, c, l, func() *structs.Refusal { return nil })
+			return r.attemptUnkeyed(ctx, c, l)
 		}
 	}
 	return refused(r.noRunner(c.req.Service, r.Domain))
 }
 
+// attemptUnkeyed dispatches a call that can have no duplicate, so no lease has
+// to outlast it.
+func (r *Router) attemptUnkeyed(ctx context.Context, c call, l *lane) result {
+	return r.withinDeadline(ctx, c, func(ctx context.Context) result {
+		return r.attempt(ctx, c, l, func() *structs.Refusal { return nil })
+	})
+}
+
 // forwardToDomain passes an un-keyed call to an entry instance of a domain.
 func (r *Router) forwardToDomain(ctx context.Context, c call, domain string) result {
 	c.req.Domain = domain
--- a/routing/handle_test.go
+++ b/routing/handle_test.go
@@ -25,7 +25,10 @@
 // bubble runs a test in virtual time.
 func bubble(t *testing.T, f func(t *testing.T, c *cluster)) {
 	synctest.Test(t, func(t *testing.T) {
-		f(t, newCluster(t, Settings{}, "a", "b"))
+		c := newCluster(t, Settings{}, "a", "b")
+		f(t, c)
+		// Dispatches that overrun their deadline are waited for beyond the test.
+		time.Sleep(time.Minute)
 	})
 }
 
--- a/routing/keyed.go
+++ b/routing/keyed.go
@@ -177,6 +177,9 @@
 		until := e.res.endsBy
 		if !e.finished {
 			until = e.deadline.Add(t.settings.Settle)
+			if now.After(e.deadline) {
+				until = e.deadline.Add(t.settings.Overrun)
+			}
 		}
 		longest = max(longest, until.Sub(now))
 	}
--- a/routing/settings.go
+++ b/routing/settings.go
@@ -20,6 +20,9 @@
 	// dispatched again. It covers the time that a dispatch spends on the way,
 	// since a runner counts its timeout from receipt.
 	Settle time.Duration
+	// Overrun is how long after its deadline a dispatch is still waited for.
+	// Until then its slot and key are held.
+	Overrun time.Duration
 	// WaitGrace is how much longer than its deadline a caller waits for the
 	// outcome of its attempt, so that it learns "not run" and not just "late".
 	WaitGrace time.Duration
@@ -78,6 +81,7 @@
 	setDuration(&s.Lease, 3*time.Second)
 	setDuration(&s.AnswerRetention, 10*time.Second)
 	setDuration(&s.Settle, 100*time.Millisecond)
+	setDuration(&s.Overrun, 5*time.Second)
 	setDuration(&s.WaitGrace, 50*time.Millisecond)
 	setDuration(&s.LeaseWait, 200*time.Millisecond)
 	setDuration(&s.LeasePoll, 20*time.Millisecond)
--- a/scenario/faults_test.go
+++ b/scenario/faults_test.go
@@ -22,6 +22,7 @@
 	{name: "cut-owner-from-platform", inject: cutOwnerFromPlatform},
 	{name: "cut-owner-from-peers", inject: cutOwnerFromPeers},
 	{name: "runner-faults", inject: runnerFaults},
+	{name: "slow-runners", inject: slowRunners},
 	{name: "worker-faults", inject: workerFaults},
 	{name: "urgent-preempts", options: harness.Options{WorkerCPUMilli: 4000}, inject: func(_ *testing.T, r *run) { r.rest(5000) }},
 	{name: "objects-down", options: harness.Options{WorkerCPUMilli: 4000}, inject: objectsDown},
@@ -152,6 +153,20 @@
 	}
 }
 
+// slowRunners makes runners take longer than the requests' deadline, so that
+// callers retry while the first run still goes on.
+func slowRunners(t *testing.T, r *run) {
+	r.rest(500)
+	for _, n := range r.Runners {
+		r.must(t, r.PostFaults(n, "/service-time", standin.ServiceTimeRequest{ServiceMS: int64(1000 + r.random.IntN(1000))}))
+	}
+	r.rest(3000)
+	for _, n := range r.Runners {
+		r.must(t, r.PostFaults(n, "/service-time", standin.ServiceTimeRequest{ServiceMS: 15}))
+	}
+	r.rest(1500)
+}
+
 func objectsDown(_ *testing.T, r *run) {
 	r.rest(1000)
 	r.Platform.SetFaults(standin.PlatformFaults{Objects: standin.PartFaults{Down: true}})
