Count broken calls in scenario runs

Cause: a rolling restart lost calls without an account, and runs without a restart did not show whether they lose any.

--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -146,11 +146,14 @@
 	for _, v := range violations {
 		t.Error(v)
 	}
-	answered := 0
+	answered, broken := 0, 0
 	for _, c := range calls {
 		if c.Answered {
 			answered++
 		}
+		if c.Broken {
+			broken++
+		}
 	}
 	resumed := 0
 	for _, s := range work {
@@ -158,7 +161,7 @@
 			resumed++
 		}
 	}
-	t.Logf("%d calls, %d answered, %d request runs, %d work items, %d work runs, %d resumed", len(calls), answered, len(requests), r.load.submitted(), len(work), resumed)
+	t.Logf("%d calls, %d answered, %d broken, %d request runs, %d work items, %d work runs, %d resumed", len(calls), answered, broken, len(requests), r.load.submitted(), len(work), resumed)
 	if answered == 0 {
 		t.Error("no call was answered, so the run shows nothing")
 	}
