Refuse an address in use at once and let stand-in processes leave the list

httpserver.Start sometimes hung when its address was in use: nbio starts its pollers before it listens, and a poller that is told to stop before its goroutine runs resets its stop flag and waits for ever. The test of the Run functions hit this in about one of five runs. Stand-in processes now wait until they are off the platform's list before they end.

--- a/httpserver/httpserver.go
+++ b/httpserver/httpserver.go
@@ -41,7 +41,14 @@
 // Start listens on address and serves handler until Close.
 func Start(address string, handler http.Handler) (*Server, error) {
 	s := &Server{}
+	// The engine of nbio can hang when it fails to listen, since its pollers
+	// may start only after they were told to stop.
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", address, err)
+	}
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
+		Listen:          func(string, string) (net.Listener, error) { return listener, nil },
 		Network:         "tcp",
 		Addrs:           []string{address},
 		MaxHTTPBodySize: MaxBodyBytes,
--- a/standin/register.go
+++ b/standin/register.go
@@ -15,6 +15,21 @@
 // after it died. It registers again each third of that time.
 const registrationTTL = 3 * time.Second
 
+// serveRegistered serves a handler until ctx ends, keeps the member on the
+// platform's list meanwhile and waits until it is off the list again.
+func serveRegistered(ctx context.Context, address string, handler http.Handler, platform string, member func() structs.Member) error {
+	serving, stop := context.WithCancel(ctx)
+	registered := make(chan struct{})
+	go func() {
+		defer close(registered)
+		keepRegistered(serving, platform, member)
+	}()
+	err := serve(ctx, address, handler)
+	stop()
+	<-registered
+	return err
+}
+
 // keepRegistered keeps a member on the platform's list until ctx ends, and
 // then takes it off. It does nothing without a platform.
 func keepRegistered(ctx context.Context, platform string, member func() structs.Member) {
--- a/standin/runner_http.go
+++ b/standin/runner_http.go
@@ -134,14 +134,16 @@
 	Slots       int
 	ServiceMS   int64
 	AnswerBytes int
-	Seed        uint64
+	// DrainMS is how long the runner answers as leaving before it ends.
+	DrainMS int64
+	Seed    uint64
 }
 
 // runnerConnections is what runners accept, by the deployments' figures.
 const runnerConnections = 64
 
-// runnerDrain is how long a runner that was told to stop still answers as
-// leaving, so that every instance learns of it.
+// runnerDrain is the default of DrainMS. It is above the leaving bound of 3 s,
+// so that every instance learns of the leave from the runner itself.
 const runnerDrain = 4 * time.Second
 
 // RunRunner serves a runner until ctx ends or the process is told to stop. It
@@ -156,16 +158,20 @@
 		Name: args.Name, Role: structs.RoleRunner, Domain: args.Domain, Address: args.Address, Service: args.Service,
 		State: structs.MemberLive, Slots: r.options.Slots, Connections: runnerConnections,
 	}
+	drain := runnerDrain
+	if args.DrainMS > 0 {
+		drain = millis(args.DrainMS)
+	}
 	serving, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
 	go func() {
 		<-stopped.Done()
 		r.Leave()
-		_ = sleep(serving, runnerDrain)
+		_ = sleep(serving, drain)
 		end()
 	}()
-	go keepRegistered(serving, args.Platform, func() structs.Member { return r.member(member) })
-	return serve(serving, args.Address, r.Handler())
+	return serveRegistered(serving, args.Address, r.Handler(), args.Platform,
+		func() structs.Member { return r.member(member) })
 }
 
 func (r *Runner) member(m structs.Member) structs.Member {
--- a/standin/worker_http.go
+++ b/standin/worker_http.go
@@ -234,9 +234,9 @@
 		Name: args.Name, Role: structs.RoleWorker, Domain: args.Domain, Rack: args.Rack,
 		Address: args.Address, State: structs.MemberLive, Capacity: capacity,
 	}
-	go keepRegistered(ctx, args.Platform, func() structs.Member { return w.member(member) })
 	go func() { _ = w.Serve(ctx) }()
-	return serve(ctx, args.Address, w.Handler())
+	return serveRegistered(ctx, args.Address, w.Handler(), args.Platform,
+		func() structs.Member { return w.member(member) })
 }
 
 func (w *Worker) member(m structs.Member) structs.Member {
