Tell unstarted attempts apart in the stand-in worker

The worker now marks the tombstone of an attempt that it never started since its boot, unless older tombstones were forgotten, and reports a checkpoint only for the stop that took it; before, a lapsed lease repeated the checkpoint that the attempt had resumed from.

--- a/runnerapi/httpclient.go
+++ b/runnerapi/httpclient.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"net/url"
 	"strconv"
-	"time"
 
 	"bergamotstile/httpclient"
 	"bergamotstile/structs"
@@ -69,16 +68,13 @@
 	c.health.Close()
 }
 
-// Dispatch sends a request to a runner once and returns its whole answer.
+// Dispatch sends a request to a runner once and returns its whole answer. The
+// timeout is told to the runner; how long the answer is waited for is up to
+// ctx, since a runner may overrun.
 func (c *HTTPClient) Dispatch(ctx context.Context, address string, d Dispatch) ([]byte, error) {
-	if d.Timeout > 0 {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, d.Timeout)
-		defer cancel()
-	}
 	var answer []byte
 	var status error
-	err := c.dispatch.Do(ctx, runRequest(ctx, address, d), func(res httpclient.Response) error {
+	err := c.dispatch.Do(ctx, runRequest(address, d), func(res httpclient.Response) error {
 		if err := verify(res, d.ID); err != nil {
 			return err
 		}
@@ -96,14 +92,14 @@
 
 // runRequest carries no Idempotency-Key header, which would make net/http
 // repeat the request on a connection that breaks.
-func runRequest(ctx context.Context, address string, d Dispatch) httpclient.Request {
+func runRequest(address string, d Dispatch) httpclient.Request {
 	header := http.Header{
 		"Content-Type":              {"application/octet-stream"},
 		structs.HeaderRequestID:     {d.ID},
 		structs.HeaderContentDigest: {ContentDigest(d.Body)},
 	}
-	if deadline, ok := ctx.Deadline(); ok {
-		header.Set(structs.HeaderTimeoutMS, strconv.FormatInt(time.Until(deadline).Milliseconds(), 10))
+	if d.Timeout > 0 {
+		header.Set(structs.HeaderTimeoutMS, strconv.FormatInt(d.Timeout.Milliseconds(), 10))
 	}
 	target := "http://" + address + PathRun + url.PathEscape(d.Service) + "/" + url.PathEscape(d.Kind)
 	return httpclient.Request{Method: http.MethodPost, URL: target, Header: header, Body: d.Body}
--- a/standin/register.go
+++ b/standin/register.go
@@ -30,6 +30,14 @@
 	return err
 }
 
+// listedOn returns the platform on whose list a stand-in registers, if any.
+func listedOn(platform string, unlisted bool) string {
+	if unlisted {
+		return ""
+	}
+	return platform
+}
+
 // keepRegistered keeps a member on the platform's list until ctx ends, and
 // then takes it off. It does nothing without a platform.
 func keepRegistered(ctx context.Context, platform string, member func() structs.Member) {
--- a/standin/runner.go
+++ b/standin/runner.go
@@ -257,11 +257,6 @@
 	if err != nil {
 		return nil, err
 	}
-	if d.Timeout > 0 {
-		var cancel context.CancelFunc
-		ctx, cancel = withTimeout(ctx, r.clock, d.Timeout)
-		defer cancel()
-	}
 	if err := ctx.Err(); err != nil {
 		return nil, fmt.Errorf("%w: %w", runnerapi.ErrUnreachable, err)
 	}
--- a/standin/runner_http.go
+++ b/standin/runner_http.go
@@ -137,6 +137,9 @@
 	// DrainMS is how long the runner answers as leaving before it ends.
 	DrainMS int64
 	Seed    uint64
+	// Unlisted keeps the stand-in off the membership list, where someone else
+	// lists it.
+	Unlisted bool
 }
 
 // runnerConnections is what runners accept, by the deployments' figures.
@@ -170,7 +173,7 @@
 		_ = sleep(serving, drain)
 		end()
 	}()
-	return serveRegistered(serving, args.Address, r.Handler(), args.Platform,
+	return serveRegistered(serving, args.Address, r.Handler(), listedOn(args.Platform, args.Unlisted),
 		func() structs.Member { return r.member(member) })
 }
 
--- a/standin/runner_test.go
+++ b/standin/runner_test.go
@@ -51,8 +51,14 @@
 }
 
 func (s runnerSetup) dispatch(id string, timeout time.Duration) ([]byte, error) {
+	ctx := context.Background()
+	if timeout > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, timeout)
+		defer cancel()
+	}
 	d := runnerapi.Dispatch{ID: id, Service: "s", Kind: "k", Timeout: timeout, Body: []byte("body of " + id)}
-	return s.client.Dispatch(context.Background(), s.proxy.Address(), d)
+	return s.client.Dispatch(ctx, s.proxy.Address(), d)
 }
 
 func (s runnerSetup) starts(id string) int {
--- a/standin/standin.go
+++ b/standin/standin.go
@@ -16,8 +16,6 @@
 	"syscall"
 	"time"
 
-	"github.com/jonboulle/clockwork"
-
 	"bergamotstile/httpserver"
 )
 
@@ -112,17 +110,6 @@
 	}
 }
 
-// withTimeout bounds a call by a clock. It does not use clockwork.WithTimeout,
-// since Err of that context blocks until it ends.
-func withTimeout(ctx context.Context, clock clockwork.Clock, d time.Duration) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	timer := clock.AfterFunc(d, func() { cancel(context.DeadlineExceeded) })
-	return ctx, func() {
-		timer.Stop()
-		cancel(nil)
-	}
-}
-
 func millis(n int64) time.Duration {
 	return time.Duration(n) * time.Millisecond
 }
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -164,14 +164,14 @@
 	if err != nil {
 		return workerapi.StopResponse{}, err
 	}
-	ended, err := w.stop(ctx, req)
+	ended, boot, err := w.stop(ctx, req)
 	if err != nil {
 		return workerapi.StopResponse{}, err
 	}
 	if lost {
 		return workerapi.StopResponse{}, lostAnswer()
 	}
-	return workerapi.StopResponse{Ended: ended}, nil
+	return workerapi.StopResponse{Ended: ended, BootID: boot}, nil
 }
 
 // ThrottleAttempt limits a running attempt to a share of its processors.
@@ -222,7 +222,7 @@
 	for _, id := range attempts {
 		if _, ok := w.ended[id]; ok {
 			delete(w.ended, id)
-			w.tombstones.add(id)
+			w.tombstones.add(id, true)
 		}
 	}
 }
--- a/standin/worker_http.go
+++ b/standin/worker_http.go
@@ -218,6 +218,9 @@
 	Accelerators int64
 	UsageLagMS   int64
 	Seed         uint64
+	// Unlisted keeps the stand-in off the membership list, where someone else
+	// lists it.
+	Unlisted bool
 }
 
 // RunWorker serves a worker until ctx ends or the process is told to stop.
@@ -235,7 +238,7 @@
 		Address: args.Address, State: structs.MemberLive, Capacity: capacity,
 	}
 	go func() { _ = w.Serve(ctx) }()
-	return serveRegistered(ctx, args.Address, w.Handler(), args.Platform,
+	return serveRegistered(ctx, args.Address, w.Handler(), listedOn(args.Platform, args.Unlisted),
 		func() structs.Member { return w.member(member) })
 }
 
--- a/standin/worker_task.go
+++ b/standin/worker_task.go
@@ -125,7 +125,7 @@
 	due := t.total > 0 && t.done >= t.total && t.saving == nil
 	switch {
 	case !now.Before(t.lease):
-		w.end(t, workerapi.Ended{State: workerapi.EndStopped, Checkpoint: t.checkpoint, Detail: "task lease lapsed"}, EventLapse)
+		w.end(t, workerapi.Ended{State: workerapi.EndStopped, Detail: "task lease lapsed"}, EventLapse)
 	case w.faults.FailAll && now.After(w.advanced):
 		w.end(t, workerapi.Ended{State: workerapi.EndFailed, Detail: "worker fails everything"}, EventFail)
 	case due && t.payload.Fail:
@@ -224,30 +224,33 @@
 	return w.options.Objects.Get(ctx, name)
 }
 
-// stop ends an attempt. With a checkpoint that cannot be written, the attempt
-// goes on and the stop is refused.
-func (w *Worker) stop(ctx context.Context, req workerapi.StopRequest) (workerapi.Ended, error) {
+// stop ends an attempt and returns the boot ID that its account speaks of.
+// With a checkpoint that cannot be written, the attempt goes on and the stop
+// is refused.
+func (w *Worker) stop(ctx context.Context, req workerapi.StopRequest) (workerapi.Ended, string, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.advance()
 	for {
 		t := w.running[req.Attempt]
 		if t == nil {
-			return w.stopEnded(req.Attempt), nil
+			return w.stopEnded(req.Attempt), w.bootID, nil
 		}
 		if t.saving != nil {
 			if err := w.waitSaving(ctx, t.saving); err != nil {
-				return workerapi.Ended{}, err
+				return workerapi.Ended{}, "", err
 			}
 			continue
 		}
+		e := workerapi.Ended{State: workerapi.EndStopped, Detail: "stopped on request"}
 		if req.Checkpoint {
 			if err := w.save(ctx, t); err != nil {
-				return workerapi.Ended{}, err
+				return workerapi.Ended{}, "", err
 			}
+			e.Checkpoint = t.checkpoint
 		}
 		if w.running[req.Attempt] == t {
-			w.end(t, workerapi.Ended{State: workerapi.EndStopped, Checkpoint: t.checkpoint, Detail: "stopped on request"}, EventStop)
+			w.end(t, e, EventStop)
 		}
 	}
 }
@@ -258,8 +261,11 @@
 	if e, ok := w.ended[id]; ok {
 		return e
 	}
-	w.tombstones.add(id)
-	return workerapi.Ended{Attempt: id, State: workerapi.EndStopped, Detail: "attempt does not run here"}
+	w.tombstones.add(id, false)
+	return workerapi.Ended{
+		Attempt: id, State: workerapi.EndStopped, Detail: "attempt does not run here",
+		Unstarted: w.tombstones.neverStarted(id),
+	}
 }
 
 // waitSaving waits without the lock for another stop's checkpoint.
@@ -301,27 +307,40 @@
 	return slices.Sorted(maps.Keys(m))
 }
 
-// tombstones remembers a bounded number of attempts, the oldest first out.
+// tombstones remembers a bounded number of attempts and whether each was
+// started since the boot, the oldest first out.
 type tombstones struct {
-	limit int
-	order []structs.AttemptID
-	set   map[structs.AttemptID]bool
+	limit   int
+	order   []structs.AttemptID
+	started map[structs.AttemptID]bool
+	// forgot is set once an attempt was dropped; from then on an unknown
+	// attempt may have been started.
+	forgot bool
 }
 
 func newTombstones(limit int) *tombstones {
-	return &tombstones{limit: limit, set: map[structs.AttemptID]bool{}}
+	return &tombstones{limit: limit, started: map[structs.AttemptID]bool{}}
+}
+
+func (t *tombstones) has(id structs.AttemptID) bool {
+	_, ok := t.started[id]
+	return ok
 }
 
-func (t *tombstones) has(id structs.AttemptID) bool { return t.set[id] }
+func (t *tombstones) neverStarted(id structs.AttemptID) bool {
+	started, known := t.started[id]
+	return known && !started
+}
 
-func (t *tombstones) add(id structs.AttemptID) {
-	if t.set[id] {
+func (t *tombstones) add(id structs.AttemptID, started bool) {
+	if t.has(id) {
 		return
 	}
-	t.set[id] = true
+	t.started[id] = started || t.forgot
 	t.order = append(t.order, id)
 	if len(t.order) > t.limit {
-		delete(t.set, t.order[0])
+		t.forgot = true
+		delete(t.started, t.order[0])
 		t.order = t.order[1:]
 	}
 }
--- a/standin/worker_test.go
+++ b/standin/worker_test.go
@@ -108,6 +108,9 @@
 		t.Error("outcome repeated after its acknowledgement")
 	}
 	late := s.request("a.1", "")
+	if ended, err := s.stop("a.1", false); err != nil || ended.Unstarted {
+		t.Errorf("stop after the acknowledged end: %+v, %v", ended, err)
+	}
 	if err := s.start(late); !errors.Is(err, workerapi.ErrRefused) {
 		t.Errorf("start after the acknowledged end: %v", err)
 	}
@@ -122,7 +125,7 @@
 	cases := map[string]func(r *workerapi.StartRequest){
 		"tombstone": func(r *workerapi.StartRequest) {
 			ended, err := s.stop(r.Attempt, false)
-			if err != nil || ended.State != workerapi.EndStopped {
+			if err != nil || ended.State != workerapi.EndStopped || !ended.Unstarted {
 				t.Errorf("stop of an unknown attempt: %+v, %v", ended, err)
 			}
 		},
@@ -168,6 +171,9 @@
 	req.Checkpoint = ended.Checkpoint
 	s.must(s.start(req))
 	s.clock.Advance(3999 * time.Millisecond)
+	if kept := s.beat().Running; len(kept) != 1 || kept[0].Checkpoint != ended.Checkpoint {
+		t.Errorf("running %+v, want the checkpoint it resumed from", kept)
+	}
 	if b := s.beat("a.1"); len(b.Running) != 1 {
 		t.Fatal("finished before the rest of its run time")
 	}
@@ -190,7 +196,7 @@
 	}
 	s.clock.Advance(leaseMS * time.Millisecond)
 	b := s.beat()
-	if len(b.Running) != 0 || len(b.Ended) != 1 || b.Ended[0].State != workerapi.EndStopped {
+	if len(b.Running) != 0 || len(b.Ended) != 1 || b.Ended[0].State != workerapi.EndStopped || b.Ended[0].Checkpoint != "" {
 		t.Errorf("running %+v, ended %+v after the lease", b.Running, b.Ended)
 	}
 }
--- a/workerapi/workerapi.go
+++ b/workerapi/workerapi.go
@@ -33,11 +33,16 @@
 // Ended is an attempt that no longer runs. A worker repeats it in heartbeats
 // until it is acknowledged.
 type Ended struct {
-	Attempt    structs.AttemptID `json:"attempt"`
-	State      EndState          `json:"state"`
-	Checkpoint string            `json:"checkpoint,omitempty"`
-	Result     string            `json:"result,omitempty"`
-	Detail     string            `json:"detail,omitempty"`
+	Attempt structs.AttemptID `json:"attempt"`
+	State   EndState          `json:"state"`
+	// Checkpoint is the one taken by the stop itself, as the attempt's last
+	// act. It is empty for an attempt that ended in any other way.
+	Checkpoint string `json:"checkpoint,omitempty"`
+	Result     string `json:"result,omitempty"`
+	Detail     string `json:"detail,omitempty"`
+	// Unstarted is set on the tombstone of an attempt that the worker never
+	// started since it booted, and never will.
+	Unstarted bool `json:"unstarted,omitempty"`
 }
 
 // Running is an attempt that runs, with its measured use.
@@ -94,6 +99,8 @@
 // StopResponse tells how the attempt ended.
 type StopResponse struct {
 	Ended Ended `json:"ended"`
+	// BootID tells which boot Ended.Unstarted speaks of.
+	BootID string `json:"boot_id,omitempty"`
 }
 
 // ThrottleRequest limits an attempt to a share of its processors.
