--- a/httpserver/httpserver.go
+++ b/httpserver/httpserver.go
@@ -5,12 +5,10 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
 
-	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
 	"github.com/lesismal/nbio/nbhttp"
 )
@@ -41,14 +39,7 @@
 // Start listens on address and serves handler until Close.
 func Start(address string, handler http.Handler) (*Server, error) {
 	s := &Server{}
-	// The engine of nbio can hang when it fails to listen, since its pollers
-	// may start only after they were told to stop.
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, fmt.Errorf("listen on %s: %w", address, err)
-	}
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
-		Listen:          func(string, string) (net.Listener, error) { return listener, nil },
 		Network:         "tcp",
 		Addrs:           []string{address},
 		MaxHTTPBodySize: MaxBodyBytes,
@@ -56,25 +47,12 @@
 		KeepaliveTime:   keepaliveTime,
 		Handler:         s.track(handler),
 	})
-	orderAcceptBeforeRead(s.engine)
-	if err := s.engine.Start(); err != nil {
+	if err := startEngine(s.engine, address); err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
 	return s, nil
 }
 
-// orderAcceptBeforeRead orders the accept of a connection before each read from
-// it in terms of the Go memory model. nbio orders them only by epoll_ctl, which
-// the race detector does not see, so it reports the connection's address.
-func orderAcceptBeforeRead(engine *nbhttp.Engine) {
-	var opened atomic.Int64
-	engine.OnOpen(func(net.Conn) { opened.Add(1) })
-	engine.OnReadBufferAlloc(func(c *nbio.Conn) *[]byte {
-		opened.Load()
-		return engine.PollerBufferPtr(c)
-	})
-}
-
 // track counts requests in flight. While draining, it asks clients to open
 // their next connection elsewhere.
 func (s *Server) track(next http.Handler) http.Handler {
