--- a/httpserver/httpserver.go
+++ b/httpserver/httpserver.go
@@ -54,7 +54,7 @@
 		KeepaliveTime:   keepaliveTime,
 		Handler:         s.track(handler),
 	})
-	if err := s.engine.Start(); err != nil {
+	if err := startEngine(s.engine, address); err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
 	go s.watch.serve()
--- a/standin/platform_http.go
+++ b/standin/platform_http.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -67,7 +68,7 @@
 	if !readJSON(w, r, &req) {
 		return
 	}
-	rows, err := p.Read(r.Context(), req.Keys...)
+	rows, err := p.Read(lasting(r), req.Keys...)
 	answerRead(w, httpapi.RowsResponse{Rows: rows}, err)
 }
 
@@ -76,13 +77,26 @@
 	if !readJSON(w, r, &req) {
 		return
 	}
-	rows, err := p.Scan(r.Context(), req.Prefix, req.After, req.Limit)
+	rows, err := p.Scan(lasting(r), req.Prefix, req.After, req.Limit)
 	answerRead(w, httpapi.RowsResponse{Rows: rows}, err)
 }
 
+// serveList answers 304 if the client has the list already. The tag names this
+// process too, since versions start again with it.
 func (p *Platform) serveList(w http.ResponseWriter, r *http.Request) {
-	list, err := p.List(r.Context())
-	answerRead(w, list, err)
+	list, err := p.List(lasting(r))
+	if err != nil {
+		refuse(w, err, "")
+		return
+	}
+	etag := fmt.Sprintf("\"%d-%d\"", p.started.UnixNano(), list.Version)
+	w.Header().Set("ETag", etag)
+	if r.Header.Get("If-None-Match") == etag {
+		w.Header().Set("Content-Length", "0")
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	writeJSON(w, http.StatusOK, list)
 }
 
 func answerRead(w http.ResponseWriter, body any, err error) {
@@ -98,7 +112,7 @@
 	if !readJSON(w, r, &tx) {
 		return
 	}
-	result, err := p.Commit(r.Context(), tx)
+	result, err := p.Commit(lasting(r), tx)
 	if err != nil {
 		refuse(w, err, tx.WriteID)
 		return
@@ -112,7 +126,7 @@
 		dropConnection(w)
 		return
 	}
-	if err := p.Put(r.Context(), r.PathValue("name"), data); err != nil {
+	if err := p.Put(lasting(r), r.PathValue("name"), data); err != nil {
 		refuse(w, err, "")
 		return
 	}
@@ -120,7 +134,7 @@
 }
 
 func (p *Platform) serveGet(w http.ResponseWriter, r *http.Request) {
-	data, err := p.Get(r.Context(), r.PathValue("name"))
+	data, err := p.Get(lasting(r), r.PathValue("name"))
 	if err != nil {
 		refuse(w, err, "")
 		return
@@ -129,17 +143,19 @@
 	writeBody(w, http.StatusOK, data)
 }
 
+// serveHead always sets a length: without one nbhttp ends the answer to a HEAD
+// with an empty chunk, which breaks the connection.
 func (p *Platform) serveHead(w http.ResponseWriter, r *http.Request) {
-	size, err := p.Head(r.Context(), r.PathValue("name"))
+	size, err := p.Head(lasting(r), r.PathValue("name"))
+	status := http.StatusOK
 	switch {
 	case errors.Is(err, platform.ErrNotFound):
-		w.WriteHeader(http.StatusNotFound)
+		status = http.StatusNotFound
 	case err != nil:
-		w.WriteHeader(http.StatusServiceUnavailable)
-	default:
-		w.Header().Set("Content-Length", strconv.FormatInt(size, 10))
-		w.WriteHeader(http.StatusOK)
+		status = http.StatusServiceUnavailable
 	}
+	w.Header().Set("Content-Length", strconv.FormatInt(size, 10))
+	w.WriteHeader(status)
 }
 
 func (p *Platform) serveMembers(w http.ResponseWriter, r *http.Request) {
--- a/standin/standin.go
+++ b/standin/standin.go
@@ -16,8 +16,6 @@
 	"syscall"
 	"time"
 
-	"github.com/jonboulle/clockwork"
-
 	"bergamotstile/httpserver"
 )
 
@@ -59,6 +57,12 @@
 	return true
 }
 
+// lasting returns a context that outlives the client's connection: a call that
+// has arrived takes effect even if nobody waits for its answer any more.
+func lasting(r *http.Request) context.Context {
+	return context.WithoutCancel(r.Context())
+}
+
 type errorBody struct {
 	Error  string `json:"error"`
 	Detail string `json:"detail,omitempty"`
@@ -106,17 +110,6 @@
 	}
 }
 
-// withTimeout bounds a call by a clock. It does not use clockwork.WithTimeout,
-// since Err of that context blocks until it ends.
-func withTimeout(ctx context.Context, clock clockwork.Clock, d time.Duration) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	timer := clock.AfterFunc(d, func() { cancel(context.DeadlineExceeded) })
-	return ctx, func() {
-		timer.Stop()
-		cancel(nil)
-	}
-}
-
 func millis(n int64) time.Duration {
 	return time.Duration(n) * time.Millisecond
 }
--- a/standin/worker_http.go
+++ b/standin/worker_http.go
@@ -130,7 +130,7 @@
 		if !readJSON(w, r, &req) {
 			return
 		}
-		res, err := call(r.Context(), req)
+		res, err := call(lasting(r), req)
 		switch {
 		case errors.Is(err, workerapi.ErrRefused):
 			writeJSON(w, http.StatusConflict, workerapi.RefusalResponse{Refused: true, Detail: err.Error()})
@@ -237,11 +237,9 @@
 		Name: args.Name, Role: structs.RoleWorker, Domain: args.Domain, Rack: args.Rack,
 		Address: args.Address, State: structs.MemberLive, Capacity: capacity,
 	}
-	if !args.Unlisted {
-		go keepRegistered(ctx, args.Platform, func() structs.Member { return w.member(member) })
-	}
 	go func() { _ = w.Serve(ctx) }()
-	return serve(ctx, args.Address, w.Handler())
+	return serveRegistered(ctx, args.Address, w.Handler(), listedOn(args.Platform, args.Unlisted),
+		func() structs.Member { return w.member(member) })
 }
 
 func (w *Worker) member(m structs.Member) structs.Member {
