lifecycle: scan markers of new items instead of all work rows

The scan for rows without a hint read a page of all work rows each second: at about 700 bytes a row and 1000 rows that is far above a daemon's 14 KB a second, and rows that are over never go away. A submit now writes a marker row in the same transaction, and the first transition deletes it, so the scan reads only what waits for its first start. Hints alone were ruled out, since they get lost. Cancel rows that arrive after the end of their item are deleted, and the property test checks that no marker or cancel row is left over.

--- a/lifecycle/account.go
+++ b/lifecycle/account.go
@@ -114,12 +114,5 @@
 	if c.stopped || c.items[id] != nil || !c.ready {
 		return
 	}
-	c.do("hint", func(ctx context.Context) func() {
-		rows, err := c.deps.Table.Read(ctx, workKey(c.lease.Shard, id))
-		return func() {
-			if err == nil && len(rows) == 1 && !c.stopped {
-				c.learn(rows[0])
-			}
-		}
-	})
+	c.readItems([]string{workKey(c.lease.Shard, id)})
 }
--- a/lifecycle/applier.go
+++ b/lifecycle/applier.go
@@ -120,6 +120,9 @@
 			tx.Conditions = append(tx.Conditions, platform.Condition{Key: cancel})
 		}
 		tx.Puts = append(tx.Puts, platform.Put{Key: key, Value: encodeItem(t.next)})
+		if t.rec.item.Attempt == 0 && t.rec.item.State == structs.StateQueued {
+			tx.Deletes = append(tx.Deletes, newKey(c.lease.Shard, t.rec.item.ID))
+		}
 		if t.rec.cancelRow && over(t.next) {
 			tx.Deletes = append(tx.Deletes, cancel)
 		}
--- a/lifecycle/properties_test.go
+++ b/lifecycle/properties_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -281,6 +282,11 @@
 	}
 	w.truth.checkHistory()
 	w.checkIdle()
+	for key := range w.table.rows {
+		if strings.HasPrefix(key, "new/") || strings.HasPrefix(key, "cancel/") {
+			w.t.Fatalf("row %s is left over", key)
+		}
+	}
 }
 
 func (w *world) rows() []structs.WorkItem {
--- a/lifecycle/recovery.go
+++ b/lifecycle/recovery.go
@@ -14,8 +14,10 @@
 	"bergamotstile/structs"
 )
 
-// scanner reads the shard's rows page by page: all of them once for recovery,
-// and then again and again for rows that no hint announced.
+// scanner reads the shard's rows page by page: all work rows once for
+// recovery, and then again and again the rows that mark new items, for those
+// that no hint announced. Reading all work rows each time would cost far more
+// than a daemon's share of the network.
 type scanner struct {
 	busy  bool
 	after string
@@ -31,9 +33,12 @@
 		return
 	}
 	s.busy = true
-	after := s.after
+	prefix, after := workPrefix(c.lease.Shard), s.after
+	if c.ready {
+		prefix = newPrefix(c.lease.Shard)
+	}
 	c.do("scan", func(ctx context.Context) func() {
-		rows, err := c.deps.Table.Scan(ctx, workPrefix(c.lease.Shard), after, c.cfg.ScanPage)
+		rows, err := c.deps.Table.Scan(ctx, prefix, after, c.cfg.ScanPage)
 		if err != nil || len(rows) == c.cfg.ScanPage {
 			return func() { c.onScan(rows, nil, false, err) }
 		}
@@ -42,8 +47,8 @@
 	})
 }
 
-// onScan takes in a page. Cancel rows come after the last page of work rows,
-// so each finds its item.
+// onScan takes in a page. Cancel rows come after the last page, so each finds
+// its item, or does so at the next scan.
 func (c *core) onScan(rows, cancels []platform.Row, last bool, err error) {
 	s := &c.scan
 	s.busy = false
@@ -56,25 +61,55 @@
 		return
 	}
 	s.retry = 0
-	for _, row := range rows {
-		c.learn(row)
-	}
+	c.takeInPage(rows)
+	s.after, s.next = "", c.clock.Now().Add(c.cfg.QueueScan)
 	if !last {
 		s.after = rows[len(rows)-1].Key
-		s.next = c.clock.Now()
-		if c.ready {
-			s.next = c.clock.Now().Add(c.cfg.QueueScan)
+		if !c.ready {
+			s.next = c.clock.Now()
 		}
 		return
 	}
-	for _, row := range cancels {
-		c.learnCancel(row)
-	}
-	s.after = ""
-	s.next = c.clock.Now().Add(c.cfg.QueueScan)
+	c.learnCancels(cancels)
 	c.becomeReady()
 }
 
+// takeInPage takes in work rows, or reads the items that are marked as new.
+func (c *core) takeInPage(rows []platform.Row) {
+	if !c.ready {
+		for _, row := range rows {
+			c.learn(row)
+		}
+		return
+	}
+	var unknown []string
+	for _, row := range rows {
+		id := structs.WorkID(strings.TrimPrefix(row.Key, newPrefix(c.lease.Shard)))
+		if c.items[id] == nil {
+			unknown = append(unknown, workKey(c.lease.Shard, id))
+		}
+	}
+	if len(unknown) > 0 {
+		c.readItems(unknown)
+	}
+}
+
+// readItems reads work rows by key. What cannot be read now is found by a
+// later scan.
+func (c *core) readItems(keys []string) {
+	c.do("read items", func(ctx context.Context) func() {
+		rows, err := c.deps.Table.Read(ctx, keys...)
+		return func() {
+			if err != nil || c.stopped {
+				return
+			}
+			for _, row := range rows {
+				c.learn(row)
+			}
+		}
+	})
+}
+
 func (c *core) becomeReady() {
 	if c.ready {
 		return
@@ -109,15 +144,34 @@
 	}
 }
 
-// learnCancel takes in a cancel row.
-func (c *core) learnCancel(row platform.Row) {
-	id := structs.WorkID(strings.TrimPrefix(row.Key, cancelPrefix(c.lease.Shard)))
-	r := c.items[id]
-	if r == nil || over(r.item) || r.cancelRow {
+// learnCancels takes in cancel rows and deletes those that came too late. An
+// item that is over stays so, hence it does not matter when the delete takes
+// effect, or how often.
+func (c *core) learnCancels(rows []platform.Row) {
+	var late []string
+	for _, row := range rows {
+		r := c.items[structs.WorkID(strings.TrimPrefix(row.Key, cancelPrefix(c.lease.Shard)))]
+		switch {
+		case r == nil || r.cancelRow:
+		case over(r.item):
+			late = append(late, row.Key)
+		default:
+			r.cancelRow = true
+			c.cancelRecord(r)
+		}
+	}
+	if len(late) == 0 {
 		return
 	}
-	r.cancelRow = true
-	c.cancelRecord(r)
+	tx := platform.Transaction{
+		WriteID:    c.deps.NewWriteID(),
+		Conditions: []platform.Condition{c.lease.Fence},
+		Deletes:    late,
+	}
+	c.do("delete cancels", func(ctx context.Context) func() {
+		_, _ = c.deps.Table.Commit(ctx, tx)
+		return func() {}
+	})
 }
 
 func compareIDs(a, b structs.WorkID) int {
--- a/lifecycle/rows.go
+++ b/lifecycle/rows.go
@@ -26,6 +26,16 @@
 	return cancelPrefix(shard) + string(id)
 }
 
+// newPrefix is the prefix of the rows that mark items which no owner has
+// written yet. They are created and deleted together with a write of the item.
+func newPrefix(shard structs.ShardID) string {
+	return "new/" + shard.String() + "/"
+}
+
+func newKey(shard structs.ShardID, id structs.WorkID) string {
+	return newPrefix(shard) + string(id)
+}
+
 func decodeItem(row platform.Row) (structs.WorkItem, error) {
 	var item structs.WorkItem
 	if err := json.Unmarshal(row.Value, &item); err != nil {
--- a/lifecycle/submit.go
+++ b/lifecycle/submit.go
@@ -62,7 +62,10 @@
 	tx := platform.Transaction{
 		WriteID:    item.OwnerWrite,
 		Conditions: []platform.Condition{{Key: key}},
-		Puts:       []platform.Put{{Key: key, Value: encodeItem(item)}},
+		Puts: []platform.Put{
+			{Key: key, Value: encodeItem(item)},
+			{Key: newKey(item.Shard, item.ID), Value: []byte(`{}`)},
+		},
 	}
 	_, err := m.deps.Table.Commit(ctx, tx)
 	var conflict *platform.ConflictError
