lifecycle: bound only the calls to workers

All calls of a shard shared one bound, so heartbeats to a rack that does not answer could hold back commits and reads for a call timeout. Calls to the table and the object store are few at a time by construction and now run at once; calls to workers share 512 slots, above the 440 workers of a domain at the design scale.

--- a/lifecycle/config.go
+++ b/lifecycle/config.go
@@ -44,7 +44,7 @@
 	// RestartMin and RestartMax bound the backoff of standing jobs.
 	RestartMin time.Duration
 	RestartMax time.Duration
-	// MaxCalls bounds the calls of a shard that run at once.
+	// MaxCalls bounds the calls to workers of a shard that run at once.
 	MaxCalls int
 	Limits   Limits
 }
@@ -65,7 +65,7 @@
 	defaultRetryMax         = 2 * time.Second
 	defaultRestartMin       = time.Second
 	defaultRestartMax       = time.Minute
-	defaultMaxCalls         = 256
+	defaultMaxCalls         = 512
 	defaultMaxFailedWorkers = 3
 	defaultMaxFailures      = 6
 )
--- a/lifecycle/core.go
+++ b/lifecycle/core.go
@@ -16,6 +16,9 @@
 type call struct {
 	name    string
 	timeout time.Duration
+	// limited calls go to workers. They share a bounded number of slots, and
+	// none of the others waits behind them when a rack does not answer.
+	limited bool
 	run     func(ctx context.Context) func()
 }
 
@@ -111,6 +114,11 @@
 	c.out = append(c.out, call{name: name, timeout: c.cfg.CallTimeout, run: run})
 }
 
+// doWorker asks the driver for a call to a worker.
+func (c *core) doWorker(name string, run func(ctx context.Context) func()) {
+	c.out = append(c.out, call{name: name, timeout: c.cfg.CallTimeout, limited: true, run: run})
+}
+
 // takeCalls returns the calls that are due.
 func (c *core) takeCalls() []call {
 	calls := c.out
--- a/lifecycle/manager.go
+++ b/lifecycle/manager.go
@@ -146,20 +146,26 @@
 	}
 }
 
-// launch runs the calls for which there are slots and returns the others.
+// launch runs the calls, except for limited ones that find no slot, which it
+// returns.
 func (d *driver) launch(ctx context.Context, calls []call) []call {
-	for i, one := range calls {
+	var waiting []call
+	for _, one := range calls {
+		if !one.limited {
+			go d.perform(ctx, one)
+			continue
+		}
 		select {
 		case d.slots <- struct{}{}:
-			go d.perform(ctx, one)
+			go d.performLimited(ctx, one)
 		default:
-			return calls[i:]
+			waiting = append(waiting, one)
 		}
 	}
-	return nil
+	return waiting
 }
 
-func (d *driver) perform(ctx context.Context, one call) {
+func (d *driver) performLimited(ctx context.Context, one call) {
 	limited, cancel := context.WithTimeout(ctx, one.timeout)
 	step := one.run(limited)
 	cancel()
@@ -167,6 +173,12 @@
 	d.post(ctx, step)
 }
 
+func (d *driver) perform(ctx context.Context, one call) {
+	limited, cancel := context.WithTimeout(ctx, one.timeout)
+	defer cancel()
+	d.post(ctx, one.run(limited))
+}
+
 // post waits for room in the mailbox: the result of a call must not be lost.
 func (d *driver) post(ctx context.Context, step func()) {
 	for !d.mailbox.Offer(step) {
--- a/lifecycle/starts.go
+++ b/lifecycle/starts.go
@@ -151,7 +151,7 @@
 // callWorker sends one call about a record, and no other until it is done.
 func (c *core) callWorker(r *record, name string, run func(ctx context.Context) func()) {
 	r.calling = true
-	c.do(name, func(ctx context.Context) func() {
+	c.doWorker(name, func(ctx context.Context) func() {
 		done := run(ctx)
 		return func() {
 			r.calling = false
--- a/lifecycle/workers.go
+++ b/lifecycle/workers.go
@@ -110,7 +110,7 @@
 		Acknowledged: c.settled(w),
 	}
 	address := w.member.Address
-	c.do("heartbeat", func(ctx context.Context) func() {
+	c.doWorker("heartbeat", func(ctx context.Context) func() {
 		resp, err := c.deps.Workers.Heartbeat(ctx, address, req)
 		return func() { c.onBeat(w, resp, err) }
 	})
@@ -192,7 +192,7 @@
 	}
 	address := w.member.Address
 	req := workerapi.StopRequest{Attempt: attempt, Epoch: c.lease.Epoch}
-	c.do("stop stray", func(ctx context.Context) func() {
+	c.doWorker("stop stray", func(ctx context.Context) func() {
 		_, _ = c.deps.Workers.Stop(ctx, address, req)
 		return func() {}
 	})
