lifecycle: send no start to a worker that left the list

Starts now go to listed workers only, and the proof counts from the last call that may have given a lease, plus the call's timeout. Calls time out from the moment the core asked for them, so one that waited for a slot is not sent late.

--- a/lifecycle/core.go
+++ b/lifecycle/core.go
@@ -14,7 +14,9 @@
 // call is one piece of I/O. run does it outside the core's goroutine and
 // returns what the core's goroutine does with the result.
 type call struct {
-	name    string
+	name string
+	// queued is when the core asked for the call; timeout counts from it.
+	queued  time.Time
 	timeout time.Duration
 	// limited calls go to workers. They share a bounded number of slots, and
 	// none of the others waits behind them when a rack does not answer.
@@ -111,12 +113,13 @@
 
 // do asks the driver for a call.
 func (c *core) do(name string, run func(ctx context.Context) func()) {
-	c.out = append(c.out, call{name: name, timeout: c.cfg.CallTimeout, run: run})
+	c.out = append(c.out, call{name: name, queued: c.clock.Now(), timeout: c.cfg.CallTimeout, run: run})
 }
 
 // doWorker asks the driver for a call to a worker.
 func (c *core) doWorker(name string, run func(ctx context.Context) func()) {
-	c.out = append(c.out, call{name: name, timeout: c.cfg.CallTimeout, limited: true, run: run})
+	c.do(name, run)
+	c.out[len(c.out)-1].limited = true
 }
 
 // takeCalls returns the calls that are due.
--- a/lifecycle/manager.go
+++ b/lifecycle/manager.go
@@ -166,17 +166,23 @@
 }
 
 func (d *driver) performLimited(ctx context.Context, one call) {
-	limited, cancel := context.WithTimeout(ctx, one.timeout)
-	step := one.run(limited)
-	cancel()
+	step := d.runCall(ctx, one)
 	<-d.slots
 	d.post(ctx, step)
 }
 
 func (d *driver) perform(ctx context.Context, one call) {
-	limited, cancel := context.WithTimeout(ctx, one.timeout)
+	d.post(ctx, d.runCall(ctx, one))
+}
+
+// runCall does a call within what is left of its timeout. One that waited too
+// long for a slot is not sent: a late heartbeat would renew task leases that
+// the core no longer counts on.
+func (d *driver) runCall(ctx context.Context, one call) func() {
+	left := one.timeout - d.core.clock.Since(one.queued)
+	limited, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
-	d.post(ctx, one.run(limited))
+	return one.run(limited)
 }
 
 // post waits for room in the mailbox: the result of a call must not be lost.
--- a/lifecycle/scenario_test.go
+++ b/lifecycle/scenario_test.go
@@ -237,3 +237,32 @@
 		}
 	})
 }
+
+// Guards against a start that is sent to a worker off the list: its task lease
+// outlasts the time after which the worker's absence proves the attempt ended.
+// The property test found this with seed 47390981, after 9735 runs.
+func TestNoStartAfterTheWorkerLeft(t *testing.T) {
+	scenario(t, func(w *world) {
+		id := w.submitSpec(structs.WorkSpec{Key: "k", Size: fullWorker, Idempotent: true})
+		in := w.owner()
+		for len(in.calls) == 0 || in.calls[0].name != "start" {
+			w.clock.Advance(100 * time.Millisecond)
+			in.leases.Step(context.Background(), testShard)
+			w.halfPumpUntil(in, "start")
+		}
+		in.results = append(in.results, in.calls[0].run(canceled())) // never arrives
+		in.calls = in.calls[1:]
+		w.toggleListed(w.table.item(testShard, id).Worker)
+		w.clock.Advance(time.Second)
+		for range 60 {
+			w.pass(time.Second, 500*time.Millisecond)
+		}
+		w.expect(id, structs.StateRunning, 2)
+	})
+}
+
+func canceled() context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return ctx
+}
--- a/lifecycle/starts.go
+++ b/lifecycle/starts.go
@@ -53,14 +53,16 @@
 // start sends the start of the present attempt, again if need be: the worker
 // knows it by its ID. The latest time at which it may take effect comes from
 // one reading of the clock, at which the lease was valid. So a start that was
-// delayed past a takeover is refused by the worker.
+// delayed past a takeover is refused by the worker. A worker that left the list
+// gets no start: its lease would outlast the proof that the attempt ended.
 func (c *core) start(r *record, w *worker) {
 	now := c.clock.Now()
-	if !c.held() || w.bootID == "" || w.bootID != r.item.BootID {
+	if !c.held() || !w.listed || w.bootID == "" || w.bootID != r.item.BootID {
 		return
 	}
 	window := c.cfg.StartWindow
 	before := w.uptimeMS + (now.Sub(w.reportAt) + window).Milliseconds()
+	w.lastGrant = now
 	r.startBefore, r.sent = max(r.startBefore, before), true
 	req := workerapi.StartRequest{
 		Attempt: r.item.AttemptID(), Epoch: c.lease.Epoch, BootID: r.item.BootID,
--- a/lifecycle/workers.go
+++ b/lifecycle/workers.go
@@ -24,7 +24,9 @@
 	ended    []workerapi.Ended // not acknowledged yet
 	beating  bool
 	nextBeat time.Time
-	lastBeat time.Time // when the last heartbeat was sent
+	// lastGrant is when the last heartbeat or start was sent, which may have
+	// given task leases.
+	lastGrant time.Time
 }
 
 // viewInterval is how often the list of workers is read; it lags by more than
@@ -64,7 +66,7 @@
 func (c *core) workerFor(name string) *worker {
 	w := c.workers[name]
 	if w == nil {
-		w = &worker{member: structs.Member{Name: name}, nextBeat: c.clock.Now(), lastBeat: c.clock.Now()}
+		w = &worker{member: structs.Member{Name: name}, nextBeat: c.clock.Now(), lastGrant: c.clock.Now()}
 		c.workers[name] = w
 	}
 	return w
@@ -102,7 +104,7 @@
 func (c *core) beat(w *worker) {
 	sent := c.clock.Now()
 	w.beating = true
-	w.lastBeat = sent
+	w.lastGrant = sent
 	w.nextBeat = sent.Add(c.cfg.Heartbeat)
 	req := workerapi.HeartbeatRequest{
 		Shard: c.lease.Shard, Epoch: c.lease.Epoch,
@@ -256,7 +258,8 @@
 	now := c.clock.Now()
 	for _, name := range slices.Sorted(maps.Keys(c.workers)) {
 		w := c.workers[name]
-		if w.listed || c.deps.View.WorkerGoneFor(name) < wait || now.Sub(w.lastBeat) < wait {
+		// A call takes effect within its timeout or not at all.
+		if w.listed || c.deps.View.WorkerGoneFor(name) < wait || now.Sub(w.lastGrant) < wait+c.cfg.CallTimeout {
 			continue
 		}
 		for _, r := range c.recordsOn(name) {
