lifecycle: make the late start test reach the lease's end

The test for starts to unlisted workers passed without the fix, since its start came too early for the task lease to outlast the proof by absence.

--- a/lifecycle/scenario_test.go
+++ b/lifecycle/scenario_test.go
@@ -253,7 +253,7 @@
 		in.results = append(in.results, in.calls[0].run(canceled())) // never arrives
 		in.calls = in.calls[1:]
 		w.toggleListed(w.table.item(testShard, id).Worker)
-		w.clock.Advance(time.Second)
+		w.clock.Advance(4 * time.Second)
 		for range 60 {
 			w.pass(time.Second, 500*time.Millisecond)
 		}
