lifecycle: say that a hint must not block

A submit calls the hinter before it answers, so a slow owner would delay the caller. The interface now says so; the scan finds the row if the hint is dropped.

--- a/lifecycle/config.go
+++ b/lifecycle/config.go
@@ -125,7 +125,8 @@
 }
 
 // Hinter tells the owner of a shard about a new work row. It is not called
-// for shards that this instance owns.
+// for shards that this instance owns, and it must not block: a submit is
+// answered after it.
 type Hinter interface {
 	Hint(ctx context.Context, shard structs.ShardID, id structs.WorkID)
 }
