--- a/lifecycle/core.go
+++ b/lifecycle/core.go
@@ -14,8 +14,13 @@
 // call is one piece of I/O. run does it outside the core's goroutine and
 // returns what the core's goroutine does with the result.
 type call struct {
-	name    string
+	name string
+	// queued is when the core asked for the call; timeout counts from it.
+	queued  time.Time
 	timeout time.Duration
+	// limited calls go to workers. They share a bounded number of slots, and
+	// none of the others waits behind them when a rack does not answer.
+	limited bool
 	run     func(ctx context.Context) func()
 }
 
@@ -39,6 +44,8 @@
 	scan      scanner
 	planner   planner
 	storeDown bool // the last call to the object store failed
+	nextProbe time.Time
+	nextWalk  time.Time
 	out       []call
 }
 
@@ -106,7 +113,13 @@
 
 // do asks the driver for a call.
 func (c *core) do(name string, run func(ctx context.Context) func()) {
-	c.out = append(c.out, call{name: name, timeout: c.cfg.CallTimeout, run: run})
+	c.out = append(c.out, call{name: name, queued: c.clock.Now(), timeout: c.cfg.CallTimeout, run: run})
+}
+
+// doWorker asks the driver for a call to a worker.
+func (c *core) doWorker(name string, run func(ctx context.Context) func()) {
+	c.do(name, run)
+	c.out[len(c.out)-1].limited = true
 }
 
 // takeCalls returns the calls that are due.
@@ -116,6 +129,10 @@
 	return calls
 }
 
+// walkInterval is how often a tick walks over all workers and all records
+// that wait. It is shorter than the least backoff and heartbeat interval.
+const walkInterval = 25 * time.Millisecond
+
 // tick does everything that is due.
 func (c *core) tick() {
 	if c.stopped {
@@ -125,8 +142,12 @@
 	if !c.ready {
 		return
 	}
-	c.tickWorkers()
-	c.tickAttention()
+	if now := c.clock.Now(); !now.Before(c.nextWalk) {
+		c.nextWalk = now.Add(walkInterval)
+		c.tickWorkers()
+		c.tickAttention()
+		c.tickStore()
+	}
 	c.tickPlan()
 	c.tickApplier()
 }
--- a/lifecycle/starts.go
+++ b/lifecycle/starts.go
@@ -53,14 +53,16 @@
 // start sends the start of the present attempt, again if need be: the worker
 // knows it by its ID. The latest time at which it may take effect comes from
 // one reading of the clock, at which the lease was valid. So a start that was
-// delayed past a takeover is refused by the worker.
+// delayed past a takeover is refused by the worker. A worker that left the list
+// gets no start: its lease would outlast the proof that the attempt ended.
 func (c *core) start(r *record, w *worker) {
 	now := c.clock.Now()
-	if !c.held() || w.bootID == "" || w.bootID != r.item.BootID {
+	if !c.held() || !w.listed || w.bootID == "" || w.bootID != r.item.BootID {
 		return
 	}
 	window := c.cfg.StartWindow
 	before := w.uptimeMS + (now.Sub(w.reportAt) + window).Milliseconds()
+	w.lastGrant = now
 	r.startBefore, r.sent = max(r.startBefore, before), true
 	req := workerapi.StartRequest{
 		Attempt: r.item.AttemptID(), Epoch: c.lease.Epoch, BootID: r.item.BootID,
@@ -138,7 +140,7 @@
 
 func (c *core) onCheckpoint(r *record, attempt structs.AttemptID, err error) {
 	absent := errors.Is(err, platform.ErrNotFound)
-	c.storeDown = err != nil && !absent
+	c.noteStore(err)
 	switch {
 	case attempt != r.item.AttemptID():
 	case err == nil:
@@ -151,7 +153,7 @@
 // callWorker sends one call about a record, and no other until it is done.
 func (c *core) callWorker(r *record, name string, run func(ctx context.Context) func()) {
 	r.calling = true
-	c.do(name, func(ctx context.Context) func() {
+	c.doWorker(name, func(ctx context.Context) func() {
 		done := run(ctx)
 		return func() {
 			r.calling = false
