Add benchmarks of the slopes that capacity is worked out from

The design size cannot be run here, so each role is measured at several sizes and extrapolated. Benchmarks report processor time from getrusage, because wall-clock time on a shared machine counts the waits behind other processes; bytes come from the real codecs and connections. Cluster.Options gains DefaultTimings and Process gains PID, so that an idle deployment can be measured with the program's own intervals.

--- /dev/null
+++ b/configuration/capacity_test.go
@@ -0,0 +1,114 @@
+package configuration
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+
+	"bergamotstile/declaration"
+	"bergamotstile/peer"
+	"bergamotstile/procstat"
+	"bergamotstile/structs"
+)
+
+// capacityDeployment has about the given number of entries; revision changes
+// one of them.
+func capacityDeployment(entries, revision int) *declaration.Deployment {
+	d := deployment(0)
+	for i := range max(entries/6, 1) {
+		d.Teams = append(d.Teams, declaration.Team{Name: fmt.Sprintf("team-%03d", i), Weight: 1,
+			Quota: structs.Resources{CPUMilli: 1_000_000, MemoryMB: 4_000_000, Accelerators: 16}})
+	}
+	for i := range entries - entries/6 {
+		d.BatchJobs = append(d.BatchJobs, declaration.BatchJob{Kind: fmt.Sprintf("die-render-%04d", i), Team: d.Teams[i%len(d.Teams)].Name,
+			Size: structs.Resources{CPUMilli: 2000, MemoryMB: 8000}, ExpectedRunMS: 60_000, MaxRunMS: 600_000, Idempotent: true, Checkpoint: true})
+	}
+	d.BatchJobs[len(d.BatchJobs)-1].ExpectedRunMS += int64(revision)
+	return d
+}
+
+// capacityChanges returns two changes that undo each other, and the state
+// before them.
+func capacityChanges(b *testing.B, entries int) (state, []peer.ConfigChange) {
+	var st state
+	from := declaration.Entries{}
+	var changes []peer.ConfigChange
+	for version := uint64(1); version <= 3; version++ {
+		to := capacityDeployment(entries, int(version)%2).Entries()
+		value := encode(change{Version: version, Operator: "operator@ogbomoso", Base: version - 1,
+			WriteID: "6ba7b810-9dad-11d1-80b4-00c04fd430c8", Digest: to.Digest(), Delta: declaration.Diff(from, to)})
+		changes = append(changes, peer.ConfigChange{Version: version, Value: value})
+		from = to
+	}
+	st, err := state{entries: declaration.Entries{}, parts: declaration.Parts{}}.after(changes[0])
+	if err != nil {
+		b.Fatal(err)
+	}
+	return st, changes[1:]
+}
+
+// BenchmarkInstall measures how one delta is put in force, without the log.
+func BenchmarkInstall(b *testing.B) {
+	for _, entries := range []int{10, 100, 300, 1000} {
+		b.Run(fmt.Sprintf("entries=%d", entries), func(b *testing.B) {
+			before := procstat.LiveHeap()
+			st, changes := capacityChanges(b, entries)
+			live := float64(procstat.LiveHeap()) - float64(before)
+			start := procstat.CPU()
+			for b.Loop() {
+				if _, err := st.after(changes[0]); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(procstat.CPU()-start)/1000/float64(b.N), "cpu-us/op")
+			b.ReportMetric(float64(len(changes[0].Value)), "delta-B")
+			b.ReportMetric(float64(len(st.snapshot())), "snapshot-B")
+			b.ReportMetric(live/float64(entries), "live-B/entry")
+		})
+	}
+}
+
+// countedPeers takes pushes without passing them on.
+type countedPeers struct {
+	Peers
+	instances []structs.Member
+}
+
+func (c *countedPeers) Entries(string) []structs.Member { return c.instances }
+func (c *countedPeers) Push(_ context.Context, _ string, m *peer.PushRequest) (*peer.PushResponse, error) {
+	return &peer.PushResponse{}, nil
+}
+
+// BenchmarkRelay measures the root of the relay tree and reports its depth.
+func BenchmarkRelay(b *testing.B) {
+	for _, instances := range []int{10, 30, 100, 300} {
+		b.Run(fmt.Sprintf("instances=%d", instances), func(b *testing.B) {
+			peers := &countedPeers{}
+			for i := range instances {
+				peers.instances = append(peers.instances, structs.Member{Name: fmt.Sprintf("entry-%04d", i), Address: "10.11.12.13:7301"})
+			}
+			log := logrus.New()
+			log.SetOutput(io.Discard)
+			s := New(Options{Name: "entry-0000", Peers: peers, View: peers, Clock: clockwork.NewRealClock(), Log: log})
+			req := peer.PushRequest{Changes: []peer.ConfigChange{{Version: 1, Value: make([]byte, 1024)}}, Relay: s.peerNames()}
+			start := procstat.CPU()
+			for b.Loop() {
+				s.relay(b.Context(), req)
+			}
+			b.ReportMetric(float64(procstat.CPU()-start)/1000/float64(b.N), "cpu-us/op")
+			b.ReportMetric(float64(relayDepth(req.Relay)), "depth")
+		})
+	}
+}
+
+func relayDepth(names []string) int {
+	depth := 0
+	for _, branch := range split(names, fanOut) {
+		depth = max(depth, 1+relayDepth(branch[1:]))
+	}
+	return depth
+}
--- a/harness/cluster.go
+++ b/harness/cluster.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
 	"slices"
@@ -24,6 +25,8 @@
 	// WorkerCPUMilli is the size of each worker.
 	WorkerCPUMilli int64
 	Seed           uint64
+	// DefaultTimings leaves the program's default intervals in place.
+	DefaultTimings bool
 }
 
 // DomainSize is the number of processes in one failure domain.
@@ -211,10 +214,19 @@
 }
 
 func (c *Cluster) settings(name string, n *Node, peerAddress string) map[string]any {
-	return map[string]any{
+	settings := map[string]any{
 		"name": name, "domain": n.Domain, "caller_address": n.Address, "peer_address": peerAddress, "advertise_address": n.Link.Address(),
 		"platform_address": n.Platform.Address(),
-		"lease_ms":         LeaseMS, "lease_margin_ms": leaseMarginMS, "task_lease_ms": taskLeaseMS,
+	}
+	if !c.Options.DefaultTimings {
+		maps.Copy(settings, shortTimings())
+	}
+	return settings
+}
+
+func shortTimings() map[string]any {
+	return map[string]any{
+		"lease_ms": LeaseMS, "lease_margin_ms": leaseMarginMS, "task_lease_ms": taskLeaseMS,
 		"request_timeout_max_ms": requestTimeoutMS, "worker_heartbeat_ms": 200, "queue_scan_ms": 500,
 		"heartbeat_ms": 150, "suspect_ms": 600, "membership_poll_ms": 300, "probe_ms": 300,
 		"leaving_bound_ms": LeavingBoundMS, "config_poll_ms": 300, "drain_max_ms": 5000,
--- a/harness/process.go
+++ b/harness/process.go
@@ -57,6 +57,11 @@
 	return p, nil
 }
 
+// PID returns the process's ID.
+func (p *Process) PID() int {
+	return p.cmd.Process.Pid
+}
+
 // Kill ends the process at once, as kill -9 does.
 func (p *Process) Kill() {
 	p.signal(syscall.SIGKILL)
--- /dev/null
+++ b/membership/capacity_test.go
@@ -0,0 +1,120 @@
+package membership
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"bergamotstile/peer"
+	"bergamotstile/platform"
+	"bergamotstile/procstat"
+	"bergamotstile/structs"
+)
+
+// capacityList has workers, runners and entry instances in the proportions of
+// the design size: 5,300 to 19,000 to the rest.
+func capacityList(members int) platform.Membership {
+	list := platform.Membership{Version: 1}
+	for i := range members {
+		m := structs.Member{Name: fmt.Sprintf("runner-ogbomoso-%05d", i), Role: structs.RoleRunner, Domain: fmt.Sprintf("domain-%02d", i%12),
+			Address: fmt.Sprintf("10.11.%d.%d:8080", i>>8, i&0xff), State: structs.MemberLive, Service: "pathworks",
+			Worker: fmt.Sprintf("worker-ogbomoso-%05d", i/4), Slots: 8, Connections: 64}
+		if i%100 < 21 {
+			m.Name, m.Role, m.Service, m.Worker, m.Slots, m.Connections = fmt.Sprintf("worker-ogbomoso-%05d", i), structs.RoleWorker, "", "", 0, 0
+			m.Capacity = structs.Resources{CPUMilli: 64000, MemoryMB: 250000, Accelerators: 2}
+		}
+		list.Members = append(list.Members, m)
+	}
+	return list
+}
+
+// capacityReader decodes an encoded list for each reading, as the adapter does.
+type capacityReader []byte
+
+func (r capacityReader) List(context.Context) (platform.Membership, error) {
+	var list platform.Membership
+	err := json.Unmarshal(r, &list)
+	return list, err
+}
+
+// BenchmarkList measures one reading of the membership list.
+func BenchmarkList(b *testing.B) {
+	for _, members := range []int{100, 1000, 5000, 25000} {
+		b.Run(fmt.Sprintf("members=%d", members), func(b *testing.B) {
+			data, _ := json.Marshal(capacityList(members))
+			before := procstat.LiveHeap()
+			v := New(Config{Self: entryMember("a"), List: capacityReader(data), Clock: clockwork.NewFakeClock()})
+			start := procstat.CPU()
+			for b.Loop() {
+				if err := v.Refresh(b.Context()); err != nil {
+					b.Fatal(err)
+				}
+			}
+			per := float64(members)
+			b.ReportMetric(float64(procstat.CPU()-start)/1000/float64(b.N)/per, "cpu-us/member")
+			b.ReportMetric(float64(len(data))/per, "wire-B/member")
+			b.ReportMetric((float64(procstat.LiveHeap())-float64(before))/per, "live-B/member")
+			if _, ok := v.Worker("none"); ok {
+				b.Fatal("unknown worker found")
+			}
+		})
+	}
+}
+
+// answeringPeers answers each heartbeat at once with one like it.
+type answeringPeers struct{}
+
+func (answeringPeers) Heartbeat(_ context.Context, address string, m *peer.Heartbeat) (*peer.Heartbeat, error) {
+	answer := *m
+	answer.Name = address
+	return &answer, nil
+}
+
+// BenchmarkPeerRound measures one round of heartbeats with all peers, without
+// the transport. Package peer measures that.
+func BenchmarkPeerRound(b *testing.B) {
+	for _, instances := range []int{10, 30, 100} {
+		b.Run(fmt.Sprintf("instances=%d", instances), func(b *testing.B) {
+			list := capacityList(25000)
+			for i := range instances {
+				list.Members = append(list.Members, entryMember(fmt.Sprintf("entry-%03d", i)))
+			}
+			v := New(Config{Self: entryMember("entry-000"), Peers: answeringPeers{}, Clock: clockwork.NewFakeClock(),
+				Shards: func() []peer.OwnedShard { return []peer.OwnedShard{{Shard: structs.ShardID{Domain: "d"}, Epoch: 3}} }})
+			now := time.Now()
+			if err := v.applyList(list, now, now); err != nil {
+				b.Fatal(err)
+			}
+			start := procstat.CPU()
+			for b.Loop() {
+				for _, m := range v.duePeers() {
+					_ = v.exchange(b.Context(), m)
+				}
+			}
+			b.ReportMetric(float64(procstat.CPU()-start)/1000/float64(b.N*(instances-1)), "cpu-us/peer")
+		})
+	}
+}
+
+// BenchmarkRunners measures the choice of a service's runners, which each
+// request asks for.
+func BenchmarkRunners(b *testing.B) {
+	for _, members := range []int{100, 1000, 5000, 25000} {
+		b.Run(fmt.Sprintf("members=%d", members), func(b *testing.B) {
+			v := New(Config{Self: entryMember("a"), Clock: clockwork.NewFakeClock()})
+			now := time.Now()
+			if err := v.applyList(capacityList(members), now, now); err != nil {
+				b.Fatal(err)
+			}
+			start := procstat.CPU()
+			for b.Loop() {
+				v.Runners("domain-03", "pathworks")
+			}
+			b.ReportMetric(float64(procstat.CPU()-start)/1000/float64(b.N), "cpu-us/op")
+		})
+	}
+}
--- /dev/null
+++ b/workerapi/capacity_test.go
@@ -0,0 +1,87 @@
+package workerapi
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"bergamotstile/procstat"
+	"bergamotstile/structs"
+)
+
+// countedConn counts the bytes that pass a connection, headers included.
+type countedConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+type countedListener struct {
+	net.Listener
+	bytes atomic.Int64
+}
+
+func (l *countedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return countedConn{conn, &l.bytes}, err
+}
+
+// BenchmarkHeartbeatHTTP measures one heartbeat over loopback against a server
+// that sends a prepared answer. Its processor time includes that server.
+func BenchmarkHeartbeatHTTP(b *testing.B) {
+	for _, tasks := range []int{1, 16, 64} {
+		b.Run(fmt.Sprintf("tasks=%d", tasks), func(b *testing.B) {
+			answer := capacityAnswer(tasks)
+			listener := &countedListener{}
+			var err error
+			if listener.Listener, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+				b.Fatal(err)
+			}
+			server := &httptest.Server{Listener: listener, Config: &http.Server{Handler: http.HandlerFunc(
+				func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(answer) })}}
+			server.Start()
+			defer server.Close()
+			client := NewHTTPClient()
+			defer client.Close()
+			req := HeartbeatRequest{Shard: structs.ShardID{Domain: "ogbomoso"}, Epoch: 12, LeaseMS: 20000}
+			start := procstat.CPU()
+			for b.Loop() {
+				resp, err := client.Heartbeat(context.Background(), listener.Addr().String(), req)
+				if err != nil || len(resp.Running) != tasks {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(procstat.CPU()-start)/1000/float64(b.N), "cpu-us/op")
+			b.ReportMetric(float64(listener.bytes.Load())/float64(b.N), "wire-B/op")
+		})
+	}
+}
+
+func capacityAnswer(tasks int) []byte {
+	size := structs.Resources{CPUMilli: 2000, MemoryMB: 8000}
+	resp := HeartbeatResponse{BootID: "1b4e28ba-2fa1-11d2-883f-0016d3cca427", UptimeMS: 86_400_000,
+		Capacity: structs.Resources{CPUMilli: 64000, MemoryMB: 250000, Accelerators: 2}, UsageAgeMS: 900}
+	for i := range tasks {
+		attempt := structs.NewAttemptID(structs.NewWorkID("team", strings.Repeat("k", i)), 1)
+		resp.Running = append(resp.Running, Running{Attempt: attempt, Size: size, Used: size, Throttle: 1})
+	}
+	data, _ := json.Marshal(resp)
+	return data
+}
