--- a/configuration/capacity_test.go
+++ b/configuration/capacity_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"testing"
@@ -112,3 +113,30 @@
 	}
 	return depth
 }
+
+// BenchmarkDecodeFile measures what each apply costs the instance that
+// receives it: the whole file is decoded, checked and compared.
+func BenchmarkDecodeFile(b *testing.B) {
+	for _, entries := range []int{10, 100, 300, 1000} {
+		b.Run(fmt.Sprintf("entries=%d", entries), func(b *testing.B) {
+			file, err := json.Marshal(capacityDeployment(entries, 0))
+			if err != nil {
+				b.Fatal(err)
+			}
+			current := capacityDeployment(entries, 1).Entries()
+			start := procstat.CPU()
+			for b.Loop() {
+				d, err := declaration.Decode(file)
+				if err != nil {
+					b.Fatal(err)
+				}
+				_ = d.Check(declaration.DefaultLimits())
+				if declaration.Diff(current, d.Entries()).Empty() {
+					b.Fatal("no difference")
+				}
+			}
+			b.ReportMetric(float64(procstat.CPU()-start)/1000/float64(b.N), "cpu-us/op")
+			b.ReportMetric(float64(len(file)), "file-B")
+		})
+	}
+}
