Leave small answers between instances uncompressed

connect compresses every answer by default, and gzip with its fresh buffers cost more than the rest of a small call. The new test fails without the change.

--- a/peer/peer.go
+++ b/peer/peer.go
@@ -40,7 +40,10 @@
 
 // Limits of peer calls.
 const (
-	maxMessageBytes   = 8 << 20
+	maxMessageBytes = 8 << 20
+	// compressMinBytes keeps small answers uncompressed: gzip costs more than
+	// half of a heartbeat's processor time and makes its answer longer.
+	compressMinBytes  = 4 << 10
 	dialTimeout       = 500 * time.Millisecond
 	maxConnsPerPeer   = 64
 	idleConnTimeout   = 30 * time.Second
@@ -91,6 +94,7 @@
 			return connect.NewResponse(res), nil
 		},
 		connect.WithCodec(newCodec()),
+		connect.WithCompressMinBytes(compressMinBytes),
 		connect.WithReadMaxBytes(maxMessageBytes)))
 }
 
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -1,8 +1,10 @@
 package peer
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"net/http"
 	"testing"
 
 	"bergamotstile/httpserver"
@@ -61,3 +63,30 @@
 		t.Errorf("closed server: got %v, want ErrUnreachable", err)
 	}
 }
+
+// Guards against compressing every answer, which costs most of the time of a
+// small call, and against sending large configurations uncompressed.
+func TestOnlyLargeAnswersAreCompressed(t *testing.T) {
+	server, err := httpserver.Start("127.0.0.1:0", NewHandler(echoService{}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer server.Close()
+	for size, want := range map[int]string{100: "", 1 << 16: "gzip"} {
+		body, err := newCodec().Marshal(&ForwardRequest{Request: structs.Request{ID: "r1", Body: make([]byte, size)}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		req, _ := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+server.Address()+PathPrefix+"Forward", bytes.NewReader(body))
+		req.Header.Set("Content-Type", "application/cbor")
+		req.Header.Set("Accept-Encoding", "gzip")
+		res, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = res.Body.Close()
+		if got := res.Header.Get("Content-Encoding"); res.StatusCode != http.StatusOK || got != want {
+			t.Errorf("body of %d bytes: status %d, encoding %q, want %q", size, res.StatusCode, got, want)
+		}
+	}
+}
