Index the membership view by role and domain

Every query walked the whole list, and each heartbeat copied every runner of the domain to look for leaving ones. A list of positions costs 8 bytes a member, where copies of the members would cost 200. The new test compares every query with a walk of the list; BenchmarkPeerRound now runs in a domain that has runners, as real instances do.

--- a/membership/capacity_test.go
+++ b/membership/capacity_test.go
@@ -83,7 +83,9 @@
 			for i := range instances {
 				list.Members = append(list.Members, entryMember(fmt.Sprintf("entry-%03d", i)))
 			}
-			v := New(Config{Self: entryMember("entry-000"), Peers: answeringPeers{}, Clock: clockwork.NewFakeClock(),
+			self := entryMember("entry-000")
+			self.Domain = "domain-03"
+			v := New(Config{Self: self, Peers: answeringPeers{}, Clock: clockwork.NewFakeClock(),
 				Shards: func() []peer.OwnedShard { return []peer.OwnedShard{{Shard: structs.ShardID{Domain: "d"}, Epoch: 3}} }})
 			now := time.Now()
 			if err := v.applyList(list, now, now); err != nil {
--- a/membership/list.go
+++ b/membership/list.go
@@ -23,6 +23,9 @@
 	version uint64
 	byName  map[string]structs.Member
 	sorted  []structs.Member
+	// groups holds the positions in sorted of the members of each group. The
+	// request path asks for one service's runners, which are few of the list.
+	groups map[group][]int32
 	// firstRead is when the answer of the first reading was in, lastRead when
 	// the last one was asked for. Intervals between the two are never too long.
 	firstRead time.Time
@@ -30,6 +33,24 @@
 	goneSince map[string]time.Time
 }
 
+// group is the members of one role in one domain; "" means all domains.
+type group struct {
+	role   structs.Role
+	domain string
+}
+
+func groupsOf(sorted []structs.Member) map[group][]int32 {
+	groups := map[group][]int32{}
+	for i, m := range sorted {
+		all, own := group{role: m.Role}, group{m.Role, m.Domain}
+		groups[all] = append(groups[all], int32(i))
+		if own != all {
+			groups[own] = append(groups[own], int32(i))
+		}
+	}
+	return groups
+}
+
 func newListState() listState {
 	return listState{byName: map[string]structs.Member{}, goneSince: map[string]time.Time{}}
 }
@@ -37,8 +58,8 @@
 // members returns the listed members that match, in the order of their names.
 func (l *listState) members(role structs.Role, domain string, match func(structs.Member) bool) []structs.Member {
 	var out []structs.Member
-	for _, m := range l.sorted {
-		if m.Role == role && inDomain(m, domain) && (match == nil || match(m)) {
+	for _, i := range l.groups[group{role, domain}] {
+		if m := l.sorted[i]; match == nil || match(m) {
 			out = append(out, m)
 		}
 	}
@@ -84,6 +105,7 @@
 	}
 	l.read, l.version, l.byName = true, reading.Version, listed
 	l.sorted = slices.SortedFunc(slices.Values(reading.Members), byName)
+	l.groups = groupsOf(l.sorted)
 	return nil
 }
 
--- a/membership/runners.go
+++ b/membership/runners.go
@@ -59,12 +59,13 @@
 // knownLeaving returns the runners of this domain that the list or the runners
 // themselves showed to be leaving.
 func (v *View) knownLeaving() []string {
-	var names []string
-	for _, m := range v.list.members(structs.RoleRunner, v.config.Self.Domain, nil) {
+	leaving := v.list.members(structs.RoleRunner, v.config.Self.Domain, func(m structs.Member) bool {
 		r := v.runners[m.Name]
-		if m.State == structs.MemberLeaving || r != nil && !r.firstHand.IsZero() {
-			names = append(names, m.Name)
-		}
+		return m.State == structs.MemberLeaving || r != nil && !r.firstHand.IsZero()
+	})
+	var names []string
+	for _, m := range leaving {
+		names = append(names, m.Name)
 	}
 	return names
 }
--- a/membership/workers_test.go
+++ b/membership/workers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -150,3 +151,27 @@
 		t.Error("worker back on the list still counts as gone")
 	}
 }
+
+// Guards against an index of the list that loses members or repeats them: each
+// query has to equal a walk of the whole list.
+func TestMembersEqualAWalkOfTheList(t *testing.T) {
+	list := capacityList(500)
+	list.Members = append(list.Members, structs.Member{Name: "stray", Role: structs.RoleWorker}, entryMember("a"))
+	v := New(Config{Self: entryMember("a"), Clock: clockwork.NewFakeClock()})
+	if err := v.applyList(list, time.Now(), time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	for _, role := range []structs.Role{structs.RoleWorker, structs.RoleRunner, structs.RoleEntry} {
+		for _, domain := range []string{"", "d", "domain-03", "none"} {
+			var want []structs.Member
+			for _, m := range v.list.sorted {
+				if m.Role == role && inDomain(m, domain) {
+					want = append(want, m)
+				}
+			}
+			if got := v.list.members(role, domain, nil); !slices.Equal(got, want) {
+				t.Errorf("%s in %q: %d members, want %d", role, domain, len(got), len(want))
+			}
+		}
+	}
+}
