Order only the workers whose heartbeat is due

Each tick sorted the names of all workers of the shard, 200 times a second, although only one in 200 is due.

--- a/lifecycle/workers.go
+++ b/lifecycle/workers.go
@@ -89,12 +89,17 @@
 	if !c.serving() {
 		return
 	}
-	for _, name := range slices.Sorted(maps.Keys(c.workers)) {
-		w := c.workers[name]
+	// A tick finds few workers due, so only those are put in order.
+	var due []string
+	for name, w := range c.workers {
 		if w.listed && !w.beating && !now.Before(w.nextBeat) {
-			c.beat(w)
+			due = append(due, name)
 		}
 	}
+	slices.Sort(due)
+	for _, name := range due {
+		c.beat(c.workers[name])
+	}
 }
 
 // beat sends one heartbeat. A worker has at most one under way, so reports
