Do not decode rows of known items in the queue scan

The scan reads up to 1,000 rows of the shard each second, nearly all of them known, and decoded each one before it looked the item up. The key names the item, so the look-up can come first. BenchmarkRescan, three runs: 20.9 us of processor time a row (17.7-24.6) before, 6.9 us (6.8-8.0) after; the rest is the decoding of the page itself, which only a scan of new rows would avoid.

--- a/lifecycle/capacity_test.go
+++ b/lifecycle/capacity_test.go
@@ -190,6 +190,26 @@
 	}
 }
 
+// BenchmarkRescan measures the repeated reading of rows that are known already.
+func BenchmarkRescan(b *testing.B) {
+	const items = 1000
+	c, h := newCapacityCore(items / 16)
+	fill(c, h, 16)
+	var rows []platform.Row
+	for n := range items {
+		rows = append(rows, rowOf(capacityItem(n, h.workers[n%len(h.workers)].Name)))
+	}
+	data, _ := json.Marshal(rows)
+	h.pages = [][]byte{data}
+	measured(b, "item", items, func() {
+		h.page = 0
+		page, _ := h.Scan(context.Background(), workPrefix(testShard), "", items)
+		for _, row := range page {
+			c.learn(row)
+		}
+	})
+}
+
 func recoverAll(c *core) {
 	for !c.ready {
 		c.tickScan()
--- a/lifecycle/recovery.go
+++ b/lifecycle/recovery.go
@@ -89,6 +89,10 @@
 
 // learn takes in a work row that is not known yet.
 func (c *core) learn(row platform.Row) {
+	// The scan reads known rows again and again, so they are not decoded.
+	if c.items[structs.WorkID(strings.TrimPrefix(row.Key, workPrefix(c.lease.Shard)))] != nil {
+		return
+	}
 	item, err := decodeItem(row)
 	if err != nil {
 		logrus.Errorf("lifecycle: %v", err)
