--- a/qos/controller.go
+++ b/qos/controller.go
@@ -143,7 +143,7 @@
 	if !r.Measured || now.Sub(w.hurtSince) < c.settings.EvictAfter || c.tokens < 1 {
 		return nil
 	}
-	victim, ok := Victim(neighbours)
+	victim, ok := Victim(c.throttled(neighbours))
 	if !ok {
 		return nil
 	}
@@ -152,6 +152,13 @@
 	return []Action{{Work: victim, Evict: true}}
 }
 
+// throttled returns the neighbours that a throttle cannot slow further.
+func (c *Controller) throttled(neighbours []Neighbour) []Neighbour {
+	return slices.DeleteFunc(slices.Clone(neighbours), func(n Neighbour) bool {
+		return n.Share > c.settings.MinShare
+	})
+}
+
 // throttle halves the shares of the most harmful neighbours until their
 // expected relief covers the excess.
 func (c *Controller) throttle(excess float64, neighbours []Neighbour) []Action {
