--- a/policy/planning.go
+++ b/policy/planning.go
@@ -180,7 +180,8 @@
 }
 
 // holdRoom keeps the node with the most room from filling up again before an
-// aged item fits on it.
+// aged item fits on it. An item that fits and was refused for another reason
+// holds nothing, since more room would not help it.
 func (c *planning) holdRoom(item *scheduler.Item) bool {
 	var best *scheduler.Node
 	nodes := c.cycle.Nodes()
@@ -189,6 +190,9 @@
 		if !item.Size.Fits(n.Capacity) || !(scheduler.Placeable{}).Filter(item, n) || !(healthy{c}).Filter(item, n) {
 			continue
 		}
+		if item.Size.Fits(n.Room) {
+			return false
+		}
 		if best == nil || n.Room.CPUMilli > best.Room.CPUMilli {
 			best = n
 		}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -82,7 +82,7 @@
 	if w.Capacity.CPUMilli <= 0 {
 		return 0
 	}
-	return float64(p.sizes.Expected(job, size).CPUMilli) / float64(w.Capacity.CPUMilli)
+	return p.sizes.Expected(job, size).CPUMilli / float64(w.Capacity.CPUMilli)
 }
 
 func sqrt(x float64) float64 { return math.Sqrt(x) }
