quarantine: readmit a worker when its probe has run for 30 s

Cause: a worker that failed everything for 15 minutes stayed nearly empty for much longer: the wait between probes doubled up to 10 minutes, and the probe had to finish, which takes a job's whole run time on an otherwise empty worker. Ruled out: giving up probes' doubling altogether, since a broken worker should not cost a start each 30 s for ever; the wait is now bounded by 2 minutes.

--- a/policy/observe.go
+++ b/policy/observe.go
@@ -131,7 +131,7 @@
 	for i := range s.Workers {
 		w := &s.Workers[i]
 		workers[w.Name] = w
-		p.learnSizes(w)
+		p.learnRunning(w)
 	}
 	for _, sample := range p.samples {
 		if w, ok := workers[sample.Worker]; ok {
@@ -144,9 +144,10 @@
 // learnEvery bounds how often usage reports are read; workers report each second.
 const learnEvery = time.Second
 
-func (p *Policy) learnSizes(w *scheduler.Worker) {
+func (p *Policy) learnRunning(w *scheduler.Worker) {
 	for i := range w.Running {
 		a := &w.Running[i]
+		p.book.Ran(w.Name, a.Work, a.RunningFor)
 		if a.State == structs.StateRunning && a.Used.CPUMilli > 0 && share(a) == 1 {
 			p.sizes.Observe(a.Job, a.Size, a.Used)
 		}
--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -24,13 +24,17 @@
 	// ProbeAfter is the time until an excluded worker receives one probe. It
 	// doubles with each failed probe.
 	ProbeAfter time.Duration
-	// ProbeAfterMax bounds the doubling.
+	// ProbeAfterMax bounds the doubling. A probe costs one failed start; a
+	// repaired worker stays empty until the next one.
 	ProbeAfterMax time.Duration
+	// ProbePass is how long a probe must run to readmit the worker without
+	// waiting for its end.
+	ProbePass time.Duration
 }
 
 // DefaultSettings returns the starting values.
 func DefaultSettings() Settings {
-	return Settings{WorkerFailures: 3, ItemFailures: 3, ProbeAfter: 30 * time.Second, ProbeAfterMax: 10 * time.Minute}
+	return Settings{WorkerFailures: 3, ItemFailures: 3, ProbeAfter: 30 * time.Second, ProbeAfterMax: 2 * time.Minute, ProbePass: 30 * time.Second}
 }
 
 // State tells whether a worker may receive work.
@@ -133,6 +137,15 @@
 	delete(b.workers, worker)
 }
 
+// Ran records how long an item has run so far. A probe that has run for
+// ProbePass readmits its worker.
+func (b *Book) Ran(worker string, item structs.WorkID, running time.Duration) {
+	w, ok := b.workers[worker]
+	if ok && w.excluded && w.probing == item && running >= b.settings.ProbePass {
+		delete(b.workers, worker)
+	}
+}
+
 // Forget drops an item that ended for another reason.
 func (b *Book) Forget(item structs.WorkID) {
 	delete(b.items, item)
--- a/quarantine/book_test.go
+++ b/quarantine/book_test.go
@@ -76,6 +76,26 @@
 	}
 }
 
+// Guards against a repaired worker that runs a single probe for the whole
+// length of a job, and against readmission by work other than the probe.
+func TestProbeThatRunsLongEnoughReadmits(t *testing.T) {
+	b := New(DefaultSettings())
+	for i := range 3 {
+		b.Failed("w", item(i), start)
+	}
+	later := start.Add(DefaultSettings().ProbeAfter)
+	b.Placed("w", item(9))
+	b.Ran("w", item(8), time.Hour)
+	b.Ran("w", item(9), DefaultSettings().ProbePass-1)
+	if b.State("w", later) != Excluded {
+		t.Fatal("worker is readmitted too early")
+	}
+	b.Ran("w", item(9), DefaultSettings().ProbePass)
+	if b.State("w", later) != Usable {
+		t.Fatal("worker stays excluded")
+	}
+}
+
 // Guards against probing a broken worker at a constant rate for ever.
 func TestProbesBackOff(t *testing.T) {
 	b := New(DefaultSettings())
