Revert "interference: try a slowdown that grows with the square of pressure"

The linear model stays, with load bands and a residual for each worker that covers part of the curvature.

--- a/interference/model.go
+++ b/interference/model.go
@@ -48,9 +48,6 @@
 	// DriftPerMeasurement is the deviation by which a pair may change between
 	// two measurements. It keeps old estimates from becoming rigid.
 	DriftPerMeasurement float64
-	// Curve is the assumed growth of the slowdown with the square of the
-	// pressure; zero is linear.
-	Curve float64
 	// BandDeviation is added to an estimate taken from another load band.
 	BandDeviation float64
 }
@@ -143,7 +140,7 @@
 		mean += n.Share * c.mean
 		variance += n.Share * n.Share * c.variance
 	}
-	return m.Bend(Estimate{Mean: mean, Deviation: math.Sqrt(variance)})
+	return Estimate{Mean: mean, Deviation: math.Sqrt(variance)}
 }
 
 // Observe corrects the pairs that took part in a measurement. Each is
@@ -158,15 +155,13 @@
 	if noise <= 0 {
 		noise = m.settings.NoiseDeviation
 	}
-	y := m.flat(o.Slowdown - 1)
-	noise /= math.Sqrt(1 + 4*m.settings.Curve*max(0, o.Slowdown-1))
 	expected, total := 0.0, noise*noise
 	for _, n := range o.Neighbours {
 		c := m.coefficient(o.Victim, n.Kind, b)
 		expected += n.Share * c.mean
 		total += n.Share * n.Share * m.drifted(c.variance)
 	}
-	m.correct(o, b, y-expected, total)
+	m.correct(o, b, o.Slowdown-1-expected, total)
 }
 
 func (m *Model) correct(o Measurement, b int, surprise, total float64) {
@@ -187,18 +182,3 @@
 func (m *Model) drifted(variance float64) float64 {
 	return variance + m.settings.DriftPerMeasurement*m.settings.DriftPerMeasurement
 }
-
-// flat converts a slowdown into the pressure that is linear in the shares.
-func (m *Model) flat(y float64) float64 {
-	curve := m.settings.Curve
-	if y <= 0 || curve == 0 {
-		return y
-	}
-	return (math.Sqrt(1+4*curve*y) - 1) / (2 * curve)
-}
-
-// Bend converts a sum of pressures into a slowdown.
-func (m *Model) Bend(e Estimate) Estimate {
-	curve := m.settings.Curve
-	return Estimate{Mean: e.Mean + curve*e.Mean*e.Mean, Deviation: e.Deviation * (1 + 2*curve*e.Mean)}
-}
--- a/policy/beside.go
+++ b/policy/beside.go
@@ -21,7 +21,6 @@
 type besideNode struct {
 	known    bool
 	service  *service
-	model    *interference.Model
 	mean     float64
 	variance float64
 }
@@ -37,7 +36,6 @@
 		return n
 	}
 	n.known = true
-	n.model = b.policy.model
 	n.service = b.policy.services[w.Name]
 	if n.service == nil {
 		return n
@@ -69,7 +67,7 @@
 
 // estimate returns the prediction on a node.
 func (n *besideNode) estimate() interference.Estimate {
-	return n.model.Bend(interference.Estimate{Mean: n.mean, Deviation: math.Sqrt(n.variance)})
+	return interference.Estimate{Mean: n.mean, Deviation: math.Sqrt(n.variance)}
 }
 
 // after returns the excess on a node before and after an item is added.
--- a/policy/react.go
+++ b/policy/react.go
@@ -33,7 +33,7 @@
 }
 
 func (c *planning) reactOn(index int, w *scheduler.Worker, s *service) {
-	predicted := c.beside.at(index, w).estimate().Mean
+	predicted := c.beside.at(index, w).mean
 	reading := qos.Reading{Worker: w.Name, Excess: max(0, predicted+s.residual)}
 	if c.enabled(MechanismQueue) {
 		reading.Excess += queueWeight * s.queue
