policy: let the limit of placement follow the measured slowdown

A fixed limit is too careful where predictions are uncertain and too bold elsewhere. Now the limit rises slowly while the mean measured excess of five minutes is below 0.7 of it and falls three times as fast above. With the feedback the margin for uncertainty shrinks to 0.15 + 0.25 t and throttling starts at 1.125 (1 - t).

--- a/policy/beside.go
+++ b/policy/beside.go
@@ -96,7 +96,7 @@
 		return true
 	}
 	before, after := b.after(item, node)
-	return after <= b.policy.limits.placeExcess || after-before < negligibleExcess
+	return after <= b.policy.placeExcess() || after-before < negligibleExcess
 }
 
 // negligibleExcess is the added slowdown below which an item is not refused.
--- a/policy/observe.go
+++ b/policy/observe.go
@@ -138,6 +138,9 @@
 			p.learnInterference(s.Now, w, sample)
 		}
 	}
+	if len(p.samples) > 0 {
+		p.feedback.adjust(p.limits.placeExcess)
+	}
 	p.samples = p.samples[:0]
 }
 
@@ -169,6 +172,7 @@
 		Victim: s.kind, Load: sample.Load, Slowdown: slowdown,
 		Neighbours: neighbours, Deviation: deviation,
 	})
+	p.feedback.measured(slowdown-1, len(p.services))
 	s.residual += residualStep * (slowdown - 1 - predicted.Mean - s.residual)
 	if s.measured.IsZero() {
 		s.excess = slowdown - 1
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -19,6 +19,7 @@
 	mu       sync.Mutex
 	settings Settings
 	limits   limits
+	feedback feedback
 	model    *interference.Model
 	sizes    *scheduler.Sizes
 	reaction *qos.Controller
@@ -42,6 +43,7 @@
 	return &Policy{
 		settings: settings,
 		limits:   limitsFor(settings.Weights),
+		feedback: feedback{scale: 1},
 		model:    interference.New(settings.Interference),
 		sizes:    scheduler.NewSizes(settings.Sizes),
 		reaction: qos.New(settings.QoS),
--- a/policy/settings.go
+++ b/policy/settings.go
@@ -44,6 +44,7 @@
 	MechanismHysteresis   Mechanism = "hysteresis"  // slow release
 	MechanismQueue        Mechanism = "queue"       // queue depth as a leading signal
 	MechanismUncertainty  Mechanism = "uncertainty" // mean plus deviation
+	MechanismFeedback     Mechanism = "feedback"    // limit of placement follows measured slowdown
 	MechanismFairShare    Mechanism = "fair_share"
 	MechanismAgeing       Mechanism = "ageing"
 	MechanismPreemption   Mechanism = "preemption" // of batch for urgent work
@@ -54,7 +55,7 @@
 var Mechanisms = []Mechanism{
 	MechanismInterference, MechanismHeadroom, MechanismPacking, MechanismSpread,
 	MechanismThrottle, MechanismEvict, MechanismHysteresis, MechanismQueue,
-	MechanismUncertainty, MechanismFairShare, MechanismAgeing,
+	MechanismUncertainty, MechanismFeedback, MechanismFairShare, MechanismAgeing,
 	MechanismPreemption, MechanismQuarantine,
 }
 
@@ -97,7 +98,7 @@
 // the society finished 0.56 of the batch work of best-fit.
 const (
 	placeExcessMax = 0.5
-	hurtExcessMax  = 0.875
+	hurtExcessMax  = 1.125
 	excessMin      = 0.02
 )
 
@@ -106,7 +107,7 @@
 	return limits{
 		placeExcess: max(excessMin, placeExcessMax*(1-w.TailLatency)),
 		hurtExcess:  max(excessMin, hurtExcessMax*(1-w.TailLatency)),
-		confidence:  0.25 + w.TailLatency,
+		confidence:  0.15 + 0.25*w.TailLatency,
 	}
 }
 
