--- a/builtin/builtin.go
+++ b/builtin/builtin.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"os"
 	"os/signal"
@@ -12,6 +13,7 @@
 
 	"bergamotstile/bench"
 	"bergamotstile/command"
+	"bergamotstile/demo"
 	"bergamotstile/entry"
 	"bergamotstile/settings"
 	"bergamotstile/standin"
@@ -29,6 +31,7 @@
 func Registry() command.Registry {
 	return command.Registry{
 		Entry:           runEntry,
+		Demo:            runDemo,
 		Bench:           runBench,
 		StandinPlatform: runPlatform,
 		StandinWorker:   runWorker,
@@ -43,6 +46,18 @@
 	return entry.New(s, logrus.NewEntry(log)).Run(ctx)
 }
 
+func runDemo(ctx context.Context, o command.DemoOptions, out io.Writer) error {
+	options := demo.Options{Seed: o.Seed, Verbose: o.Verbose}
+	if o.Declaration != "" {
+		file, err := os.ReadFile(o.Declaration)
+		if err != nil {
+			return fmt.Errorf("declaration: %w", err)
+		}
+		options.Declaration = file
+	}
+	return demo.Main(ctx, options, out)
+}
+
 func runBench(_ context.Context, o command.BenchOptions, out io.Writer) error {
 	return bench.Main(o.Deployment, o.Policy, o.Seed, out)
 }
--- a/command/run.go
+++ b/command/run.go
@@ -51,6 +51,7 @@
 type DemoOptions struct {
 	Declaration string `arg:"--declaration" placeholder:"FILE" help:"deployment to run instead of the built-in one"`
 	Seed        int64  `arg:"--seed" default:"1" help:"seed of the load"`
+	Verbose     bool   `arg:"--verbose" help:"log what the instances do"`
 }
 
 func (c *DemoOptions) run(ctx context.Context, r Registry, out io.Writer) error {
--- /dev/null
+++ b/demo/demo.go
@@ -0,0 +1,74 @@
+// Package demo runs a deployment in one process on loopback: stand-ins of the
+// platform, workers and runners behind HTTP, and entry instances. It sends
+// load and work through the caller API and judges the run by what callers
+// were told and by what workers and runners recorded themselves.
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"bergamotstile/declaration"
+	"bergamotstile/examples"
+	"bergamotstile/settings"
+)
+
+// Options configures a run.
+type Options struct {
+	// Declaration is the file of the deployment; the Society's if empty.
+	Declaration []byte
+	Seed        int64
+	// Verbose logs what the instances do, not only their errors.
+	Verbose bool
+}
+
+// limit ends a run that makes no progress.
+const limit = 55 * time.Second
+
+// Main runs the demo, prints its table and returns an error if a check fails.
+func Main(ctx context.Context, o Options, out io.Writer) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	file := o.Declaration
+	if len(file) == 0 {
+		file = examples.Society
+	}
+	d, err := decode(file)
+	if err != nil {
+		return fmt.Errorf("declaration is refused: %w", err)
+	}
+	plan, err := newPlan(d)
+	if err != nil {
+		return err
+	}
+	cluster, err := start(ctx, d, uint64(o.Seed), newLog(o.Verbose))
+	if err != nil {
+		return err
+	}
+	defer cluster.close()
+	run := &run{cluster: cluster, plan: plan, file: file, seed: o.Seed, out: out, started: time.Now()}
+	return run.all(ctx)
+}
+
+func decode(file []byte) (*declaration.Deployment, error) {
+	d, err := declaration.Decode(file)
+	if err != nil {
+		return nil, err
+	}
+	return d, d.Check(settings.Default().Limits())
+}
+
+func newLog(verbose bool) *logrus.Entry {
+	log := logrus.New()
+	log.SetOutput(os.Stderr)
+	log.SetLevel(logrus.ErrorLevel)
+	if verbose {
+		log.SetLevel(logrus.InfoLevel)
+	}
+	return logrus.NewEntry(log)
+}
