httpserver: refuse to start when the address is in use

An entry instance or stand-in whose address was taken hung without a word: the engine of nbio 1.6.8 does not return from its own clean-up when it cannot listen. The server now listens itself and gives the engine the listener, so the commands leave with one line that names the address.

--- a/httpserver/httpserver.go
+++ b/httpserver/httpserver.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"slices"
 	"sync/atomic"
@@ -45,16 +46,23 @@
 // probePaths do not count as activity in a drain: a balancer asks them for as
 // long as the server answers.
 func Start(address string, handler http.Handler, probePaths ...string) (*Server, error) {
+	// The engine's own Start does not return if it cannot listen (nbio 1.6.8).
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
 	s := &Server{probePaths: probePaths, watch: newDisconnectWatch()}
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
 		Network:         "tcp",
 		Addrs:           []string{address},
+		Listen:          func(string, string) (net.Listener, error) { return listener, nil },
 		MaxHTTPBodySize: MaxBodyBytes,
 		ReadLimit:       readLimitBytes,
 		KeepaliveTime:   keepaliveTime,
 		Handler:         s.track(handler),
 	})
 	if err := s.engine.Start(); err != nil {
+		_ = listener.Close()
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
 	go s.watch.serve()
