logging: one format for all parts, and listeners taken before servers start

Parts logged through the global logger with a textual prefix, or with a field; now each line is 'time level part: message key=value' and lifecycle, ownership and routing use a logger that they are given. The demo names the domain of the render that it evicts, since Evict is only heard by the owner of its shard. The entry package's pure parts have tests.

--- a/builtin/builtin.go
+++ b/builtin/builtin.go
@@ -15,6 +15,7 @@
 	"bergamotstile/command"
 	"bergamotstile/demo"
 	"bergamotstile/entry"
+	"bergamotstile/logging"
 	"bergamotstile/settings"
 	"bergamotstile/standin"
 )
@@ -41,9 +42,7 @@
 }
 
 func runEntry(ctx context.Context, s *settings.Settings) error {
-	log := logrus.New()
-	log.SetOutput(os.Stderr)
-	return entry.New(s, logrus.NewEntry(log)).Run(ctx)
+	return entry.New(s, logging.New(os.Stderr, logrus.InfoLevel)).Run(ctx)
 }
 
 func runDemo(ctx context.Context, o command.DemoOptions, out io.Writer) error {
--- a/configuration/apply.go
+++ b/configuration/apply.go
@@ -47,7 +47,7 @@
 	version, err := s.apply(ctx, operator, base, d)
 	if err != nil {
 		refusal := structs.AsRefusal(err)
-		s.o.Log.Infof(logPrefix+"apply by %q refused: %v", operator, refusal)
+		s.o.Log.Infof("apply by %q refused: %v", operator, refusal)
 		return 0, refusal
 	}
 	return version, nil
@@ -159,7 +159,7 @@
 	defer cancel()
 	if err := s.o.Objects.Put(ctx, snapshotName(current.version), current.snapshot()); err != nil {
 		s.o.Metrics.Count("config_snapshot_failed", 1)
-		s.o.Log.Warnf(logPrefix+"snapshot %d was not stored: %v", current.version, err)
+		s.o.Log.Warnf("snapshot %d was not stored: %v", current.version, err)
 		return h.Snapshot
 	}
 	return current.version
@@ -186,10 +186,10 @@
 // accept puts a committed change in force here and starts its push.
 func (s *Store) accept(p proposal) (uint64, error) {
 	if err := s.install(p.change); err != nil {
-		s.o.Log.Warnf(logPrefix+"version %d is accepted but not yet in force here: %v", p.change.Version, err)
+		s.o.Log.Warnf("version %d is accepted but not yet in force here: %v", p.change.Version, err)
 		s.pollSoon()
 	}
-	s.o.Log.Infof(logPrefix+"version %d of operator %q is accepted", p.change.Version, p.record.Operator)
+	s.o.Log.Infof("version %d of operator %q is accepted", p.change.Version, p.record.Operator)
 	s.startPush(p.change)
 	return p.change.Version, nil
 }
--- a/configuration/catchup.go
+++ b/configuration/catchup.go
@@ -49,7 +49,7 @@
 	}
 	if h.Version < at {
 		s.o.Metrics.Count("config_head_behind", 1)
-		s.o.Log.Warnf(logPrefix+"the table's head is at version %d, below version %d in force", h.Version, at)
+		s.o.Log.Warnf("the table's head is at version %d, below version %d in force", h.Version, at)
 		return h, nil
 	}
 	if h.Snapshot > at && h.Version-at > s.snapshotEvery {
@@ -66,7 +66,7 @@
 	}
 	if err != nil {
 		s.o.Metrics.Count("config_snapshot_unreadable", 1)
-		s.o.Log.Warnf(logPrefix+"snapshot %d is not used: %v", version, err)
+		s.o.Log.Warnf("snapshot %d is not used: %v", version, err)
 	}
 }
 
--- a/configuration/install.go
+++ b/configuration/install.go
@@ -89,12 +89,12 @@
 func (s *Store) put(next state) {
 	s.state = next
 	s.o.Metrics.Gauge("config_version", int64(next.version))
-	s.o.Log.Infof(logPrefix+"version %d is in force", next.version)
+	s.o.Log.Infof("version %d is in force", next.version)
 	if longest := next.deployment.LongestTimeoutMS(); longest > s.o.Limits.RequestTimeoutMaxMS {
 		// It was accepted by an instance with other settings. All instances
 		// follow the same version, so it is put in force all the same.
 		s.o.Metrics.Count("config_over_limits", 1)
-		s.o.Log.Warnf(logPrefix+"version %d has a request timeout of %d ms, above this instance's request_timeout_max_ms of %d",
+		s.o.Log.Warnf("version %d has a request timeout of %d ms, above this instance's request_timeout_max_ms of %d",
 			next.version, longest, s.o.Limits.RequestTimeoutMaxMS)
 	}
 }
--- a/configuration/spread.go
+++ b/configuration/spread.go
@@ -19,7 +19,7 @@
 func (s *Store) Push(_ context.Context, req peer.PushRequest) (peer.PushResponse, error) {
 	for _, c := range req.Changes {
 		if err := s.install(c); err != nil {
-			s.o.Log.Debugf(logPrefix+"push not applied: %v", err)
+			s.o.Log.Debugf("push not applied: %v", err)
 			s.pollSoon()
 			break
 		}
@@ -111,7 +111,7 @@
 	defer cancel()
 	if _, err := s.o.Peers.Push(ctx, address, req); err != nil {
 		s.o.Metrics.Count("config_push_failed", 1)
-		s.o.Log.Debugf(logPrefix+"push to %s failed: %v", address, err)
+		s.o.Log.Debugf("push to %s failed: %v", address, err)
 		return false
 	}
 	return true
@@ -170,7 +170,7 @@
 			return
 		}
 		if err := s.installFetched(response); err != nil {
-			s.o.Log.Warnf(logPrefix+"configuration of a peer is not used: %v", err)
+			s.o.Log.Warnf("configuration of a peer is not used: %v", err)
 		}
 	}
 }
--- a/configuration/store.go
+++ b/configuration/store.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"bergamotstile/declaration"
+	"bergamotstile/logging"
 	"bergamotstile/metrics"
 	"bergamotstile/peer"
 	"bergamotstile/platform"
@@ -44,9 +45,6 @@
 	pushTimeout = 500 * time.Millisecond
 )
 
-// logPrefix starts every log line of this package.
-const logPrefix = "config: "
-
 // Errors inside the package; callers of Apply see refusals.
 var (
 	errCorrupt = errors.New("configuration record is not valid")
@@ -126,9 +124,7 @@
 
 // New returns a store without a configuration.
 func New(o Options) *Store {
-	if o.Log == nil {
-		o.Log = logrus.StandardLogger()
-	}
+	o.Log = logging.Part(o.Log, "config")
 	if o.Metrics == nil {
 		o.Metrics = metrics.NewSet()
 	}
@@ -191,7 +187,7 @@
 		return
 	}
 	s.o.Metrics.Count("config_poll_failed", 1)
-	s.o.Log.Debugf(logPrefix+"poll failed: %v", err)
+	s.o.Log.Debugf("poll failed: %v", err)
 	s.fetchFromPeers(ctx)
 }
 
--- a/demo/cluster.go
+++ b/demo/cluster.go
@@ -46,7 +46,7 @@
 type cluster struct {
 	declared *declaration.Deployment
 	clock    clockwork.Clock
-	log      *logrus.Entry
+	log      *logrus.Logger
 	seed     uint64
 	platform *standin.Platform
 	// platformAddress is where instances and workers reach the platform.
@@ -62,7 +62,7 @@
 }
 
 // start brings up all parts. Nothing is declared yet.
-func start(ctx context.Context, d *declaration.Deployment, seed uint64, log *logrus.Entry) (*cluster, error) {
+func start(ctx context.Context, d *declaration.Deployment, seed uint64, log *logrus.Logger) (*cluster, error) {
 	c := &cluster{declared: d, clock: clockwork.NewRealClock(), log: log, seed: seed}
 	standIns, stop := context.WithCancel(context.WithoutCancel(ctx))
 	c.standIns = standIns
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -15,6 +15,7 @@
 
 	"bergamotstile/declaration"
 	"bergamotstile/examples"
+	"bergamotstile/logging"
 	"bergamotstile/settings"
 )
 
@@ -63,12 +64,9 @@
 	return d, d.Check(settings.Default().Limits())
 }
 
-func newLog(verbose bool) *logrus.Entry {
-	log := logrus.New()
-	log.SetOutput(os.Stderr)
-	log.SetLevel(logrus.ErrorLevel)
+func newLog(verbose bool) *logrus.Logger {
 	if verbose {
-		log.SetLevel(logrus.InfoLevel)
+		return logging.New(os.Stderr, logrus.InfoLevel)
 	}
-	return logrus.NewEntry(log)
+	return logging.New(os.Stderr, logrus.ErrorLevel)
 }
--- a/demo/run.go
+++ b/demo/run.go
@@ -80,7 +80,9 @@
 	err = wait(ctx, "every instance is ready and every domain has an owner", func() bool {
 		return r.balancer.look(ctx) == len(r.cluster.entries) && len(r.owners(ctx)) == len(d.Domains)*max(d.ShardsPerDomain, 1)
 	})
-	r.say("version %d is in force on all instances", version)
+	if err == nil {
+		r.say("version %d is in force on all instances", version)
+	}
 	return err
 }
 
@@ -118,7 +120,7 @@
 
 func (r *run) submitRenders(ctx context.Context) error {
 	for n := range renders {
-		id, err := r.submitRender(ctx, fmt.Sprintf("demo-render-%d", n), renderMS)
+		id, err := r.submitRender(ctx, fmt.Sprintf("demo-render-%d", n), "", renderMS)
 		if err != nil {
 			return err
 		}
@@ -128,9 +130,10 @@
 	return r.refuseTooLarge(ctx)
 }
 
-// submitRender repeats a submit under its key until it is accepted.
-func (r *run) submitRender(ctx context.Context, key string, runMS int) (structs.WorkID, error) {
-	s := callerapi.Submit{Team: r.plan.render.Team, Job: r.plan.render.Kind, Key: key,
+// submitRender repeats a submit under its key until it is accepted. An empty
+// domain leaves the choice to the deployment.
+func (r *run) submitRender(ctx context.Context, key, domain string, runMS int) (structs.WorkID, error) {
+	s := callerapi.Submit{Team: r.plan.render.Team, Job: r.plan.render.Kind, Key: key, Domain: domain,
 		Payload: fmt.Appendf(nil, `{"run_ms":%d}`, runMS)}
 	var id structs.WorkID
 	err := wait(ctx, key+" is accepted", func() bool {
@@ -156,8 +159,12 @@
 }
 
 // evictOne evicts a running render, which then resumes from its checkpoint.
+// The policy would not do it: the Society's renders are not idempotent, and
+// would be lost if a checkpoint failed.
 func (r *run) evictOne(ctx context.Context) error {
-	id, err := r.submitRender(ctx, "demo-evicted", evictedMS)
+	domains := r.cluster.declared.DomainsFitting(r.plan.render.Size)
+	domain := domains[len(domains)-1]
+	id, err := r.submitRender(ctx, "demo-evicted", domain, evictedMS)
 	if err != nil {
 		return err
 	}
@@ -167,22 +174,21 @@
 		return err
 	}
 	sleep(ctx, evictAfter)
-	err = wait(ctx, "an owner evicts the render", func() bool {
-		for _, e := range r.cluster.entries {
-			if e.Evict(id, "demo") == nil {
-				return true
-			}
-		}
-		return false
-	})
-	if err != nil {
+	shard := structs.ShardOf(domain, string(id), max(r.cluster.declared.ShardsPerDomain, 1))
+	owner := r.owners(ctx)[shard.String()]
+	if owner == nil {
+		return fmt.Errorf("shard %s has no owner", shard)
+	}
+	if err := owner.Evict(shard, id, "demo"); err != nil {
 		return err
 	}
 	err = wait(ctx, "the evicted render runs again", func() bool {
 		w, err := account(ctx, r.balancer.pick(), id)
-		return err == nil && w.Evictions > 0 && w.Attempts > 1
+		return err == nil && w.Evictions > 0 && w.State == structs.StateRunning
 	})
-	r.say("one render was evicted and runs again")
+	if err == nil {
+		r.say("one render was evicted in %s and runs again", domain)
+	}
 	return err
 }
 
@@ -209,7 +215,8 @@
 // drainOne drains the owner of a shard while callers send proofs.
 func (r *run) drainOne(ctx context.Context) error {
 	owners := r.owners(ctx)
-	shard := structs.ShardID{Domain: r.cluster.declared.Domains[0].Name}.String()
+	// The first domain is not that of the evicted render, whose owner stays.
+	shard := structs.ShardID{Domain: r.cluster.declared.DomainNames()[0]}.String()
 	e := owners[shard]
 	if e == nil {
 		return fmt.Errorf("shard %s has no owner", shard)
--- a/entry/core.go
+++ b/entry/core.go
@@ -9,6 +9,7 @@
 
 	"bergamotstile/declaration"
 	"bergamotstile/lifecycle"
+	"bergamotstile/logging"
 	"bergamotstile/ownership"
 	"bergamotstile/peer"
 	"bergamotstile/policy"
@@ -68,7 +69,7 @@
 	tree.Add("standing jobs", c.standing)
 	tree.Add("policy feed", &policyFeed{instance: i, core: c})
 	i.core.Store(c)
-	prefixed(i.log, "core").WithField("shards_per_domain", c.shards).Info("Configuration found; work is accepted.")
+	logging.Part(i.log, "entry").WithField("shards_per_domain", c.shards).Info("configuration found, work is accepted")
 }
 
 func (i *Instance) newOwnership(shards int) *ownership.Manager {
@@ -77,7 +78,7 @@
 		Self: i.member(), Shards: shards,
 		Lease: s.LeaseMS.Duration(), Margin: s.LeaseMarginMS.Duration(),
 	}, ownership.Dependencies{
-		Table: i.table, Members: i.view, Peers: i.peers, NewWriteID: uuid.NewString,
+		Table: i.table, Members: i.view, Peers: i.peers, Log: i.log, NewWriteID: uuid.NewString,
 	}, i.clock)
 }
 
@@ -92,7 +93,7 @@
 		Table: i.table, Objects: i.platform, Workers: i.workers, View: i.view,
 		Leases: c.ownership, Policy: c.policy, Hinter: &hinter{i},
 		Verdicts: &verdicts{policy: c.policy, clock: i.clock},
-		Domains:  i.domains, NewWriteID: uuid.NewString,
+		Domains:  i.domains, Log: i.log, NewWriteID: uuid.NewString,
 	}, i.clock)
 }
 
@@ -108,7 +109,7 @@
 		Clock:     i.clock,
 		Ownership: &shardOwners{manager: c.ownership, view: i.view, domain: s.Domain},
 		Members:   i.view, Peers: i.peers, Topology: &topology{instance: i, shards: c.shards},
-		Runners: i.runners, Table: i.table, Objects: i.platform, Metrics: i.metrics,
+		Runners: i.runners, Table: i.table, Objects: i.platform, Metrics: i.metrics, Log: i.log,
 	})
 }
 
--- a/entry/drain.go
+++ b/entry/drain.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"bergamotstile/httpserver"
+	"bergamotstile/logging"
 	"bergamotstile/structs"
 )
 
@@ -19,19 +20,19 @@
 // and their heartbeats never cease.
 func (i *Instance) drain(ctx context.Context, callers, peers *httpserver.Server) {
 	i.draining.Store(true)
-	log := prefixed(i.log, "drain")
-	log.Info("Drain begins.")
+	log := logging.Part(i.log, "drain")
+	log.Info("drain begins")
 	ctx, cancel := context.WithTimeout(ctx, i.settings.DrainMaxMS.Duration())
 	defer cancel()
 	i.waitForBalancer(ctx)
 	i.releaseShards(ctx)
 	if err := callers.Drain(ctx, callerQuiet); err != nil {
-		log.WithError(err).Error("Drain ended with callers' requests in flight.")
+		log.WithError(err).Error("drain ended with callers' requests in flight")
 	}
 	if err := peers.Drain(ctx, 0); err != nil {
-		log.WithError(err).Error("Drain ended with forwarded requests in flight.")
+		log.WithError(err).Error("drain ended with forwarded requests in flight")
 	}
-	log.Info("Drain ended.")
+	log.Info("drain ended")
 }
 
 // waitForBalancer gives peers and the balancer the time of two heartbeats to
@@ -50,6 +51,6 @@
 	}
 	err := c.ownership.Release(ctx, func(shard structs.ShardID) time.Duration { return c.router.Quiet(shard) })
 	if err != nil {
-		prefixed(i.log, "drain").WithError(err).Warn("Shards were not released; they are free after a lease.")
+		logging.Part(i.log, "drain").WithError(err).Warn("shards were not released and are free after a lease")
 	}
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"sync/atomic"
 
 	"github.com/google/uuid"
@@ -15,6 +16,7 @@
 	"bergamotstile/callerapi"
 	"bergamotstile/configuration"
 	"bergamotstile/httpserver"
+	"bergamotstile/logging"
 	"bergamotstile/membership"
 	"bergamotstile/metrics"
 	"bergamotstile/peer"
@@ -30,7 +32,7 @@
 // Instance is one entry instance.
 type Instance struct {
 	settings *settings.Settings
-	log      *logrus.Entry
+	log      logrus.FieldLogger
 	clock    clockwork.Clock
 	metrics  *metrics.Set
 
@@ -50,7 +52,7 @@
 }
 
 // New returns an instance that does nothing until Run.
-func New(s *settings.Settings, log *logrus.Entry) *Instance {
+func New(s *settings.Settings, log logrus.FieldLogger) *Instance {
 	clock := clockwork.NewRealClock()
 	i := &Instance{
 		settings: s,
@@ -68,7 +70,7 @@
 	i.config = configuration.New(configuration.Options{
 		Name: s.Name, Table: i.table, Objects: i.platform, Peers: i.peers, View: i.view,
 		Clock: clock, Poll: s.ConfigPollMS.Duration(), Limits: s.Limits(),
-		Log: prefixed(i.log, "config"), Metrics: i.metrics,
+		Log: i.log, Metrics: i.metrics,
 	})
 	return i
 }
@@ -87,7 +89,7 @@
 		Peers:         i.peers,
 		Runners:       i.runners,
 		Clock:         i.clock,
-		Log:           prefixed(i.log, "membership"),
+		Log:           i.log,
 		Draining:      i.draining.Load,
 		TableUp:       i.direct.Up,
 		ConfigVersion: func() uint64 { _, version := i.config.Current(); return version },
@@ -109,21 +111,21 @@
 	}
 }
 
-// prefixed gives the log lines of a part their fixed prefix.
-func prefixed(log *logrus.Entry, part string) *logrus.Entry {
-	return log.WithField("part", part)
-}
-
 // Run serves until ctx ends, then drains. It returns an error if the instance
 // cannot start, or if its parts keep failing.
 func (i *Instance) Run(ctx context.Context) error {
 	defer i.closeClients()
-	peerServer, err := httpserver.Start(i.settings.PeerAddress, peer.NewHandler(&peerService{i}))
+	log := logging.Part(i.log, "entry")
+	peerListener, callerListener, err := i.listen()
+	if err != nil {
+		return err
+	}
+	peerServer, err := httpserver.StartOn(peerListener, peer.NewHandler(&peerService{i}))
 	if err != nil {
 		return fmt.Errorf("peer address: %w", err)
 	}
 	defer peerServer.Close()
-	callerServer, err := httpserver.Start(i.settings.CallerAddress, i.callerHandler(), "/healthz", "/readyz", "/debug/vars")
+	callerServer, err := httpserver.StartOn(callerListener, i.callerHandler(), "/healthz", "/readyz", "/debug/vars")
 	if err != nil {
 		return fmt.Errorf("caller address: %w", err)
 	}
@@ -135,7 +137,7 @@
 	tree := i.newTree()
 	ended := make(chan error, 1)
 	go func() { ended <- tree.Serve(duties) }()
-	i.log.Info("Instance serves.")
+	log.Info("instance serves")
 
 	select {
 	case <-ctx.Done():
@@ -146,12 +148,24 @@
 	if err == nil {
 		err = <-ended
 	}
-	i.log.Info("Instance stopped.")
+	log.Info("instance stopped")
 	return err
 }
 
+// listen takes both addresses or none.
+func (i *Instance) listen() (peers, callers net.Listener, err error) {
+	if peers, err = net.Listen("tcp", i.settings.PeerAddress); err != nil {
+		return nil, nil, fmt.Errorf("peer address: %w", err)
+	}
+	if callers, err = net.Listen("tcp", i.settings.CallerAddress); err != nil {
+		_ = peers.Close()
+		return nil, nil, fmt.Errorf("caller address: %w", err)
+	}
+	return peers, callers, nil
+}
+
 func (i *Instance) newTree() *supervisor.Tree {
-	tree := supervisor.New(i.settings.Name, prefixed(i.log, "supervisor"))
+	tree := supervisor.New(i.settings.Name, i.log)
 	tree.Add("table monitor", i.direct)
 	tree.Add("membership", i.view)
 	tree.Add("configuration", i.config)
--- /dev/null
+++ b/entry/entry_test.go
@@ -0,0 +1,179 @@
+package entry
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"bergamotstile/callerapi"
+	"bergamotstile/declaration"
+	"bergamotstile/structs"
+)
+
+func size(cpu, memory, accelerators int64) structs.Resources {
+	return structs.Resources{CPUMilli: cpu, MemoryMB: memory, Accelerators: accelerators}
+}
+
+// deployment has large workers with accelerators in one failure domain only.
+func deployment() *declaration.Deployment {
+	return &declaration.Deployment{
+		ShardsPerDomain: 1,
+		WorkerShapes: []declaration.WorkerShape{
+			{Name: "small", Capacity: size(8000, 16000, 0)},
+			{Name: "large", Capacity: size(32000, 64000, 2)},
+		},
+		Domains: []declaration.Domain{
+			{Name: "east", Workers: []declaration.WorkerGroup{{Shape: "small", Count: 4}}},
+			{Name: "west", Workers: []declaration.WorkerGroup{{Shape: "large", Count: 1}}},
+		},
+		Teams: []declaration.Team{
+			{Name: "members", Weight: 3, Quota: size(40000, 80000, 2)},
+			{Name: "stock", Weight: 1, Quota: size(2000, 4000, 0)},
+		},
+		BatchJobs: []declaration.BatchJob{
+			{Kind: "render", Team: "members", Class: declaration.ClassLow, Size: size(4000, 8000, 0), ExpectedRunMS: 1000, MaxRunMS: 9000},
+			{Kind: "carve", Team: "members", Size: size(4000, 8000, 1), Idempotent: true},
+		},
+		StandingJobs: []declaration.StandingJob{
+			{Kind: "watch", Team: "stock", Class: declaration.ClassLow, Replicas: 2, Size: size(1000, 2000, 0), Idempotent: true},
+		},
+	}
+}
+
+// Guards against submits that run with figures nobody declared or asked for,
+// and against accepting work that can never run.
+func TestWorkSpec(t *testing.T) {
+	render := callerapi.Submit{Team: "members", Key: "k", Job: "render"}
+	cases := []struct {
+		name   string
+		change func(*callerapi.Submit)
+		want   func(*structs.WorkSpec)
+		reason structs.Reason
+	}{
+		{"as declared", func(*callerapi.Submit) {}, func(*structs.WorkSpec) {}, ""},
+		{"other class", func(s *callerapi.Submit) { s.Class = declaration.ClassUrgent },
+			func(w *structs.WorkSpec) { w.Class = structs.ClassUrgent }, ""},
+		{"other size", func(s *callerapi.Submit) { s.Size = size(1, 1, 0) },
+			func(w *structs.WorkSpec) { w.Size = size(1, 1, 0) }, ""},
+		{"other times", func(s *callerapi.Submit) { s.ExpectedRunMS, s.MaxRunMS = 7, 8 },
+			func(w *structs.WorkSpec) { w.ExpectedRunMS, w.MaxRunMS = 7, 8 }, ""},
+		{"named domain", func(s *callerapi.Submit) { s.Domain = "east" },
+			func(w *structs.WorkSpec) { w.Domain = "east" }, ""},
+		{"only domain that fits", func(s *callerapi.Submit) { s.Job = "carve" },
+			func(w *structs.WorkSpec) {
+				*w = structs.WorkSpec{Team: "members", Key: "k", Job: "carve", Kind: structs.KindBatch, Class: structs.ClassNormal,
+					Size: size(4000, 8000, 1), Idempotent: true, Domain: "west"}
+			}, ""},
+		{"unknown team", func(s *callerapi.Submit) { s.Team = "strangers" }, nil, structs.ReasonUnknownTeam},
+		{"unknown job", func(s *callerapi.Submit) { s.Job = "watch" }, nil, structs.ReasonUnknownJob},
+		{"job of another team", func(s *callerapi.Submit) { s.Team = "stock" }, nil, structs.ReasonUnknownJob},
+		{"above the quota", func(s *callerapi.Submit) { s.Size = size(40001, 1, 0) }, nil, structs.ReasonOverQuota},
+		{"above every worker", func(s *callerapi.Submit) { s.Size = size(32001, 1, 0) }, nil, structs.ReasonNeverFits},
+		{"above the domain's workers", func(s *callerapi.Submit) { s.Job, s.Domain = "carve", "east" }, nil, structs.ReasonNeverFits},
+	}
+	for _, c := range cases {
+		submit := render
+		c.change(&submit)
+		got, err := workSpec(deployment(), submit)
+		if c.reason != "" {
+			if err == nil || structs.AsRefusal(err).Reason != c.reason || structs.AsRefusal(err).Outcome != structs.OutcomeNotRun {
+				t.Errorf("%s: error %v, want %s", c.name, err, c.reason)
+			}
+			continue
+		}
+		want := structs.WorkSpec{Team: "members", Key: "k", Job: "render", Kind: structs.KindBatch, Class: structs.ClassLow,
+			Size: size(4000, 8000, 0), ExpectedRunMS: 1000, MaxRunMS: 9000}
+		c.want(&want)
+		if err != nil || got.ID() != want.ID() || !sameSpec(got, want) {
+			t.Errorf("%s: got %+v, %v, want %+v", c.name, got, err, want)
+		}
+	}
+}
+
+func sameSpec(a, b structs.WorkSpec) bool {
+	return a.Team == b.Team && a.Key == b.Key && a.Job == b.Job && a.Kind == b.Kind && a.Class == b.Class && a.Size == b.Size &&
+		a.ExpectedRunMS == b.ExpectedRunMS && a.MaxRunMS == b.MaxRunMS && a.Idempotent == b.Idempotent && a.Domain == b.Domain
+}
+
+// Guards against shares that together exceed a quota by more than the team's
+// largest job in each shard, and against shares in which that job never fits.
+func TestTeamSharesStayWithinTheQuota(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := deployment()
+		shards := rapid.IntRange(1, 4).Draw(t, "shards")
+		for i := range d.Domains {
+			d.Domains[i].Workers[0].Count = rapid.IntRange(0, 20).Draw(t, "workers")
+		}
+		d.Teams[0].Quota.CPUMilli = rapid.Int64Range(4000, 1_000_000).Draw(t, "quota")
+		sum := map[string]int64{}
+		for _, domain := range d.DomainNames() {
+			for name, share := range teamShares(d, domain, shards) {
+				if !largestJob(d, name).Fits(share.Limit) {
+					t.Fatalf("share %+v of %s in %s holds none of its jobs", share, name, domain)
+				}
+				sum[name] += share.Limit.CPUMilli * int64(shards)
+			}
+		}
+		for _, team := range d.Teams {
+			slack := largestJob(d, team.Name).CPUMilli * int64(shards*len(d.Domains))
+			if declaredCPU(d, "") > 0 && sum[team.Name] > team.Quota.CPUMilli+slack {
+				t.Fatalf("shares of %s sum to %d, the quota is %d", team.Name, sum[team.Name], team.Quota.CPUMilli)
+			}
+		}
+	})
+}
+
+// Guards against shares that do not follow the domain's part of the capacity.
+func TestTeamSharesFollowCapacity(t *testing.T) {
+	for domain, want := range map[string]structs.Resources{"east": size(20000, 40000, 1), "west": size(20000, 40000, 1)} {
+		if got := teamShares(deployment(), domain, 1)["members"]; got.Limit != want || got.Weight != 3 {
+			t.Errorf("%s: share %+v, want %+v", domain, got, want)
+		}
+	}
+	if got := teamShares(deployment(), "east", 2)["members"].Limit; got != size(10000, 20000, 1) {
+		t.Errorf("share of one of two shards is %+v", got)
+	}
+}
+
+// Guards against an apply that makes recorded work unfindable.
+func TestShardCountCannotChange(t *testing.T) {
+	of := func(n int) *declaration.Deployment { return &declaration.Deployment{ShardsPerDomain: n} }
+	cases := []struct {
+		current, next *declaration.Deployment
+		refused       bool
+	}{
+		{nil, of(4), false}, {of(4), of(4), false}, {of(0), of(1), false}, {of(1), of(0), false},
+		{of(1), of(2), true}, {of(2), of(0), true},
+	}
+	for _, c := range cases {
+		err := checkShardCount(c.current, c.next)
+		if (err != nil) != c.refused {
+			t.Errorf("from %+v to %+v: %v", c.current, c.next, err)
+		}
+		if err != nil && structs.AsRefusal(err).Reason != structs.ReasonDeclarationInvalid {
+			t.Errorf("reason %v", err)
+		}
+	}
+}
+
+// Guards against replicas that share a row, and against rows that differ
+// between instances that record the same replica.
+func TestStandingSpecs(t *testing.T) {
+	job := deployment().StandingJobs[0]
+	seen := map[structs.WorkID]bool{}
+	for replica := range 3 {
+		spec := standingSpec(job, replica)
+		if seen[spec.ID()] || spec.ID() != standingSpec(job, replica).ID() {
+			t.Errorf("replica %d has ID %s", replica, spec.ID())
+		}
+		seen[spec.ID()] = true
+		if spec.Kind != structs.KindStanding || spec.Class != structs.ClassLow || spec.Size != job.Size || !spec.Idempotent {
+			t.Errorf("replica %d: %+v", replica, spec)
+		}
+	}
+	other := job
+	other.Kind = "watch2"
+	if seen[standingSpec(other, 0).ID()] {
+		t.Error("replicas of different jobs share an ID")
+	}
+}
--- a/httpserver/httpserver.go
+++ b/httpserver/httpserver.go
@@ -46,11 +46,19 @@
 // probePaths do not count as activity in a drain: a balancer asks them for as
 // long as the server answers.
 func Start(address string, handler http.Handler, probePaths ...string) (*Server, error) {
-	// The engine's own Start does not return if it cannot listen (nbio 1.6.8).
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
+	return StartOn(listener, handler, probePaths...)
+}
+
+// StartOn serves handler on a listener, as Start does. The engine gets a
+// listener because it may not return from a failed start: its pollers miss a
+// stop that comes before they run (nbio 1.6.8). For the same reason, a caller
+// that needs several addresses listens on all of them before it starts one.
+func StartOn(listener net.Listener, handler http.Handler, probePaths ...string) (*Server, error) {
+	address := listener.Addr().String()
 	s := &Server{probePaths: probePaths, watch: newDisconnectWatch()}
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
 		Network:         "tcp",
--- a/lifecycle/config.go
+++ b/lifecycle/config.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"bergamotstile/ownership"
 	"bergamotstile/platform"
 	"bergamotstile/scheduler"
@@ -147,6 +149,8 @@
 	Policy   Policy
 	Hinter   Hinter
 	Verdicts Verdicts
+	// Log may be nil, which stands for the standard logger.
+	Log logrus.FieldLogger
 	// Domains returns the declared failure domains.
 	Domains func() []string
 	// NewWriteID returns an ID that no other write has.
--- a/lifecycle/manager.go
+++ b/lifecycle/manager.go
@@ -8,6 +8,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
 
+	"bergamotstile/logging"
 	"bergamotstile/ring"
 	"bergamotstile/structs"
 )
@@ -36,6 +37,7 @@
 
 // NewManager returns a manager that does nothing until Serve runs.
 func NewManager(cfg Config, deps Dependencies, clock clockwork.Clock) *Manager {
+	deps.Log = logging.Part(deps.Log, "lifecycle")
 	return &Manager{cfg: cfg.withDefaults(), deps: deps, clock: clock, shards: map[structs.ShardID]*driver{}}
 }
 
@@ -78,7 +80,7 @@
 	}
 	d = newDriver(newCore(m.cfg, m.deps, m.clock, lease))
 	m.shards[shard] = d
-	logrus.Infof("lifecycle: shard %s acquired, epoch %d", shard, lease.Epoch)
+	m.deps.Log.WithFields(logrus.Fields{"shard": shard, "epoch": lease.Epoch}).Info("shard acquired")
 	go d.run(ctx)
 }
 
--- a/lifecycle/recovery.go
+++ b/lifecycle/recovery.go
@@ -81,7 +81,7 @@
 	}
 	c.ready = true
 	c.planner.dirty = true
-	logrus.Infof("lifecycle: shard %s recovered, %d items, epoch %d", c.lease.Shard, len(c.items), c.lease.Epoch)
+	c.deps.Log.WithFields(logrus.Fields{"shard": c.lease.Shard, "items": len(c.items), "epoch": c.lease.Epoch}).Info("shard recovered")
 	for _, id := range sortedIDs(c.items) {
 		c.advance(c.items[id])
 	}
@@ -91,7 +91,7 @@
 func (c *core) learn(row platform.Row) {
 	item, err := decodeItem(row)
 	if err != nil {
-		logrus.Errorf("lifecycle: %v", err)
+		c.deps.Log.WithError(err).Error("row cannot be decoded")
 		return
 	}
 	if c.items[item.ID] != nil || row.Key != workKey(c.lease.Shard, item.ID) {
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -13,6 +13,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
 
+	"bergamotstile/logging"
 	"bergamotstile/peer"
 	"bergamotstile/platform"
 	"bergamotstile/runnerapi"
@@ -74,9 +75,7 @@
 	if c.Clock == nil {
 		c.Clock = clockwork.NewRealClock()
 	}
-	if c.Log == nil {
-		c.Log = logrus.StandardLogger()
-	}
+	c.Log = logging.Part(c.Log, "membership")
 	setDefault(&c.ListInterval, DefaultListInterval)
 	setDefault(&c.PeerInterval, DefaultPeerInterval)
 	setDefault(&c.ProbeInterval, DefaultProbeInterval)
--- a/membership/serve.go
+++ b/membership/serve.go
@@ -97,10 +97,10 @@
 
 func (v *View) logList(err error) {
 	if err != nil {
-		v.config.Log.Warnf("membership: list unusable, going on by probes: %v", err)
+		v.config.Log.WithError(err).Warn("list unusable, going on by probes")
 		return
 	}
-	v.config.Log.Info("membership: list usable again")
+	v.config.Log.Info("list usable again")
 }
 
 // rounds calls every due member at each interval and when there are new ones.
--- a/ownership/config.go
+++ b/ownership/config.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"bergamotstile/peer"
 	"bergamotstile/platform"
 	"bergamotstile/structs"
@@ -80,6 +82,8 @@
 	Table   platform.Table
 	Members Members
 	Peers   Peers
+	// Log may be nil, which stands for the standard logger.
+	Log logrus.FieldLogger
 	// NewWriteID returns an ID that no other write has.
 	NewWriteID func() string
 }
--- a/ownership/manager.go
+++ b/ownership/manager.go
@@ -8,6 +8,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
 
+	"bergamotstile/logging"
 	"bergamotstile/structs"
 )
 
@@ -17,6 +18,7 @@
 	cfg   Config
 	deps  Dependencies
 	clock clockwork.Clock
+	log   *logrus.Entry
 
 	mu       sync.Mutex
 	shards   map[structs.ShardID]*shardState
@@ -37,7 +39,7 @@
 // NewManager returns a manager that owns nothing until Serve runs.
 func NewManager(cfg Config, deps Dependencies, clock clockwork.Clock) *Manager {
 	m := &Manager{
-		cfg: cfg.withDefaults(), deps: deps, clock: clock,
+		cfg: cfg.withDefaults(), deps: deps, clock: clock, log: logging.Part(deps.Log, "ownership"),
 		shards: map[structs.ShardID]*shardState{},
 		wake:   make(chan struct{}, 1),
 		events: make(chan Event, eventBuffer),
@@ -194,5 +196,5 @@
 	s.held, s.releasing = false, false
 	s.validUntil, s.extendedUntil = time.Time{}, time.Time{}
 	m.emit(s.lease, false)
-	logrus.Warnf("ownership: shard %s lost, epoch %d", s.id, s.lease.Epoch)
+	m.log.WithFields(logrus.Fields{"shard": s.id, "epoch": s.lease.Epoch}).Warn("shard lost")
 }
--- a/ownership/step.go
+++ b/ownership/step.go
@@ -83,7 +83,7 @@
 	}
 	r, err := decodeReading(s.id, rows)
 	if err != nil {
-		logrus.Errorf("ownership: %v", err)
+		m.log.WithError(err).Error("row cannot be decoded")
 	}
 	return r, err
 }
@@ -261,7 +261,7 @@
 		s.lease = Lease{Shard: s.id, Epoch: w.row.Epoch, Fence: platform.Condition{Key: EpochKey(s.id), Version: version}}
 		s.validUntil, s.extendedUntil, s.dispatchAfter = until, time.Time{}, quietUntil
 		m.emit(s.lease, true)
-		logrus.Infof("ownership: shard %s taken, epoch %d", s.id, w.row.Epoch)
+		m.log.WithFields(logrus.Fields{"shard": s.id, "epoch": w.row.Epoch}).Info("shard taken")
 	case writeRenew:
 		s.validUntil = until
 	case writeRelease:
--- a/routing/keyed.go
+++ b/routing/keyed.go
@@ -203,7 +203,7 @@
 	res.endsBy = c.deadline.Add(r.Settings.Settle)
 	defer func() {
 		if p := recover(); p != nil {
-			logrus.Errorf("routing: attempt of request %s: panic: %v", c.req.ID, p)
+			r.Log.WithFields(logrus.Fields{"request": c.req.ID, "panic": p}).Error("attempt ended abnormally")
 		}
 		r.keys.finish(e, res)
 		if res.pending != nil {
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -14,8 +14,10 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
+	"bergamotstile/logging"
 	"bergamotstile/metrics"
 	"bergamotstile/peer"
 	"bergamotstile/platform"
@@ -73,6 +75,8 @@
 	Table     platform.Table
 	Objects   platform.ObjectStore
 	Metrics   *metrics.Set
+	// Log may be nil, which stands for the standard logger.
+	Log logrus.FieldLogger
 }
 
 // Router handles requests on one instance.
@@ -102,6 +106,7 @@
 	if c.Metrics == nil {
 		c.Metrics = metrics.NewSet()
 	}
+	c.Log = logging.Part(c.Log, "routing")
 	return &Router{
 		Config:   c,
 		budgets:  retry.New(c.Settings.Retry, c.Clock, c.Metrics),
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -12,6 +12,8 @@
 
 	"github.com/sirupsen/logrus"
 	"github.com/thejerf/suture/v4"
+
+	"bergamotstile/logging"
 )
 
 // Restart limits of a tree.
@@ -38,7 +40,8 @@
 }
 
 // New returns an empty tree.
-func New(name string, log *logrus.Entry) *Tree {
+func New(name string, parent logrus.FieldLogger) *Tree {
+	log := logging.Part(parent, "supervisor")
 	t := &Tree{failing: make(chan struct{})}
 	t.root = suture.New(name, suture.Spec{
 		FailureThreshold: failureThreshold,
@@ -96,8 +99,8 @@
 func logEvent(log *logrus.Entry, e suture.Event) {
 	switch e.Type() {
 	case suture.EventTypeServicePanic, suture.EventTypeServiceTerminate:
-		log.WithField("event", e.String()).Error("Part failed and is restarted.")
+		log.WithField("event", e.String()).Error("part failed and is restarted")
 	case suture.EventTypeBackoff:
-		log.WithField("event", e.String()).Error("Parts fail too often; the process leaves.")
+		log.WithField("event", e.String()).Error("parts fail too often, the instance leaves")
 	}
 }
