--- a/entry/feed.go
+++ b/entry/feed.go
@@ -28,6 +28,7 @@
 	for {
 		f.configure()
 		f.observe()
+		f.gauges()
 		select {
 		case <-ctx.Done():
 			return nil
@@ -57,6 +58,24 @@
 	}
 }
 
+// gauges shows what this instance owns and how many requests wait here. A
+// shard that is not owned has epoch 0.
+func (f *policyFeed) gauges() {
+	i := f.instance
+	for index := range f.core.shards {
+		shard := structs.ShardID{Domain: i.settings.Domain, Index: index}
+		lease, _ := f.core.ownership.Held(shard)
+		i.metrics.Gauge("lease_epoch_"+shard.String(), int64(lease.Epoch))
+	}
+	d, _ := i.config.Current()
+	for _, s := range d.Services {
+		i.metrics.Gauge("queue_depth_"+s.Name, int64(f.core.router.Latency(s.Name).Waiting))
+	}
+	for _, p := range i.view.Peers() {
+		i.metrics.Gauge("config_version_of_"+p.Member.Name, int64(p.Beat.ConfigVersion))
+	}
+}
+
 func serviceSample(w routing.RunnerWindow) policy.ServiceSample {
 	slotTime := w.Length * time.Duration(max(w.Runner.Slots, 1))
 	return policy.ServiceSample{
