--- a/builtin/builtin.go
+++ b/builtin/builtin.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"os"
 	"os/signal"
@@ -12,7 +13,9 @@
 
 	"bergamotstile/bench"
 	"bergamotstile/command"
+	"bergamotstile/demo"
 	"bergamotstile/entry"
+	"bergamotstile/logging"
 	"bergamotstile/settings"
 	"bergamotstile/standin"
 )
@@ -29,6 +32,7 @@
 func Registry() command.Registry {
 	return command.Registry{
 		Entry:           runEntry,
+		Demo:            runDemo,
 		Bench:           runBench,
 		StandinPlatform: runPlatform,
 		StandinWorker:   runWorker,
@@ -38,9 +42,19 @@
 }
 
 func runEntry(ctx context.Context, s *settings.Settings) error {
-	log := logrus.New()
-	log.SetOutput(os.Stderr)
-	return entry.New(s, logrus.NewEntry(log)).Run(ctx)
+	return entry.New(s, logging.New(os.Stderr, logrus.InfoLevel)).Run(ctx)
+}
+
+func runDemo(ctx context.Context, o command.DemoOptions, out io.Writer) error {
+	options := demo.Options{Seed: o.Seed, Verbose: o.Verbose}
+	if o.Declaration != "" {
+		file, err := os.ReadFile(o.Declaration)
+		if err != nil {
+			return fmt.Errorf("declaration: %w", err)
+		}
+		options.Declaration = file
+	}
+	return demo.Main(ctx, options, out)
 }
 
 func runBench(_ context.Context, o command.BenchOptions, out io.Writer) error {
--- a/httpserver/disconnect_test.go
+++ b/httpserver/disconnect_test.go
@@ -1,9 +1,3 @@
-//go:build !race
-
-// The race detector reports nbio's own hand-over of an accepted connection to
-// its poller, which the kernel orders and the detector cannot see. So tests
-// that run the server are built without it.
-
 package httpserver
 
 import (
--- a/httpserver/httpserver.go
+++ b/httpserver/httpserver.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"slices"
 	"sync/atomic"
@@ -45,16 +46,32 @@
 // probePaths do not count as activity in a drain: a balancer asks them for as
 // long as the server answers.
 func Start(address string, handler http.Handler, probePaths ...string) (*Server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return StartOn(listener, handler, probePaths...)
+}
+
+// StartOn serves handler on a listener, as Start does. The engine gets a
+// listener because it may not return from a failed start: its pollers miss a
+// stop that comes before they run (nbio 1.6.8). For the same reason, a caller
+// that needs several addresses listens on all of them before it starts one.
+func StartOn(listener net.Listener, handler http.Handler, probePaths ...string) (*Server, error) {
+	address := listener.Addr().String()
 	s := &Server{probePaths: probePaths, watch: newDisconnectWatch()}
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
 		Network:         "tcp",
 		Addrs:           []string{address},
+		Listen:          func(string, string) (net.Listener, error) { return listener, nil },
 		MaxHTTPBodySize: MaxBodyBytes,
 		ReadLimit:       readLimitBytes,
 		KeepaliveTime:   keepaliveTime,
 		Handler:         s.track(handler),
 	})
-	if err := startEngine(s.engine, address); err != nil {
+	orderAcceptBeforeRead(s.engine)
+	if err := s.engine.Start(); err != nil {
+		_ = listener.Close()
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
 	go s.watch.serve()
