Tell forgotten outcomes from double runs in the history checks

Work whose only finish was on the restarted worker counted as never finished, and idempotent work that finished there before its restart, unacknowledged, and then ran again from the same checkpoint counted as resumed twice.

Ruled out: a double run by the owner; in each trace the earlier run finished on the restarted worker before its restart and the work is idempotent.

Now a finish is set aside only if it is such a case and a later run exists; two finishes or resumptions of billed work fail as before.

--- a/demo/check.go
+++ b/demo/check.go
@@ -22,7 +22,7 @@
 		history.CheckCalls(calls, e.requests),
 		history.CheckAtMostOnce(e.requests, billed),
 		history.CheckGracefulStop(calls),
-		history.CheckResumeOnce(e.work, everyRender),
+		history.CheckResumeOnce(e.work, everyRender, noneForgotten),
 		r.checkAnswered(),
 		r.checkRenders(e),
 		r.checkEvicted(e),
@@ -151,3 +151,6 @@
 func milliseconds(d time.Duration) string {
 	return fmt.Sprintf("%.1f ms", float64(d.Microseconds())/1000)
 }
+
+// noneForgotten holds for the demo, which restarts no worker.
+func noneForgotten(history.Span) bool { return false }
