Check that evicted work goes on from its checkpoint

Cause: a mutation that drops the checkpoint at an eviction passed all scenarios, since idempotent work simply ran again from its beginning.

--- a/history/check.go
+++ b/history/check.go
@@ -72,6 +72,25 @@
 	return out
 }
 
+// CheckEvictionsResume reports evicted work that finished without a run from
+// the checkpoint of its eviction. It holds while the object store is reachable
+// and no worker restarts.
+func CheckEvictionsResume(spans []Span) []Violation {
+	var out []Violation
+	for work, runs := range sortedByWork(spans) {
+		for i, run := range runs {
+			if run.Checkpoint == "" || run.Finished || i+1 == len(runs) {
+				continue
+			}
+			if next := runs[i+1]; next.ResumedFrom != run.Checkpoint {
+				out = append(out, Violation{ResumeOnce, fmt.Sprintf("%s was evicted with %s as %s, and %s ran from %q",
+					work, run.Checkpoint, run.Attempt, next.Attempt, next.ResumedFrom)})
+			}
+		}
+	}
+	return out
+}
+
 // CheckCalls reports answers that belong to another request and accounts of
 // "not run" that are false. A key is judged as a whole: a caller may be told
 // "not run" for one call and then get an answer with the same key, so each run
--- a/history/check_test.go
+++ b/history/check_test.go
@@ -19,6 +19,8 @@
 	overlapping.Start = 4
 	resumed := Span{Work: "w", Attempt: "w.2", Place: "b", Start: 6, End: 7, ResumedFrom: "c1"}
 	resumedAgain := Span{Work: "w", Attempt: "w.3", Place: "c", Start: 8, End: 9, ResumedFrom: "c1"}
+	evicted := first
+	evicted.Checkpoint = "c1"
 	resumedToEnd := resumed
 	resumedToEnd.Finished = true
 	notRun := Call{Work: "w", Outcome: structs.OutcomeNotRun}
@@ -33,6 +35,8 @@
 		{"idempotent work begun twice", CheckAtMostOnce([]Span{first, again}, idempotent), 0},
 		{"billed work resumed", CheckAtMostOnce([]Span{first, resumed}, billed), 0},
 		{"billed work resumed twice", CheckResumeOnce([]Span{first, resumed, resumedAgain}, billed, never), 1},
+		{"evicted work begun anew", CheckEvictionsResume([]Span{evicted, again}), 1},
+		{"evicted work resumed", CheckEvictionsResume([]Span{evicted, resumed}), 0},
 		{"idempotent work resumed after a finish", CheckResumeOnce([]Span{first, resumedToEnd, resumedAgain}, idempotent, never), 1},
 		{"idempotent work resumed after a forgotten finish", CheckResumeOnce([]Span{first, resumedToEnd, resumedAgain}, idempotent, always), 0},
 		{"idempotent work resumed after a crash", CheckResumeOnce([]Span{first, resumed, resumedAgain}, idempotent, never), 0},
--- a/scenario/config_test.go
+++ b/scenario/config_test.go
@@ -187,7 +187,7 @@
 
 // neverReverts checks that no version was accepted twice and that no instance
 // was seen with a lower version after a higher one.
-func neverReverts(r *run) []history.Violation {
+func neverReverts(r *run, _ []history.Span) []history.Violation {
 	out := r.config.doubled
 	if len(r.config.accepted) == 0 {
 		out = append(out, history.Violation{Property: history.Configuration, Detail: "no change was accepted, so the run shows nothing"})
--- a/scenario/faults_test.go
+++ b/scenario/faults_test.go
@@ -14,7 +14,7 @@
 	{name: "quiet", inject: func(t *testing.T, r *run) { r.rest(2000) }},
 	{name: "kill-owner", inject: killOwner},
 	{name: "freeze-owner", inject: freezeOwner},
-	{name: "rolling-restart", options: harness.Options{ServiceMS: 500}, inject: rollingRestart, verify: func(r *run) []history.Violation {
+	{name: "rolling-restart", options: harness.Options{ServiceMS: 500}, inject: rollingRestart, verify: func(r *run, _ []history.Span) []history.Violation {
 		return history.CheckGracefulStop(r.load.calls.Calls())
 	}},
 	{name: "table-down", inject: tableDown},
@@ -24,7 +24,8 @@
 	{name: "runner-faults", inject: runnerFaults},
 	{name: "slow-runners", inject: slowRunners},
 	{name: "worker-faults", inject: workerFaults},
-	{name: "urgent-preempts", options: harness.Options{WorkerCPUMilli: 4000}, inject: func(_ *testing.T, r *run) { r.rest(5000) }},
+	{name: "urgent-preempts", options: harness.Options{WorkerCPUMilli: 4000}, inject: func(_ *testing.T, r *run) { r.rest(5000) },
+		verify: func(_ *run, work []history.Span) []history.Violation { return history.CheckEvictionsResume(work) }},
 	{name: "objects-down", options: harness.Options{WorkerCPUMilli: 4000}, inject: objectsDown},
 	{name: "leaving-runner", inject: leavingRunner, verify: nothingAfterLeaving},
 	{name: "operators-race", inject: operatorsRace, verify: neverReverts},
@@ -193,7 +194,7 @@
 
 // nothingAfterLeaving checks that a leaving runner was sent nothing after the
 // bound, by the runner's own record of what it refused.
-func nothingAfterLeaving(r *run) []history.Violation {
+func nothingAfterLeaving(r *run, _ []history.Span) []history.Violation {
 	var out []history.Violation
 	for name, at := range r.left {
 		for _, sent := range r.RefusedAsLeaving(name) {
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -34,8 +34,8 @@
 	name    string
 	options harness.Options
 	inject  func(t *testing.T, r *run)
-	// verify adds checks of the scenario's own.
-	verify func(r *run) []history.Violation
+	// verify adds checks of the scenario's own. work is the workers' record.
+	verify func(r *run, work []history.Span) []history.Violation
 }
 
 // run is one execution of a scenario.
@@ -141,7 +141,7 @@
 	violations = append(violations, history.CheckCalls(calls, requests)...)
 	violations = append(violations, r.load.checkWork(work)...)
 	if s.verify != nil {
-		violations = append(violations, s.verify(r)...)
+		violations = append(violations, s.verify(r, work)...)
 	}
 	for _, v := range violations {
 		t.Error(v)
