--- a/lifecycle/capacity_test.go
+++ b/lifecycle/capacity_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"runtime"
 	"slices"
 	"testing"
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
 
 	"bergamotstile/ownership"
 	"bergamotstile/platform"
@@ -71,7 +73,9 @@
 			Rack: fmt.Sprintf("rack-%04d", i/8), Address: "10.11.12.13:20001", State: structs.MemberLive})
 	}
 	cfg := Config{Domain: testShard.Domain}.withDefaults()
-	deps := Dependencies{Table: h, View: h, Leases: h, Policy: h, NewWriteID: func() string { return "6ba7b810-9dad-11d1-80b4-00c04fd430c8" }}
+	quiet := logrus.New()
+	quiet.SetOutput(io.Discard)
+	deps := Dependencies{Log: quiet, Table: h, View: h, Leases: h, Policy: h, NewWriteID: func() string { return "6ba7b810-9dad-11d1-80b4-00c04fd430c8" }}
 	return newCore(cfg, deps, h.clock, ownership.Lease{Shard: testShard, Epoch: 1}), h
 }
 
@@ -143,7 +147,8 @@
 	}
 }
 
-// BenchmarkIdleTick measures one tick, 200 of which run each second.
+// BenchmarkIdleTick measures a tick that walks over all workers, 40 of which
+// run each second. The clock stands still, so the next walk is made due by hand.
 func BenchmarkIdleTick(b *testing.B) {
 	for _, workers := range []int{65, 530, 5300} {
 		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
@@ -154,7 +159,10 @@
 				w.beating = true
 			}
 			c.planner.nextView = h.clock.Now().Add(time.Hour)
-			measured(b, "op", 1, c.tick)
+			measured(b, "op", 1, func() {
+				c.nextWalk = time.Time{}
+				c.tick()
+			})
 		})
 	}
 }
@@ -190,24 +198,30 @@
 	}
 }
 
-// BenchmarkRescan measures the repeated reading of rows that are known already.
+// BenchmarkRescan measures the reading of a page of marker rows whose items
+// are known already, as each scan does while they are queued.
 func BenchmarkRescan(b *testing.B) {
 	const items = 1000
-	c, h := newCapacityCore(items / 16)
-	fill(c, h, 16)
+	c, _ := newCapacityCore(1)
+	c.ready = true
+	queueItems(c, items)
 	var rows []platform.Row
-	for n := range items {
-		rows = append(rows, rowOf(capacityItem(n, h.workers[n%len(h.workers)].Name)))
+	for id := range c.items {
+		rows = append(rows, platform.Row{Key: newKey(testShard, id), Version: 1, Value: []byte(`{}`)})
 	}
 	data, _ := json.Marshal(rows)
-	h.pages = [][]byte{data}
+	c.takeCalls()
 	measured(b, "item", items, func() {
-		h.page = 0
-		page, _ := h.Scan(context.Background(), workPrefix(testShard), "", items)
-		for _, row := range page {
-			c.learn(row)
+		var page []platform.Row
+		if err := json.Unmarshal(data, &page); err != nil {
+			b.Fatal(err)
 		}
+		c.takeInPage(page)
 	})
+	if len(c.takeCalls()) > 0 {
+		b.Fatal("a known item is read again")
+	}
+	b.ReportMetric(float64(len(data))/items, "wire-B/item")
 }
 
 func recoverAll(c *core) {
--- a/membership/capacity_test.go
+++ b/membership/capacity_test.go
@@ -4,6 +4,10 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -11,6 +15,7 @@
 
 	"bergamotstile/peer"
 	"bergamotstile/platform"
+	"bergamotstile/platform/httpapi"
 	"bergamotstile/procstat"
 	"bergamotstile/structs"
 )
@@ -65,6 +70,89 @@
 	}
 }
 
+// countedConn counts the bytes of a connection in both directions.
+type countedConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+type countedListener struct {
+	net.Listener
+	bytes atomic.Int64
+}
+
+func (l *countedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return countedConn{conn, &l.bytes}, err
+}
+
+// listServer serves an encoded list. Its tag is the number of the reading, if
+// the list is to change each time.
+func listServer(b *testing.B, data []byte, changes bool) (*countedListener, *httptest.Server) {
+	readings := 0
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if changes {
+			readings++
+		}
+		etag := fmt.Sprintf("\"%d\"", readings)
+		w.Header().Set("ETag", etag)
+		if r.Header.Get("If-None-Match") == etag {
+			w.WriteHeader(http.StatusNotModified)
+			return
+		}
+		_, _ = w.Write(data)
+	}))
+	l := &countedListener{Listener: server.Listener}
+	server.Listener = l
+	server.Start()
+	b.Cleanup(server.Close)
+	return l, server
+}
+
+// BenchmarkListHTTP measures one reading of the list through the adapter, with
+// the transport at both ends, if the list is the last one and if it changed.
+func BenchmarkListHTTP(b *testing.B) {
+	for _, changes := range []bool{false, true} {
+		for _, members := range []int{100, 1000, 5000, 25000} {
+			b.Run(fmt.Sprintf("changed=%t/members=%d", changes, members), func(b *testing.B) {
+				data, _ := json.Marshal(capacityList(members))
+				l, server := listServer(b, data, changes)
+				before := procstat.LiveHeap()
+				v := New(Config{Self: entryMember("a"), List: httpapi.New(httpapi.Options{Address: l.Addr().String()}), Clock: clockwork.NewFakeClock()})
+				if err := v.Refresh(b.Context()); err != nil {
+					b.Fatal(err)
+				}
+				l.bytes.Store(0)
+				start := procstat.CPU()
+				for b.Loop() {
+					if err := v.Refresh(b.Context()); err != nil {
+						b.Fatal(err)
+					}
+				}
+				b.ReportMetric(float64(procstat.CPU()-start)/1000/float64(b.N), "cpu-us/op")
+				b.ReportMetric(float64(l.bytes.Load())/float64(b.N), "wire-B/op")
+				server.CloseClientConnections()
+				b.ReportMetric((float64(procstat.LiveHeap())-float64(before))/float64(members), "live-B/member")
+				if _, ok := v.Worker("none"); ok {
+					b.Fatal("unknown worker found")
+				}
+			})
+		}
+	}
+}
+
 // answeringPeers answers each heartbeat at once with one like it.
 type answeringPeers struct{}
 
