Keep the evidence of stand-ins and the byte counts in one place

Cause: the demo and the harness turned the same records into spans, and three benchmark files counted bytes with the same two types.

--- a/demo/demo_test.go
+++ b/demo/demo_test.go
@@ -80,7 +80,7 @@
 	for _, c := range cases {
 		r, events, accounts := goodRun()
 		events = c.change(r, events, accounts)
-		found := r.check(evidence{work: workSpans(events), overCommitted: overCommitted(events)}, accounts)
+		found := r.check(evidence{work: standin.WorkSpans(events), overCommitted: standin.OverCommitted(events)}, accounts)
 		has := slices.ContainsFunc(found, func(v history.Violation) bool { return v.Property == c.want })
 		if c.want == "" && len(found) > 0 || c.want != "" && !has {
 			t.Errorf("%s: found %v", c.name, found)
--- a/membership/capacity_test.go
+++ b/membership/capacity_test.go
@@ -4,10 +4,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -70,37 +68,9 @@
 	}
 }
 
-// countedConn counts the bytes of a connection in both directions.
-type countedConn struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-func (c countedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-func (c countedConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-type countedListener struct {
-	net.Listener
-	bytes atomic.Int64
-}
-
-func (l *countedListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	return countedConn{conn, &l.bytes}, err
-}
-
 // listServer serves an encoded list. Its tag is the number of the reading, if
 // the list is to change each time.
-func listServer(b *testing.B, data []byte, changes bool) (*countedListener, *httptest.Server) {
+func listServer(b *testing.B, data []byte, changes bool) (*procstat.Listener, *httptest.Server) {
 	readings := 0
 	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if changes {
@@ -114,7 +84,7 @@
 		}
 		_, _ = w.Write(data)
 	}))
-	l := &countedListener{Listener: server.Listener}
+	l := &procstat.Listener{Listener: server.Listener}
 	server.Listener = l
 	server.Start()
 	b.Cleanup(server.Close)
@@ -134,7 +104,7 @@
 				if err := v.Refresh(b.Context()); err != nil {
 					b.Fatal(err)
 				}
-				l.bytes.Store(0)
+				l.Bytes.Store(0)
 				start := procstat.CPU()
 				for b.Loop() {
 					if err := v.Refresh(b.Context()); err != nil {
@@ -142,7 +112,7 @@
 					}
 				}
 				b.ReportMetric(float64(procstat.CPU()-start)/1000/float64(b.N), "cpu-us/op")
-				b.ReportMetric(float64(l.bytes.Load())/float64(b.N), "wire-B/op")
+				b.ReportMetric(float64(l.Bytes.Load())/float64(b.N), "wire-B/op")
 				server.CloseClientConnections()
 				b.ReportMetric((float64(procstat.LiveHeap())-float64(before))/float64(members), "live-B/member")
 				if _, ok := v.Worker("none"); ok {
--- a/peer/capacity_test.go
+++ b/peer/capacity_test.go
@@ -65,7 +65,7 @@
 	var wire atomic.Int64
 	client.http.Transport.(*http.Transport).DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
-		return countedConn{conn, &wire}, err
+		return procstat.Conn{Conn: conn, Bytes: &wire}, err
 	}
 	for _, size := range []int{0, 1 << 10, 16 << 10} {
 		b.Run(fmt.Sprintf("forward-%d", size), func(b *testing.B) {
@@ -93,21 +93,3 @@
 	b.ReportMetric(float64(procstat.CPU()-start)/1000/float64(b.N), "cpu-us/op")
 	b.ReportMetric(float64(wire.Load())/float64(b.N), "wire-B/op")
 }
-
-// countedConn counts the bytes that pass a connection, headers included.
-type countedConn struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-func (c countedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-func (c countedConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
--- a/procstat/procstat.go
+++ b/procstat/procstat.go
@@ -1,6 +1,6 @@
-// Package procstat reads what this process has used. Benchmarks report
-// processor time by it, since wall-clock time on a shared machine also counts
-// the waits behind other processes.
+// Package procstat reads what this process has used and counts the bytes of
+// connections, for benchmarks. They report processor time, since wall-clock
+// time on a shared machine also counts the waits behind other processes.
 package procstat
 
 import (
--- a/workerapi/capacity_test.go
+++ b/workerapi/capacity_test.go
@@ -8,48 +8,19 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
-	"sync/atomic"
 	"testing"
 
 	"bergamotstile/procstat"
 	"bergamotstile/structs"
 )
 
-// countedConn counts the bytes that pass a connection, headers included.
-type countedConn struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-func (c countedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-func (c countedConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-type countedListener struct {
-	net.Listener
-	bytes atomic.Int64
-}
-
-func (l *countedListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	return countedConn{conn, &l.bytes}, err
-}
-
 // BenchmarkHeartbeatHTTP measures one heartbeat over loopback against a server
 // that sends a prepared answer. Its processor time includes that server.
 func BenchmarkHeartbeatHTTP(b *testing.B) {
 	for _, tasks := range []int{1, 16, 64} {
 		b.Run(fmt.Sprintf("tasks=%d", tasks), func(b *testing.B) {
 			answer := capacityAnswer(tasks)
-			listener := &countedListener{}
+			listener := &procstat.Listener{}
 			var err error
 			if listener.Listener, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
 				b.Fatal(err)
@@ -69,7 +40,7 @@
 				}
 			}
 			b.ReportMetric(float64(procstat.CPU()-start)/1000/float64(b.N), "cpu-us/op")
-			b.ReportMetric(float64(listener.bytes.Load())/float64(b.N), "wire-B/op")
+			b.ReportMetric(float64(listener.Bytes.Load())/float64(b.N), "wire-B/op")
 		})
 	}
 }
