Tell peers of released shards

Cause: after a planned stop a shard had no owner until its next owner looked at the row, up to a third of a lease later; keyed requests were refused with owner_unreachable meanwhile.

Ruled out: a shorter interval between looks, which costs table reads all the time.

The hint changes nothing about what may be taken; that is still decided by the row.

--- a/entry/drain.go
+++ b/entry/drain.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"bergamotstile/httpserver"
 	"bergamotstile/logging"
+	"bergamotstile/peer"
 	"bergamotstile/structs"
 )
 
@@ -49,8 +51,31 @@
 	if c == nil {
 		return
 	}
+	owned := i.ownedShards()
 	err := c.ownership.Release(ctx, func(shard structs.ShardID) time.Duration { return c.router.Quiet(shard) })
 	if err != nil {
 		logging.Part(i.log, "drain").WithError(err).Warn("shards were not released and are free after a lease")
+		return
+	}
+	i.announceReleased(ctx, owned)
+}
+
+// announceTimeout bounds the calls that tell peers of released shards.
+const announceTimeout = 300 * time.Millisecond
+
+// announceReleased tells the domain's other instances that shards are free.
+// An instance that does not hear of it finds out from the table.
+func (i *Instance) announceReleased(ctx context.Context, owned []peer.OwnedShard) {
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	var calls sync.WaitGroup
+	for _, m := range i.view.Entries(i.settings.Domain) {
+		if m.Name == i.settings.Name {
+			continue
+		}
+		for _, shard := range owned {
+			calls.Go(func() { _, _ = i.peers.Released(ctx, m.Address, &peer.ReleasedRequest{Shard: shard.Shard}) })
+		}
 	}
+	calls.Wait()
 }
--- a/entry/peerservice.go
+++ b/entry/peerservice.go
@@ -111,6 +111,14 @@
 	return &res, nil
 }
 
+// Released takes note that a peer has released a shard.
+func (p *peerService) Released(_ context.Context, m *peer.ReleasedRequest) (*peer.Empty, error) {
+	if c := p.instance.core.Load(); c != nil {
+		c.ownership.Released(m.Shard)
+	}
+	return &peer.Empty{}, nil
+}
+
 // Relay makes one table call for a neighbour, on this instance's own way to
 // the platform only.
 func (p *peerService) Relay(ctx context.Context, m *peer.RelayRequest) (*peer.RelayResponse, error) {
--- a/ownership/manager.go
+++ b/ownership/manager.go
@@ -46,7 +46,7 @@
 	}
 	for i := range m.cfg.Shards {
 		id := structs.ShardID{Domain: m.cfg.Self.Domain, Index: i}
-		m.shards[id] = &shardState{id: id}
+		m.shards[id] = &shardState{id: id, released: make(chan struct{}, 1)}
 	}
 	return m
 }
@@ -69,11 +69,26 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-s.released:
 		case <-m.clock.After(m.pace(s)):
 		}
 	}
 }
 
+// Released tells that the owner of a shard has let go of it, so that its next
+// owner need not wait until it looks at the row again. It is only a hint: what
+// may be taken is still decided by the row.
+func (m *Manager) Released(shard structs.ShardID) {
+	s := m.shards[shard]
+	if s == nil {
+		return
+	}
+	select {
+	case s.released <- struct{}{}:
+	default:
+	}
+}
+
 // pace returns the time until the shard's next step.
 func (m *Manager) pace(s *shardState) time.Duration {
 	wait := m.waitToTake(s)
--- a/ownership/ownership_test.go
+++ b/ownership/ownership_test.go
@@ -146,6 +146,34 @@
 	}
 }
 
+// Guards against a shard that stays without an owner after a planned stop
+// until its next owner happens to look: keyed requests are refused meanwhile.
+func TestReleasedShardIsTakenAtOnce(t *testing.T) {
+	d, owner := startedDomain(t, 2)
+	next := d.managers[1-owner]
+	d.names = []string{d.names[1-owner]} // the other one is draining
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	go func() { _ = next.Serve(ctx) }()
+	// The shard's loop waits for its pace, and time stands still from here.
+	if err := d.clock.BlockUntilContext(ctx, 1); err != nil {
+		t.Fatal(err)
+	}
+	noQuiet := func(structs.ShardID) time.Duration { return 0 }
+	if err := d.managers[owner].Release(ctx, noQuiet); err != nil {
+		t.Fatal(err)
+	}
+	next.Released(shard)
+	select {
+	case e := <-next.Events():
+		if !e.Acquired {
+			t.Fatalf("event %+v", e)
+		}
+	case <-ctx.Done():
+		t.Fatal("the released shard was not taken")
+	}
+}
+
 // fencedCommit is what an owner does with its lease: a conditional write.
 type fencedCommit struct {
 	lease Lease
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -112,6 +112,11 @@
 	Serving bool `cbor:"1,keyasint"`
 }
 
+// ReleasedRequest tells that the sender has released a shard.
+type ReleasedRequest struct {
+	Shard structs.ShardID `cbor:"1,keyasint"`
+}
+
 // RelayRequest passes a table call of an instance that cannot reach the table.
 // Exactly one of its parts is set.
 type RelayRequest struct {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -32,6 +32,7 @@
 	Fetch(context.Context, *FetchRequest) (*FetchResponse, error)
 	Promise(context.Context, *PromiseRequest) (*PromiseResponse, error)
 	Probe(context.Context, *ProbeRequest) (*ProbeResponse, error)
+	Released(context.Context, *ReleasedRequest) (*Empty, error)
 	Relay(context.Context, *RelayRequest) (*RelayResponse, error)
 }
 
@@ -79,6 +80,7 @@
 	handle(mux, "Fetch", s.Fetch)
 	handle(mux, "Promise", s.Promise)
 	handle(mux, "Probe", s.Probe)
+	handle(mux, "Released", s.Released)
 	handle(mux, "Relay", s.Relay)
 	return mux
 }
@@ -163,6 +165,11 @@
 	return call[ProbeRequest, ProbeResponse](ctx, c, address, "Probe", m)
 }
 
+// Released tells a peer that this instance has released a shard.
+func (c *Client) Released(ctx context.Context, address string, m *ReleasedRequest) (*Empty, error) {
+	return call[ReleasedRequest, Empty](ctx, c, address, "Released", m)
+}
+
 // Relay passes a table call through a peer.
 func (c *Client) Relay(ctx context.Context, address string, m *RelayRequest) (*RelayResponse, error) {
 	return call[RelayRequest, RelayResponse](ctx, c, address, "Relay", m)
