--- a/ownership/manager.go
+++ b/ownership/manager.go
@@ -208,8 +208,13 @@
 	if !s.held {
 		return
 	}
+	log := m.log.WithFields(logrus.Fields{"shard": s.id, "epoch": s.lease.Epoch})
+	if s.releasing {
+		log.Info("shard released")
+	} else {
+		log.Warn("shard lost")
+	}
 	s.held, s.releasing = false, false
 	s.validUntil, s.extendedUntil = time.Time{}, time.Time{}
 	m.emit(s.lease, false)
-	m.log.WithFields(logrus.Fields{"shard": s.id, "epoch": s.lease.Epoch}).Warn("shard lost")
 }
