--- a/harness/cluster.go
+++ b/harness/cluster.go
@@ -51,11 +51,10 @@
 	args     []string
 }
 
-// Cluster is a running deployment. The platform runs in the test's process
-// behind HTTP, so that a test sees its rows; everything else is a process.
+// Cluster is a running deployment. Only the proxies run in the test's process.
 type Cluster struct {
 	Options  Options
-	Platform *standin.Platform
+	Platform *Platform
 	Entries  []*Node
 	Workers  []*Node
 	Runners  []*Node
@@ -106,13 +105,9 @@
 }
 
 func (c *Cluster) startPlatform() error {
-	c.Platform = standin.NewPlatform(realClock, c.Options.Seed)
-	server, err := c.Platform.Start(c.address())
-	if err != nil {
-		return err
-	}
-	c.closers = append(c.closers, server.Close)
-	return nil
+	var err error
+	c.Platform, err = startPlatform(c.Options.Dir, c.address(), c.Options.Seed)
+	return err
 }
 
 // platformAddress is the first address that was taken.
@@ -167,8 +162,11 @@
 	n.args = []string{"standin", "runner", "--listen", n.Address, "--platform", c.platformAddress(),
 		"--name", name, "--domain", domain, "--service", Service, "--unlisted",
 		"--service-ms", fmt.Sprint(c.Options.ServiceMS), "--seed", fmt.Sprint(c.Options.Seed)}
-	c.Platform.SetMember(structs.Member{Name: name, Role: structs.RoleRunner, Domain: domain, Address: link.Address(),
+	err = c.Platform.SetMember(structs.Member{Name: name, Role: structs.RoleRunner, Domain: domain, Address: link.Address(),
 		State: structs.MemberLive, Service: Service, Slots: standin.DefaultSlots, Connections: 64})
+	if err != nil {
+		return err
+	}
 	c.Runners = append(c.Runners, n)
 	return c.start(n, name)
 }
@@ -185,8 +183,11 @@
 		"--name", name, "--domain", domain, "--rack", "rack-1", "--unlisted", "--usage-lag-ms", "200",
 		"--cpu-milli", fmt.Sprint(capacity.CPUMilli), "--memory-mb", fmt.Sprint(capacity.MemoryMB),
 		"--accelerators", fmt.Sprint(capacity.Accelerators)}
-	c.Platform.SetMember(structs.Member{Name: name, Role: structs.RoleWorker, Domain: domain, Rack: "rack-1",
+	err = c.Platform.SetMember(structs.Member{Name: name, Role: structs.RoleWorker, Domain: domain, Rack: "rack-1",
 		Address: link.Address(), State: structs.MemberLive, Capacity: capacity})
+	if err != nil {
+		return err
+	}
 	c.Workers = append(c.Workers, n)
 	return c.start(n, name)
 }
@@ -206,8 +207,11 @@
 		return err
 	}
 	n.args = []string{"entry", "--settings", file}
-	c.Platform.SetMember(structs.Member{Name: name, Role: structs.RoleEntry, Domain: domain,
+	err = c.Platform.SetMember(structs.Member{Name: name, Role: structs.RoleEntry, Domain: domain,
 		Address: n.Link.Address(), State: structs.MemberLive})
+	if err != nil {
+		return err
+	}
 	c.Entries = append(c.Entries, n)
 	return c.start(n, name)
 }
@@ -246,6 +250,9 @@
 			n.Kill()
 		}
 	}
+	if c.Platform != nil {
+		c.Platform.Kill()
+	}
 	for _, closer := range slices.Backward(c.closers) {
 		closer()
 	}
--- a/scenario/config_test.go
+++ b/scenario/config_test.go
@@ -137,9 +137,9 @@
 
 func operatorsRace(t *testing.T, r *run) {
 	r.during(t, func() {
-		r.Platform.SetFaults(standin.PlatformFaults{Table: standin.PartFaults{LoseAnswer: standin.Chance{Share: 0.2}}})
+		r.platformFaults(t, standin.PlatformFaults{Table: standin.PartFaults{LoseAnswer: standin.Chance{Share: 0.2}}})
 		r.race(15)
-		r.Platform.SetFaults(standin.PlatformFaults{})
+		r.platformFaults(t, standin.PlatformFaults{})
 		r.race(10)
 	})
 }
--- a/scenario/faults_test.go
+++ b/scenario/faults_test.go
@@ -88,20 +88,20 @@
 	}
 }
 
-func tableDown(_ *testing.T, r *run) {
+func tableDown(t *testing.T, r *run) {
 	r.rest(800)
-	r.Platform.SetFaults(standin.PlatformFaults{Table: standin.PartFaults{Down: true}})
+	r.platformFaults(t, standin.PlatformFaults{Table: standin.PartFaults{Down: true}})
 	r.rest(3000)
-	r.Platform.SetFaults(standin.PlatformFaults{})
+	r.platformFaults(t, standin.PlatformFaults{})
 	r.rest(1500)
 }
 
-func tableLosesAnswers(_ *testing.T, r *run) {
+func tableLosesAnswers(t *testing.T, r *run) {
 	r.rest(300)
 	lossy := standin.PartFaults{LoseAnswer: standin.Chance{Share: 0.3}, SlowMS: 10}
-	r.Platform.SetFaults(standin.PlatformFaults{Table: lossy})
+	r.platformFaults(t, standin.PlatformFaults{Table: lossy})
 	r.rest(4000)
-	r.Platform.SetFaults(standin.PlatformFaults{})
+	r.platformFaults(t, standin.PlatformFaults{})
 	r.rest(800)
 }
 
@@ -168,11 +168,11 @@
 	r.rest(1500)
 }
 
-func objectsDown(_ *testing.T, r *run) {
+func objectsDown(t *testing.T, r *run) {
 	r.rest(1000)
-	r.Platform.SetFaults(standin.PlatformFaults{Objects: standin.PartFaults{Down: true}})
+	r.platformFaults(t, standin.PlatformFaults{Objects: standin.PartFaults{Down: true}})
 	r.rest(3000)
-	r.Platform.SetFaults(standin.PlatformFaults{})
+	r.platformFaults(t, standin.PlatformFaults{})
 	r.rest(1500)
 }
 
@@ -184,12 +184,12 @@
 	if r.random.IntN(2) == 0 {
 		faults = standin.PlatformFaults{List: standin.PartFaults{Down: true}}
 	}
-	r.Platform.SetFaults(faults)
+	r.platformFaults(t, faults)
 	runner := r.Runners[r.random.IntN(len(r.Runners))]
 	r.must(t, r.PostFaults(runner, "/leave", struct{}{}))
 	r.left[runner.Name] = time.Now().UnixNano()
 	r.rest(5000)
-	r.Platform.SetFaults(standin.PlatformFaults{})
+	r.platformFaults(t, standin.PlatformFaults{})
 }
 
 // nothingAfterLeaving checks that a leaving runner was sent nothing after the
@@ -232,3 +232,8 @@
 		t.Fatal(err)
 	}
 }
+
+func (r *run) platformFaults(t *testing.T, f standin.PlatformFaults) {
+	t.Helper()
+	r.must(t, r.Platform.SetFaults(f))
+}
