Name signs of leaving and counted failures by the usual terms

Cause: read as a newcomer, hearsay, firstHand and credible needed explaining. Result: observedAt, reportedAt and failuresOnUsable; no change of behaviour, the tests of both packages pass.

--- a/membership/runners.go
+++ b/membership/runners.go
@@ -14,12 +14,12 @@
 	// confirmed is when the last probe was sent that the runner answered as
 	// not leaving. Counting from the send makes a late answer count for less.
 	confirmed time.Time
-	// firstHand is the last sign of leaving from the runner itself, hearsay
+	// observedAt is the last sign of leaving from the runner itself, reportedAt
 	// the last one from a peer. Only the former is told to peers; otherwise
 	// two peers would keep each other believing in a sign for ever.
-	firstHand time.Time
-	hearsay   time.Time
-	inFlight  bool
+	observedAt time.Time
+	reportedAt time.Time
+	inFlight   bool
 }
 
 // MarkLeaving notes that a runner answered a request as leaving.
@@ -29,14 +29,14 @@
 	v.markLeaving(runner, v.clock.Now(), true)
 }
 
-func (v *View) markLeaving(name string, now time.Time, firstHand bool) {
+func (v *View) markLeaving(name string, now time.Time, observed bool) {
 	r := v.runners[name]
 	switch {
 	case r == nil:
-	case firstHand:
-		r.firstHand = now
+	case observed:
+		r.observedAt = now
 	default:
-		r.hearsay = now
+		r.reportedAt = now
 	}
 }
 
@@ -50,7 +50,7 @@
 	switch {
 	case m.State != structs.MemberLive, r == nil:
 		return false
-	case !r.firstHand.IsZero(), !r.hearsay.IsZero(), r.confirmed.IsZero():
+	case !r.observedAt.IsZero(), !r.reportedAt.IsZero(), r.confirmed.IsZero():
 		return false
 	}
 	return now.Sub(r.confirmed) < v.config.LeavingBound
@@ -61,7 +61,7 @@
 func (v *View) knownLeaving() []string {
 	leaving := v.list.members(structs.RoleRunner, v.config.Self.Domain, func(m structs.Member) bool {
 		r := v.runners[m.Name]
-		return m.State == structs.MemberLeaving || r != nil && !r.firstHand.IsZero()
+		return m.State == structs.MemberLeaving || r != nil && !r.observedAt.IsZero()
 	})
 	var names []string
 	for _, m := range leaving {
@@ -125,7 +125,7 @@
 	switch {
 	case err != nil:
 	case health.Leaving:
-		r.firstHand = v.clock.Now()
+		r.observedAt = v.clock.Now()
 	default:
 		v.confirm(r, sent)
 	}
@@ -139,7 +139,7 @@
 	if sent.After(r.confirmed) {
 		r.confirmed = sent
 	}
-	for _, sign := range []*time.Time{&r.firstHand, &r.hearsay} {
+	for _, sign := range []*time.Time{&r.observedAt, &r.reportedAt} {
 		if !sign.IsZero() && sent.Sub(*sign) >= v.config.LeavingBound {
 			*sign = time.Time{}
 		}
--- a/ownership/manager.go
+++ b/ownership/manager.go
@@ -75,7 +75,7 @@
 	}
 }
 
-// Released tells that the owner of a shard has let go of it, so that its next
+// Released tells that the owner of a shard has released it, so that its next
 // owner need not wait until it looks at the row again. It is only a hint: what
 // may be taken is still decided by the row.
 func (m *Manager) Released(shard structs.ShardID) {
--- a/ownership/state.go
+++ b/ownership/state.go
@@ -36,7 +36,7 @@
 // guards it; step serialises the calls to the table.
 type shardState struct {
 	step sync.Mutex
-	// released wakes the shard's loop when its owner says that it let go.
+	// released wakes the shard's loop when its owner has released it.
 	released chan struct{}
 
 	id   structs.ShardID
--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -18,7 +18,7 @@
 	// WorkerFailures is the number of distinct items that must fail on a
 	// worker without a success before it is excluded.
 	WorkerFailures int
-	// ItemFailures is the number of distinct credible workers on which an
+	// ItemFailures is the number of distinct workers that are not excluded on which an
 	// item must fail before it is given up.
 	ItemFailures int
 	// ProbeAfter is the time until an excluded worker receives one probe. It
@@ -112,16 +112,16 @@
 func (b *Book) blame(name string, w *workerRecord) int {
 	count := 0
 	for item := range w.failed {
-		if b.credible(item, name) < 2 {
+		if b.failuresOnUsable(item, name) < 2 {
 			count++
 		}
 	}
 	return count
 }
 
-// credible counts the workers other than except, not excluded, on which the
+// failuresOnUsable counts the workers other than except, not excluded, on which the
 // item failed.
-func (b *Book) credible(item structs.WorkID, except string) int {
+func (b *Book) failuresOnUsable(item structs.WorkID, except string) int {
 	count := 0
 	for name := range b.items[item] {
 		if name != except && !b.worker(name).excluded {
@@ -182,8 +182,8 @@
 	return ok
 }
 
-// NeverRuns reports whether an item has failed on enough credible workers to
+// NeverRuns reports whether an item has failed on enough workers that are not excluded to
 // be given up.
 func (b *Book) NeverRuns(item structs.WorkID) bool {
-	return b.credible(item, "") >= b.settings.ItemFailures
+	return b.failuresOnUsable(item, "") >= b.settings.ItemFailures
 }
