--- a/harness/client.go
+++ b/harness/client.go
@@ -13,8 +13,6 @@
 	"strings"
 	"time"
 
-	"github.com/jonboulle/clockwork"
-
 	"bergamotstile/callerapi"
 	"bergamotstile/declaration"
 	"bergamotstile/entry"
@@ -22,8 +20,6 @@
 	"bergamotstile/structs"
 )
 
-var realClock = clockwork.NewRealClock()
-
 // callLimit ends calls to processes that do not answer at all.
 const callLimit = 5 * time.Second
 
