policy: keep released quota for the urgent work it is released for

A dump of the team's tasks showed two victims of 2 cores that ended apart: after the first one, queued batch work of the team took its quota again, and the urgent item waited until its hold ended. Its team is now charged while it waits. Ruled out by fixing them first, with no change in that run: a hold on a worker that has failed, and two urgent items that count on the same victim. Both are real faults and stay fixed; each of the three has a test.

--- a/policy/planning.go
+++ b/policy/planning.go
@@ -96,7 +96,7 @@
 		urgent := item.Class == structs.ClassUrgent
 		if !c.withinQuota(item) {
 			if urgent {
-				c.preempt(item)
+				c.awaitRoom(item)
 			}
 			continue
 		}
@@ -105,13 +105,21 @@
 		case node != nil:
 			c.placed(item, node)
 		case urgent:
-			c.preempt(item)
+			c.awaitRoom(item)
 		case !held && c.settings.Quota.AgeLimit <= item.Waiting:
 			held = c.holdRoom(item)
 		}
 	}
 }
 
+// awaitRoom clears room for an urgent item and charges its team for it already.
+// Otherwise batch work of the team takes the quota again that the first of
+// several victims releases.
+func (c *planning) awaitRoom(item *scheduler.Item) {
+	c.preempt(item)
+	c.used[item.Team] = c.used[item.Team].Add(item.Size)
+}
+
 func (c *planning) withinQuota(item *scheduler.Item) bool {
 	return c.settings.Teams[item.Team].Within(c.used[item.Team], item.Size)
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -34,6 +34,8 @@
 // hold is room that is being cleared for an urgent item.
 type hold struct {
 	worker string
+	team   string
+	size   structs.Resources
 	until  time.Time
 }
 
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -138,6 +138,66 @@
 	}
 }
 
+// Guards against two urgent items of one team that count on the same evicted
+// work, so that the second waits until its hold ends.
+func TestUrgentItemsAtQuotaDoNotShareAVictim(t *testing.T) {
+	p := New(Settings{Teams: map[string]quota.Team{"t": {Limit: cores(8)}}})
+	running := func(id structs.WorkID, state structs.WorkState) scheduler.Attempt {
+		return scheduler.Attempt{Work: id, Team: "t", Class: structs.ClassNormal, State: state, Size: cores(4), Idempotent: true}
+	}
+	s := scheduler.Snapshot{Now: now, Workers: []scheduler.Worker{{
+		Name: "w", Capacity: cores(32), Held: cores(8), Reachable: true,
+		Running: []scheduler.Attempt{running("first", structs.StateRunning), running("second", structs.StateRunning)},
+	}}}
+	s.Queue = []scheduler.Item{{Work: "u1", Team: "t", Class: structs.ClassUrgent, Size: cores(4), Waiting: time.Second}}
+	if plan := p.Schedule(s); len(plan.Evictions) != 1 || plan.Evictions[0].Work != "first" {
+		t.Fatalf("evictions %v", plan.Evictions)
+	}
+	s.Workers[0].Running[0].State = structs.StateEvicting
+	s.Queue = append(s.Queue, scheduler.Item{Work: "u2", Team: "t", Class: structs.ClassUrgent, Size: cores(4)})
+	if plan := p.Schedule(s); len(plan.Evictions) != 1 || plan.Evictions[0].Work != "second" {
+		t.Fatalf("evictions for the second item %v", plan.Evictions)
+	}
+}
+
+// Guards against batch work that takes the quota which one of several victims
+// has released for urgent work of its team.
+func TestReleasedQuotaIsKeptForUrgentWork(t *testing.T) {
+	p := New(Settings{Teams: map[string]quota.Team{"t": {Limit: cores(8)}}})
+	s := scheduler.Snapshot{Now: now, Workers: []scheduler.Worker{{
+		Name: "w", Capacity: cores(32), Held: cores(6), Reachable: true,
+		Running: []scheduler.Attempt{{Work: "a", Team: "t", Class: structs.ClassNormal, State: structs.StateRunning, Size: cores(6), Idempotent: true}},
+	}}}
+	s.Queue = []scheduler.Item{
+		{Work: "batch", Team: "t", Class: structs.ClassNormal, Size: cores(2), Waiting: time.Minute},
+		{Work: "urgent", Team: "t", Class: structs.ClassUrgent, Size: cores(4)},
+	}
+	if plan := p.Schedule(s); len(plan.Placements) > 0 {
+		t.Fatalf("placements %v", plan.Placements)
+	}
+}
+
+// Guards against urgent work that waits for room on a worker that has failed
+// since its room began to be cleared.
+func TestUrgentWorkTurnsAwayFromAWorkerThatFails(t *testing.T) {
+	p := New(Settings{})
+	worker := func(name string, id structs.WorkID) scheduler.Worker {
+		return scheduler.Worker{
+			Name: name, Capacity: cores(8), Held: cores(8), Reachable: true,
+			Running: []scheduler.Attempt{{Work: id, Class: structs.ClassNormal, State: structs.StateRunning, Size: cores(8), Idempotent: true}},
+		}
+	}
+	s := scheduler.Snapshot{Now: now, Workers: []scheduler.Worker{worker("a", "on-a"), worker("b", "on-b")}}
+	s.Queue = []scheduler.Item{{Work: "urgent", Class: structs.ClassUrgent, Size: cores(4)}}
+	if plan := p.Schedule(s); len(plan.Evictions) != 1 || plan.Evictions[0].Work != "on-a" {
+		t.Fatalf("evictions %v", plan.Evictions)
+	}
+	s.Workers[0].Reachable = false
+	if plan := p.Schedule(s); len(plan.Evictions) != 1 || plan.Evictions[0].Work != "on-b" {
+		t.Fatalf("evictions after the failure %v", plan.Evictions)
+	}
+}
+
 // Guards against an aged large item that waits for ever because smaller ones
 // take each core as it becomes free.
 func TestAgedItemIsNotOvertaken(t *testing.T) {
--- a/policy/react.go
+++ b/policy/react.go
@@ -114,8 +114,7 @@
 	if !c.enabled(MechanismPreemption) {
 		return
 	}
-	if h, ok := c.holds[item.Work]; ok && c.snapshot.Now.Before(h.until) {
-		c.keepHold(item, h)
+	if c.keepHold(item) {
 		return
 	}
 	if c.snapshot.EvictionsSuspended {
@@ -128,18 +127,26 @@
 	for _, id := range victims {
 		c.evict(id, "urgent work")
 	}
-	c.holds[item.Work] = hold{worker: node.Name, until: c.snapshot.Now.Add(c.settings.HoldPreempted)}
+	c.holds[item.Work] = hold{worker: node.Name, team: item.Team, size: item.Size, until: c.snapshot.Now.Add(c.settings.HoldPreempted)}
 	c.cycle.Hold(node, item.Size)
 }
 
-func (c *planning) keepHold(item *scheduler.Item, h hold) {
+// keepHold keeps the room that is being cleared for an item. It returns false
+// if there is none, or if its worker can no longer take the item.
+func (c *planning) keepHold(item *scheduler.Item) bool {
+	h, ok := c.holds[item.Work]
+	if !ok || !c.snapshot.Now.Before(h.until) {
+		return false
+	}
 	nodes := c.cycle.Nodes()
 	for i := range nodes {
-		if nodes[i].Name == h.worker {
-			c.cycle.Hold(&nodes[i], item.Size)
-			return
+		n := &nodes[i]
+		if n.Name == h.worker && (scheduler.Placeable{}).Filter(item, n) && (healthy{c}).Filter(item, n) {
+			c.cycle.Hold(n, item.Size)
+			return true
 		}
 	}
+	return false
 }
 
 // cheapest returns the node where room for an item costs the least work.
@@ -161,6 +168,18 @@
 	return best, victims
 }
 
+// heldForTeam returns what is being cleared on a worker for other urgent items
+// of the same team. Two items must not count on the same evicted work.
+func (c *planning) heldForTeam(item *scheduler.Item, worker string) structs.Resources {
+	var sum structs.Resources
+	for id, h := range c.holds {
+		if id != item.Work && h.worker == worker && h.team == item.Team && c.snapshot.Now.Before(h.until) {
+			sum = sum.Add(h.size)
+		}
+	}
+	return sum
+}
+
 // clear returns the batch work to evict from a node for an item, and what
 // that loses. An item whose team is at its quota replaces as much of its own
 // team's work, whatever room there is.
@@ -168,7 +187,7 @@
 	free := n.Room
 	atQuota := !c.withinQuota(item)
 	if atQuota {
-		free = structs.Resources{}
+		free = structs.Resources{}.Sub(c.heldForTeam(item, n.Name))
 	}
 	var running []quota.Running
 	var ids []structs.WorkID
