Measure what the objective weights alone change

Cause: the two deployments differ in machines, work and weights, so their results did not show what the weights do.

--- a/bench/benchtable/main.go
+++ b/bench/benchtable/main.go
@@ -19,6 +19,7 @@
 	FirstSeed  int64    `arg:"--first-seed" default:"1"`
 	Policy     []string `arg:"--policy,separate" help:"policies to run; all if absent"`
 	Disable    []string `arg:"--disable,separate" help:"mechanisms to switch off"`
+	WeightsOf  string   `arg:"--weights-of" help:"take the objective weights of this deployment"`
 	Ablations  bool     `arg:"--ablations" help:"run the policy with each mechanism switched off in turn"`
 }
 
@@ -37,7 +38,7 @@
 }
 
 func run(o options) error {
-	table := bench.TableOptions{Deployment: o.Deployment, FirstSeed: o.FirstSeed, Seeds: o.Seeds, Policies: o.Policy}
+	table := bench.TableOptions{Deployment: o.Deployment, FirstSeed: o.FirstSeed, Seeds: o.Seeds, Policies: o.Policy, WeightsOf: o.WeightsOf}
 	for _, name := range o.Disable {
 		table.Disabled = append(table.Disabled, policy.Mechanism(name))
 	}
--- a/bench/options.go
+++ b/bench/options.go
@@ -23,6 +23,8 @@
 	Duration time.Duration
 	// Disabled switches mechanisms of the policy bergamotstile off.
 	Disabled []policy.Mechanism
+	// WeightsOf takes the objective weights of another deployment.
+	WeightsOf string
 }
 
 // The policies that can be measured.
@@ -107,6 +109,17 @@
 	},
 }
 
+// deployment returns the deployment of a run.
+func (o Options) deployment() (deployment, error) {
+	d, err := findDeployment(o.Deployment)
+	if err != nil || o.WeightsOf == "" {
+		return d, err
+	}
+	other, err := findDeployment(o.WeightsOf)
+	d.weights = other.weights
+	return d, err
+}
+
 func findDeployment(name string) (deployment, error) {
 	for _, d := range deployments {
 		if d.name == name {
--- a/bench/run.go
+++ b/bench/run.go
@@ -44,7 +44,7 @@
 
 // Run measures one policy on one seed.
 func Run(o Options) (Result, error) {
-	d, err := findDeployment(o.Deployment)
+	d, err := o.deployment()
 	if err != nil {
 		return Result{}, err
 	}
--- a/bench/table.go
+++ b/bench/table.go
@@ -20,6 +20,8 @@
 	Policies []string
 	// Disabled switches mechanisms of the policy bergamotstile off.
 	Disabled []policy.Mechanism
+	// WeightsOf takes the objective weights of another deployment.
+	WeightsOf string
 }
 
 // Table holds the results of several seeds, by policy and then by seed.
@@ -42,7 +44,7 @@
 			group.Go(func() {
 				slots <- struct{}{}
 				defer func() { <-slots }()
-				result, err := Run(Options{Deployment: o.Deployment, Policy: name, Seed: o.FirstSeed + int64(i), Disabled: o.Disabled})
+				result, err := Run(Options{Deployment: o.Deployment, Policy: name, Seed: o.FirstSeed + int64(i), Disabled: o.Disabled, WeightsOf: o.WeightsOf})
 				mu.Lock()
 				defer mu.Unlock()
 				results[i] = result
