Share the caller of the demo and the harness

Cause: both sent calls with the same code, one connection for each, and told unsent calls in the same way. Result: standin.Caller does it for both.

--- a/demo/caller.go
+++ b/demo/caller.go
@@ -1,13 +1,9 @@
 package demo
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -15,17 +11,14 @@
 
 	"bergamotstile/callerapi"
 	"bergamotstile/entry"
+	"bergamotstile/standin"
 	"bergamotstile/structs"
 )
 
 // callLimit ends calls that are not answered at all.
 const callLimit = 5 * time.Second
 
-// client opens a connection for each call, as callers behind a balancer may.
-var client = &http.Client{
-	Timeout:   callLimit,
-	Transport: &http.Transport{DisableKeepAlives: true, Proxy: nil},
-}
+var caller = standin.NewCaller(callLimit)
 
 // balancer picks instances that answered ready at its last look.
 type balancer struct {
@@ -86,26 +79,7 @@
 
 // send returns the status and body of an answer.
 func send(ctx context.Context, method string, e *instance, path string, headers map[string]string, body []byte) (int, []byte, error) {
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+e.settings.CallerAddress+path, bytes.NewReader(body))
-	if err != nil {
-		return 0, nil, err
-	}
-	for name, value := range headers {
-		req.Header.Set(name, value)
-	}
-	res, err := client.Do(req)
-	if err != nil {
-		return 0, nil, err
-	}
-	defer res.Body.Close()
-	data, err := io.ReadAll(res.Body)
-	return res.StatusCode, data, err
-}
-
-// unsent reports whether the connection could not be opened.
-func unsent(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
+	return caller.Send(ctx, method, "http://"+e.settings.CallerAddress+path, headers, body)
 }
 
 // call sends a request and decodes the JSON answer. A refusal is an error.
--- a/demo/load.go
+++ b/demo/load.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"bergamotstile/history"
+	"bergamotstile/standin"
 	"bergamotstile/structs"
 )
 
@@ -94,7 +95,7 @@
 	took := time.Since(begun)
 	c.End = begun.Add(took).UnixNano()
 	switch {
-	case unsent(err):
+	case standin.Unsent(err):
 		c.Unsent = true
 	case err != nil:
 		c.Broken = true
@@ -124,7 +125,7 @@
 	for range balancerTries {
 		e = l.balancer.pick()
 		code, answer, err = send(context.Background(), http.MethodPost, e, path, headers, body)
-		if !unsent(err) {
+		if !standin.Unsent(err) {
 			break
 		}
 	}
--- a/harness/client.go
+++ b/harness/client.go
@@ -1,13 +1,9 @@
 package harness
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -17,35 +13,18 @@
 	"bergamotstile/declaration"
 	"bergamotstile/entry"
 	"bergamotstile/history"
+	"bergamotstile/standin"
 	"bergamotstile/structs"
 )
 
 // callLimit ends calls to processes that do not answer at all.
 const callLimit = 5 * time.Second
 
-// client opens a new connection for each call, as callers behind a balancer
-// may, so that a killed instance affects only its own calls.
-var client = &http.Client{
-	Timeout:   callLimit,
-	Transport: &http.Transport{DisableKeepAlives: true},
-}
+var caller = standin.NewCaller(callLimit)
 
 // send returns the status and body of an answer.
 func send(ctx context.Context, method, url string, headers map[string]string, body []byte) (int, []byte, error) {
-	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
-	if err != nil {
-		return 0, nil, err
-	}
-	for name, value := range headers {
-		req.Header.Set(name, value)
-	}
-	res, err := client.Do(req)
-	if err != nil {
-		return 0, nil, err
-	}
-	defer res.Body.Close()
-	data, err := io.ReadAll(res.Body)
-	return res.StatusCode, data, err
+	return caller.Send(ctx, method, url, headers, body)
 }
 
 // Request sends one latency-critical request to an entry instance and returns
@@ -63,7 +42,7 @@
 	status, body, err := send(ctx, http.MethodPost, "http://"+n.Address+"/v1/requests/"+Service+"/"+kind, headers, []byte(token))
 	call.End = time.Now().UnixNano()
 	switch {
-	case unsent(err):
+	case standin.Unsent(err):
 		call.Unsent = true
 	case err != nil:
 		call.Broken = true
@@ -76,12 +55,6 @@
 	return call
 }
 
-// unsent reports whether the connection could not be opened.
-func unsent(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
-}
-
 // echoed returns the token of a whole answer, which names the runner and the
 // request before it, or the answer itself if it is anything else.
 func (c *Cluster) echoed(body, kind string) string {
--- a/standin/standin.go
+++ b/standin/standin.go
@@ -1,5 +1,5 @@
 // Package standin holds small stand-ins for the systems around bergamotstile:
-// the platform, workers, runners and a TCP proxy that injects faults. Each is
+// the platform, workers, runners, callers and a TCP proxy that injects faults. Each is
 // a type that implements the interface directly and also an HTTP server, so
 // that it can run in a test, in the demo or as a process of its own.
 package standin
