--- a/builtin/builtin.go
+++ b/builtin/builtin.go
@@ -16,6 +16,7 @@
 	"bergamotstile/demo"
 	"bergamotstile/entry"
 	"bergamotstile/logging"
+	"bergamotstile/platform/hosted"
 	"bergamotstile/settings"
 	"bergamotstile/standin"
 )
@@ -32,6 +33,7 @@
 func Registry() command.Registry {
 	return command.Registry{
 		Entry:           runEntry,
+		Serve:           runServe,
 		Demo:            runDemo,
 		Bench:           runBench,
 		StandinPlatform: runPlatform,
@@ -45,6 +47,19 @@
 	return entry.New(s, logging.New(os.Stderr, logrus.InfoLevel)).Run(ctx)
 }
 
+func runServe(ctx context.Context, o command.ServeOptions, out io.Writer) error {
+	level, err := logrus.ParseLevel(o.LogLevel)
+	if err != nil {
+		return fmt.Errorf("--log-level: %w", err)
+	}
+	s, err := hosted.LoadSettings(o.Settings)
+	if err != nil {
+		return err
+	}
+	log, _ := logging.NewStructured(out, level)
+	return hosted.Run(ctx, s, log)
+}
+
 func runDemo(ctx context.Context, o command.DemoOptions, out io.Writer) error {
 	options := demo.Options{Seed: o.Seed, Verbose: o.Verbose}
 	if o.Declaration != "" {
--- a/command/command.go
+++ b/command/command.go
@@ -26,6 +26,7 @@
 // function is nil answers that it is not built in.
 type Registry struct {
 	Entry           func(ctx context.Context, s *settings.Settings) error
+	Serve           func(ctx context.Context, o ServeOptions, out io.Writer) error
 	Demo            func(ctx context.Context, o DemoOptions, out io.Writer) error
 	Bench           func(ctx context.Context, o BenchOptions, out io.Writer) error
 	StandinPlatform func(ctx context.Context, o PlatformOptions, out io.Writer) error
@@ -37,6 +38,7 @@
 // arguments is the command line.
 type arguments struct {
 	Entry   *entryCommand   `arg:"subcommand:entry" help:"run an entry instance"`
+	Serve   *ServeOptions   `arg:"subcommand:serve" help:"run an entry instance on the users' platform"`
 	Check   *checkCommand   `arg:"subcommand:check" help:"check a declaration without applying it"`
 	Apply   *applyCommand   `arg:"subcommand:apply" help:"apply a declaration"`
 	Submit  *submitCommand  `arg:"subcommand:submit" help:"submit a work item"`
--- a/command/run.go
+++ b/command/run.go
@@ -23,6 +23,19 @@
 	return endOf(ctx, r.Entry(ctx, s))
 }
 
+// ServeOptions are the options of an entry instance on the users' platform.
+type ServeOptions struct {
+	Settings string `arg:"--settings,env:BERGAMOTSTILE_SETTINGS,required" placeholder:"FILE" help:"the platform's settings file"`
+	LogLevel string `arg:"--log-level" default:"info" placeholder:"LEVEL" help:"error, warning, info or debug"`
+}
+
+func (c *ServeOptions) run(ctx context.Context, r Registry, out io.Writer) error {
+	if r.Serve == nil {
+		return notBuiltIn("serve")
+	}
+	return endOf(ctx, r.Serve(ctx, *c, out))
+}
+
 // loadSettings tells a file that cannot be read from one that is refused.
 func loadSettings(path string) (*settings.Settings, error) {
 	data, err := readInput(path)
--- /dev/null
+++ b/coordinator/core.go
@@ -0,0 +1,323 @@
+package coordinator
+
+import (
+	"fmt"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"bergamotstile/jobs"
+)
+
+// phase is where a run stands.
+type phase uint8
+
+const (
+	starting phase = iota // ordered, not known to run
+	running
+	stopping
+)
+
+// run is one start of a task on a runner. It holds capacity there until its end
+// is proved.
+type run struct {
+	job     *job
+	task    jobs.TaskID
+	number  int
+	runner  *runner
+	step    *jobs.Step
+	phase   phase
+	settled *atomic.Bool // ends the repetition of its last order
+	began   time.Duration
+	// confirmed is when the last order for the run was answered.
+	confirmed time.Duration
+	percent   int
+	// moved is when percent last changed.
+	moved time.Duration
+	load  int
+	pace  int // percent of its full speed
+}
+
+// job is an accepted job with its runs.
+type job struct {
+	*jobs.Job
+	queue Queue
+	// objective is when the job should be completed, on the store's clock.
+	objective time.Duration
+	work      map[[2]int]*work
+	runs      map[jobs.TaskID][]*run
+	begun     bool
+	// inherited jobs may have runs that a predecessor started.
+	inherited bool
+}
+
+// work is a step of an occurrence whose turn has come.
+type work struct {
+	job      *job
+	number   int // of the occurrence
+	index    int // of the step
+	step     *jobs.Step
+	pending  []int // tasks to start
+	notUntil time.Duration
+	onRunner map[*runner]int
+	listed   bool // in Core.waiting
+}
+
+// Core is the state of the coordinator. Its methods are called by one
+// goroutine. Times are readings of a steady clock unless they say otherwise.
+type Core struct {
+	limits  Limits
+	log     logrus.FieldLogger
+	queues  map[string]Queue
+	jobs    map[jobs.ID]*job
+	runners map[string]*runner
+	waiting []*work
+	timed   []*job // jobs with occurrences to come
+	dirty   map[*job]struct{}
+	urgent  bool
+	orders  []Order
+	// unresolved are runners that may run tasks of a predecessor unseen.
+	unresolved map[string]struct{}
+	resolveBy  time.Duration
+	// storeOffset is the store's clock less the local one.
+	storeOffset time.Duration
+	counters    Counter
+}
+
+// Counter counts decisions by name.
+type Counter func(name string, n int64)
+
+// New returns a core without jobs and runners.
+func New(limits Limits, log logrus.FieldLogger, count Counter) *Core {
+	if count == nil {
+		count = func(string, int64) {}
+	}
+	return &Core{
+		limits:     limits,
+		log:        log,
+		queues:     map[string]Queue{},
+		jobs:       map[jobs.ID]*job{},
+		runners:    map[string]*runner{},
+		dirty:      map[*job]struct{}{},
+		unresolved: map[string]struct{}{},
+		counters:   count,
+	}
+}
+
+// Configure replaces the queues in force.
+func (c *Core) Configure(queues []Queue) {
+	clear(c.queues)
+	for _, q := range queues {
+		c.queues[q.Name] = q
+	}
+	for _, j := range c.jobs {
+		if q, ok := c.queues[j.Queue]; ok {
+			j.queue = q
+		}
+	}
+}
+
+// SetStoreClock tells the core the store's clock.
+func (c *Core) SetStoreClock(local, store time.Duration) { c.storeOffset = store - local }
+
+// Inherit names the runners that may run a predecessor's tasks and the time at
+// which their leases have lapsed for certain.
+func (c *Core) Inherit(runners []string, lapsed time.Duration) {
+	for _, id := range runners {
+		c.unresolved[id] = struct{}{}
+	}
+	c.resolveBy = lapsed
+}
+
+// Unresolved returns the number of runners that may run a predecessor's tasks
+// unseen.
+func (c *Core) Unresolved() int { return len(c.unresolved) }
+
+// Accept adds a job. An inherited one may have runs of a predecessor.
+func (c *Core) Accept(accepted *jobs.Job, inherited bool, wall time.Duration) {
+	if _, known := c.jobs[accepted.ID]; known || accepted.State.Terminal() {
+		return
+	}
+	j := &job{Job: accepted, work: map[[2]int]*work{}, runs: map[jobs.TaskID][]*run{}, inherited: inherited}
+	j.queue = c.queues[j.Queue]
+	j.begun = j.State == jobs.Running
+	j.objective = j.Accepted + j.queue.Target + time.Duration(j.queue.Stretch*float64(j.Spec.Chain()))
+	c.jobs[j.ID] = j
+	if j.Spec.Repeats > 0 {
+		c.timed = append(c.timed, j)
+	}
+	c.openDue(j, wall)
+	c.log.WithFields(logrus.Fields{"job": j.ID, "queue": j.Queue, "inherited": inherited}).Info("job taken on")
+}
+
+// openDue opens the occurrences that are due at the time of day.
+func (c *Core) openDue(j *job, wall time.Duration) {
+	for number := range j.Occurrences() {
+		if j.Finished[number] || j.Current[number] != nil && j.work[[2]int{number, 0}] != nil {
+			continue
+		}
+		if j.Spec.Repeats > 0 && j.Due(number) > wall+c.limits.ScheduleLead {
+			break
+		}
+		if o := j.Open(number); o != nil {
+			c.openSteps(j, o)
+		}
+	}
+}
+
+// openSteps lists the tasks of the steps whose turn has come.
+func (c *Core) openSteps(j *job, o *jobs.Occurrence) {
+	for i := range o.Steps {
+		key := [2]int{o.Number, i}
+		if o.Steps[i].Left == 0 || j.work[key] != nil || !j.Ready(o, i) {
+			continue
+		}
+		w := &work{job: j, number: o.Number, index: i, step: &j.Spec.Steps[i], onRunner: map[*runner]int{}}
+		j.work[key] = w
+		for index := range o.Steps[i].Tasks {
+			id := jobs.TaskID{Job: j.ID, Occurrence: o.Number, Step: i, Index: index}
+			if !o.Steps[i].Tasks[index].Done && len(j.runs[id]) == 0 {
+				w.pending = append(w.pending, index)
+			}
+			for _, r := range j.runs[id] {
+				w.onRunner[r.runner]++
+			}
+		}
+		c.list(w)
+	}
+}
+
+// list puts work with pending tasks on the waiting list.
+func (c *Core) list(w *work) {
+	if !w.listed && len(w.pending) > 0 {
+		w.listed = true
+		c.waiting = append(c.waiting, w)
+	}
+}
+
+// requeue makes a task pending again unless it is done, running elsewhere or
+// its job has ended.
+func (c *Core) requeue(j *job, id jobs.TaskID) {
+	t := j.Task(id)
+	if j.State.Terminal() || t == nil || t.Done || len(j.runs[id]) > 0 {
+		return
+	}
+	w := j.work[[2]int{id.Occurrence, id.Step}]
+	if w == nil || slices.Contains(w.pending, id.Index) {
+		return
+	}
+	w.pending = append(w.pending, id.Index)
+	c.list(w)
+}
+
+// unlist removes a task from the pending ones.
+func (w *work) unlist(index int) {
+	w.pending = slices.DeleteFunc(w.pending, func(i int) bool { return i == index })
+}
+
+// Cancel ends a job on its client's request.
+func (c *Core) Cancel(id jobs.ID, now time.Duration) {
+	j := c.jobs[id]
+	if j == nil || j.State.Terminal() {
+		return
+	}
+	c.finish(j, jobs.Cancelled, now)
+}
+
+// Knows reports whether the job is under way.
+func (c *Core) Knows(id jobs.ID) bool { return c.jobs[id] != nil }
+
+// finish gives a job its final state and stops what still runs for it.
+func (c *Core) finish(j *job, state jobs.State, now time.Duration) {
+	j.State = state
+	for _, w := range j.work {
+		w.pending = nil
+	}
+	for _, runs := range j.runs {
+		for _, r := range runs {
+			c.stop(r, now)
+		}
+	}
+	c.touch(j, true)
+	c.counters("jobs_"+state.String(), 1)
+	c.log.WithFields(logrus.Fields{"job": j.ID, "state": state, "late_ms": (now + c.storeOffset - j.objective).Milliseconds()}).Info("job ended")
+}
+
+// touch marks the progress of a job for storing. Urgent progress is stored
+// without waiting for more.
+func (c *Core) touch(j *job, urgent bool) {
+	c.dirty[j] = struct{}{}
+	c.urgent = c.urgent || urgent
+}
+
+// Dirty reports whether progress waits to be stored, and whether at once.
+func (c *Core) Dirty() (waits, urgent bool) { return len(c.dirty) > 0, c.urgent }
+
+// TakeWrites returns the progress to store and how far each runner may forget
+// its ends once that is stored.
+func (c *Core) TakeWrites(now time.Duration) ([]Write, map[string]Acknowledged, error) {
+	var writes []Write
+	for j := range c.dirty {
+		value, err := jobs.EncodeProgress(j.Job, now+c.storeOffset)
+		if err != nil {
+			return nil, nil, fmt.Errorf("progress of job %s: %w", j.ID, err)
+		}
+		writes = append(writes, Write{Job: j.Job, Value: value})
+		if j.State.Terminal() {
+			c.forget(j)
+		}
+	}
+	clear(c.dirty)
+	c.urgent = false
+	acknowledged := make(map[string]Acknowledged, len(c.runners))
+	for id, r := range c.runners {
+		acknowledged[id] = Acknowledged{r.incarnation, r.seen}
+	}
+	return writes, acknowledged, nil
+}
+
+// forget drops a job that has ended. Its runs stay with their runners until
+// their ends are proved.
+func (c *Core) forget(j *job) {
+	delete(c.jobs, j.ID)
+	c.timed = slices.DeleteFunc(c.timed, func(o *job) bool { return o == j })
+}
+
+// TakeOrders returns the orders given since the last call.
+func (c *Core) TakeOrders() []Order {
+	orders := c.orders
+	c.orders = nil
+	return orders
+}
+
+// Pending returns the number of jobs of each queue none of whose tasks has
+// started. Scheduled jobs don't count.
+func (c *Core) Pending() map[string]int {
+	counts := make(map[string]int, len(c.queues))
+	for name := range c.queues {
+		counts[name] = 0
+	}
+	for _, j := range c.jobs {
+		if !j.begun && j.Spec.Repeats == 0 && !j.State.Terminal() {
+			counts[j.Queue]++
+		}
+	}
+	return counts
+}
+
+// Roster returns the runners that may run tasks now.
+func (c *Core) Roster() []string {
+	ids := make([]string, 0, len(c.runners))
+	for id := range c.runners {
+		ids = append(ids, id)
+	}
+	for id := range c.unresolved {
+		if c.runners[id] == nil {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
--- /dev/null
+++ b/coordinator/link.go
@@ -0,0 +1,216 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+)
+
+// Times of the calls to one runner.
+const (
+	holdWait = 700 * time.Millisecond
+	// silentRetry is the pause between calls to a runner that does not answer.
+	silentRetry = 250 * time.Millisecond
+	// storeWait bounds the wait for reported ends to be stored before the next
+	// call, which would list them again.
+	storeWait = 300 * time.Millisecond
+	// clockDrift is how much slower a runner's clock may be, in percent.
+	clockDrift = 2
+	// lapseMargin covers the time that a runner takes to kill its runs.
+	lapseMargin = 400 * time.Millisecond
+	// maxOrders bounds the orders under way to one runner.
+	maxOrders = 6
+)
+
+// Pauses between attempts at an order that is not answered.
+const (
+	firstOrderRetry = 100 * time.Millisecond
+	maxOrderRetry   = 800 * time.Millisecond
+	paceAttempts    = 3
+)
+
+// lease models a runner's clock and what it was granted.
+type lease struct {
+	duration time.Duration
+	// reading is the runner's clock as of an answer received at a local time.
+	reading, received time.Duration
+	granted           time.Duration // latest deadline sent, on the runner's clock
+	lapsed            time.Duration // local time at which it has passed for certain
+}
+
+// extend returns a new deadline, or zero while the runner's clock is unknown.
+func (l *lease) extend(now time.Duration) time.Duration {
+	if l.reading == 0 {
+		return 0
+	}
+	spent := now - l.received
+	l.granted = max(l.granted, l.reading+spent+l.duration)
+	latest := l.received + (l.granted-l.reading)*100/(100-clockDrift) + lapseMargin
+	l.lapsed = max(l.lapsed, latest)
+	return l.granted
+}
+
+// link is the connection to one runner. Its duty keeps the leases there alive
+// and reports what the runner lists.
+type link struct {
+	t       *tenure
+	runner  string
+	orders  chan struct{} // one token for each order under way
+	stored  chan struct{} // signals progress of acknowledged
+	stop    context.CancelFunc
+	mu      sync.Mutex
+	address string
+	lease   lease
+	silent  bool
+	acks    Acknowledged
+}
+
+func newLink(t *tenure, runner, address string) *link {
+	return &link{t: t, runner: runner, address: address, orders: make(chan struct{}, maxOrders), stored: make(chan struct{}, 1),
+		lease: lease{duration: t.env.Lease}}
+}
+
+func (l *link) setAddress(address string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.address = address
+}
+
+// acknowledge lets the runner forget stored ends.
+func (l *link) acknowledge(a Acknowledged) {
+	l.mu.Lock()
+	changed := a != l.acks
+	l.acks = a
+	l.mu.Unlock()
+	if !changed {
+		return
+	}
+	select {
+	case l.stored <- struct{}{}:
+	default:
+	}
+}
+
+// request prepares the next call. A silent runner's leases are not extended:
+// they must lapse for its tasks to be started elsewhere.
+func (l *link) request(incarnation int64) HoldRequest {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	h := HoldRequest{Runner: l.runner, Address: l.address, Epoch: l.t.term.Epoch}
+	if l.acks.Incarnation == incarnation {
+		h.Acknowledged = l.acks.Number
+	}
+	if !l.silent && l.lease.reading > 0 {
+		h.Deadline = l.lease.extend(l.t.env.Clock())
+		h.Wait = holdWait
+	}
+	return h
+}
+
+// answered records the runner's clock.
+func (l *link) answered(clock, now time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lease.reading, l.lease.received = clock, now
+	l.silent = false
+}
+
+// unanswered records a failed call and reports whether all leases have lapsed.
+func (l *link) unanswered(now time.Duration) (lapsed bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.silent = true
+	return now > l.lease.lapsed
+}
+
+// orderTarget returns where an order goes and the deadline of its lease.
+func (l *link) orderTarget() (address string, deadline time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.silent {
+		return l.address, l.lease.granted
+	}
+	return l.address, l.lease.extend(l.t.env.Clock())
+}
+
+// serve calls the runner until ctx ends.
+func (l *link) serve(ctx context.Context) {
+	var incarnation int64
+	lapsed := false
+	for ctx.Err() == nil {
+		h := l.request(incarnation)
+		sent := l.t.env.Clock()
+		res, err := l.t.env.Runners.Hold(ctx, h)
+		now := l.t.env.Clock()
+		if errors.Is(err, ErrFenced) {
+			l.t.fail(ErrFenced)
+			return
+		}
+		if err != nil {
+			l.t.env.Count("hold_unanswered", 1)
+			l.t.post(ctx, silentEvent{l.runner})
+			if l.unanswered(now) && !lapsed {
+				lapsed = true
+				l.t.post(ctx, lapsedEvent{l.runner})
+			}
+			pause(ctx, silentRetry)
+			continue
+		}
+		lapsed = false
+		incarnation = res.Report.Incarnation
+		l.answered(res.Clock, now)
+		res.Report.Sent = sent
+		l.t.post(ctx, reportEvent{res.Report})
+		if len(res.Report.Ended) > 0 {
+			l.awaitStored(ctx)
+		}
+	}
+}
+
+func (l *link) awaitStored(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-l.stored:
+	case <-time.After(storeWait):
+	}
+}
+
+// send repeats an order until it is answered or settled.
+func (l *link) send(ctx context.Context, o Order) {
+	select {
+	case l.orders <- struct{}{}:
+		defer func() { <-l.orders }()
+	case <-ctx.Done():
+		return
+	}
+	repeated := false
+	retry := firstOrderRetry
+	for attempt := 1; ctx.Err() == nil && !o.Settled.Load(); attempt++ {
+		address, deadline := l.orderTarget()
+		o.Address = address
+		outcome, err := l.t.env.Runners.Send(ctx, o, l.t.term.Epoch, deadline)
+		if errors.Is(err, ErrFenced) {
+			l.t.fail(ErrFenced)
+			return
+		}
+		if err == nil {
+			l.t.post(ctx, answerEvent{Answer{Order: o, Outcome: outcome, Repeated: repeated}})
+			return
+		}
+		l.t.env.Count("order_retry", 1)
+		repeated = repeated || !errors.Is(err, ErrNotSent)
+		if o.Kind == Pace && attempt >= paceAttempts {
+			return
+		}
+		pause(ctx, retry)
+		retry = min(2*retry, maxOrderRetry)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- /dev/null
+++ b/coordinator/platform.go
@@ -0,0 +1,70 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"bergamotstile/rowstore"
+)
+
+// Errors of calls to runners.
+var (
+	// ErrFenced means that the runner has seen a later coordinator.
+	ErrFenced = errors.New("runner obeys a later coordinator")
+	// ErrWrongRunner means that another runner has the address.
+	ErrWrongRunner = errors.New("another runner has the address")
+	// ErrNotSent means that the order can't have reached the runner.
+	ErrNotSent = errors.New("order not sent")
+)
+
+// HoldRequest asks a runner for its list and extends the leases there.
+type HoldRequest struct {
+	Runner, Address string
+	Epoch           uint64
+	// Acknowledged is the highest end that the runner may forget.
+	Acknowledged int
+	// Deadline is when all leases end, on the runner's clock. Zero leaves them
+	// as they are.
+	Deadline time.Duration
+	// Wait is how long the runner may wait for an end before it answers.
+	Wait time.Duration
+}
+
+// HoldResponse is a runner's answer. Clock is its clock.
+type HoldResponse struct {
+	Clock  time.Duration
+	Report Report
+}
+
+// RunnerClient calls runners. A call is sent at most once.
+type RunnerClient interface {
+	Hold(ctx context.Context, h HoldRequest) (HoldResponse, error)
+	// Send gives an order. The deadline is that of a start's lease, on the
+	// runner's clock.
+	Send(ctx context.Context, o Order, epoch uint64, deadline time.Duration) (Outcome, error)
+}
+
+// Environment is what a coordinator works with.
+type Environment struct {
+	Store   rowstore.Store
+	Runners RunnerClient
+	// RunnersTable is the registry; DecodeRunner decodes its rows.
+	RunnersTable string
+	DecodeRunner func(rowstore.Row) (RunnerInfo, error)
+	// Queues returns the queues in force.
+	Queues func() []Queue
+	Limits Limits
+	// Lease is how long a runner keeps runs without hearing of the
+	// coordinator.
+	Lease time.Duration
+	// Retention is how long the rows of a job stay after its end.
+	Retention time.Duration
+	Clock     func() time.Duration
+	// StoreClock is the store's clock, as far as it is known.
+	StoreClock func() time.Duration
+	Log        logrus.FieldLogger
+	Count      Counter
+}
--- /dev/null
+++ b/coordinator/runner.go
@@ -0,0 +1,130 @@
+package coordinator
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"bergamotstile/jobs"
+)
+
+// runner is a process that runs tasks, as the coordinator sees it.
+type runner struct {
+	RunnerInfo
+	// listed is set while the registry has an entry for it, or had one lately.
+	listed bool
+	// unlisted is when the entry was seen to be missing; zero if it is there.
+	unlisted time.Duration
+	// reported is set once it has answered this coordinator.
+	reported    bool
+	incarnation int64
+	seen        int // highest end processed
+	// suspect is set while it does not answer.
+	suspect bool
+	// leaves is when a draining runner may be gone.
+	leaves time.Duration
+	runs   map[*run]struct{}
+	held   jobs.Resources
+	// firm, serving and filling are thousandths of a processor asked for by
+	// plain tasks, by tasks that serve and by tasks that fill.
+	firm, serving, filling int64
+	pacing                 pacing
+	health                 health
+}
+
+// RunnerSeen records what the registry says of a runner.
+func (c *Core) RunnerSeen(info RunnerInfo, now time.Duration) {
+	r := c.runners[info.ID]
+	if r == nil {
+		r = &runner{runs: map[*run]struct{}{}}
+		r.pacing.limit = fullPace
+		c.runners[info.ID] = r
+	}
+	if info.Draining && !r.Draining {
+		c.log.WithFields(logrus.Fields{"runner": info.ID, "remaining_ms": info.Remaining.Milliseconds()}).Info("runner is draining")
+	}
+	if info.Draining {
+		r.leaves = now + info.Remaining
+	}
+	r.RunnerInfo = info
+	r.listed, r.unlisted = true, 0
+}
+
+// relistTime is how long an entry that lapsed while the store was away takes to
+// come back.
+const relistTime = 2500 * time.Millisecond
+
+// RunnerUnlisted records that the registry has no entry for a runner. It may
+// still run tasks.
+func (c *Core) RunnerUnlisted(id string, now time.Duration) {
+	if r := c.runners[id]; r != nil && r.listed && r.unlisted == 0 {
+		r.unlisted = now
+	}
+}
+
+// dropUnlisted takes runners as gone whose entries have not come back.
+func (c *Core) dropUnlisted(now time.Duration) {
+	for _, r := range c.runners {
+		if r.unlisted > 0 && now-r.unlisted > relistTime {
+			r.listed, r.unlisted = false, 0
+			c.log.WithField("runner", r.ID).Info("runner left the registry")
+		}
+	}
+}
+
+// RunnerSilent records that a call to a runner was not answered.
+func (c *Core) RunnerSilent(id string) {
+	if r := c.runners[id]; r != nil && !r.suspect {
+		r.suspect = true
+		c.counters("runners_silent", 1)
+		c.log.WithFields(logrus.Fields{"runner": id, "runs": len(r.runs)}).Warn("runner does not answer")
+	}
+}
+
+// RunnerLapsed records that every lease on a runner has lapsed: nothing runs
+// there any more.
+func (c *Core) RunnerLapsed(id string, now time.Duration) {
+	delete(c.unresolved, id)
+	r := c.runners[id]
+	if r == nil {
+		return
+	}
+	c.log.WithFields(logrus.Fields{"runner": id, "runs": len(r.runs)}).Warn("leases on runner lapsed")
+	for lost := range r.runs {
+		c.lose(lost, now, "lease lapsed")
+	}
+	if !r.listed {
+		delete(c.runners, id)
+	}
+}
+
+// hold counts a run against its runner.
+func (r *runner) hold(x *run) {
+	r.runs[x] = struct{}{}
+	r.held = r.held.Add(x.step.Reserved())
+	r.share(x, 1)
+}
+
+// release frees what a run held.
+func (r *runner) release(x *run) {
+	delete(r.runs, x)
+	r.held = r.held.Sub(x.step.Reserved())
+	r.share(x, -1)
+}
+
+func (r *runner) share(x *run, sign int64) {
+	cpu := sign * x.step.Ask.CPUMilli
+	switch {
+	case x.step.Fills:
+		r.filling += cpu
+	case x.step.TailTarget > 0:
+		r.serving += cpu
+	default:
+		r.firm += cpu
+	}
+}
+
+// usable reports whether the runner may be given new tasks.
+func (r *runner) usable() bool {
+	return r.listed && r.reported && !r.Draining && !r.suspect
+}
--- /dev/null
+++ b/coordinator/takeover.go
@@ -0,0 +1,225 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"bergamotstile/gateway"
+	"bergamotstile/jobs"
+	"bergamotstile/rowstore"
+)
+
+// Times of the feeds.
+const (
+	feedWait  = 2 * time.Second
+	feedRetry = 100 * time.Millisecond
+)
+
+// startVersions are where the feeds begin.
+type startVersions struct{ jobs, runners uint64 }
+
+// takeOver bars predecessors from the store and rebuilds the state from its
+// rows.
+func (t *tenure) takeOver(ctx context.Context) (startVersions, error) {
+	var from startVersions
+	fence, err := t.fenceAll(ctx)
+	if err != nil {
+		return from, err
+	}
+	t.core.SetStoreClock(t.env.Clock(), t.env.StoreClock())
+	t.core.Configure(t.env.Queues())
+	if from.jobs, err = t.loadJobs(ctx, fence); err != nil {
+		return from, err
+	}
+	registry, err := rowstore.ReadAll(ctx, t.env.Store, rowstore.Range{Table: t.env.RunnersTable})
+	if err != nil {
+		return from, err
+	}
+	from.runners = registry.Version
+	if err := t.inherit(ctx, registry.Rows); err != nil {
+		return from, err
+	}
+	registryEvent{rows: registry.Rows, whole: true}.apply(t)
+	return from, nil
+}
+
+func (t *tenure) fenceAll(ctx context.Context) (uint64, error) {
+	parts := append(gateway.Parts(), sharedPart)
+	versions := make([]uint64, len(parts))
+	group, ctx := errgroup.WithContext(ctx)
+	for i, part := range parts {
+		group.Go(func() error {
+			version, err := t.journal.fence(ctx, part)
+			versions[i] = version
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return 0, fmt.Errorf("fence: %w", err)
+	}
+	lowest := versions[0]
+	for _, v := range versions {
+		lowest = min(lowest, v)
+	}
+	return lowest, nil
+}
+
+// loadJobs reads every job and returns the version from which on changes are to
+// be followed. A predecessor may have started tasks of jobs older than fence.
+func (t *tenure) loadJobs(ctx context.Context, fence uint64) (uint64, error) {
+	parts := gateway.Parts()
+	accepted := make([]rowstore.Result, len(parts))
+	progress := make([]rowstore.Result, len(parts))
+	group, ctx := errgroup.WithContext(ctx)
+	for i, part := range parts {
+		group.Go(func() (err error) {
+			accepted[i], err = rowstore.ReadAll(ctx, t.env.Store, rowstore.Range{Table: gateway.JobsTable, Part: part})
+			return err
+		})
+		group.Go(func() (err error) {
+			progress[i], err = rowstore.ReadAll(ctx, t.env.Store, rowstore.Range{Table: gateway.ProgressTable, Part: part})
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return 0, fmt.Errorf("load jobs: %w", err)
+	}
+	from := accepted[0].Version
+	for i := range parts {
+		from = min(from, accepted[i].Version)
+		t.restore(accepted[i].Rows, progress[i].Rows, fence)
+	}
+	return from, nil
+}
+
+func (t *tenure) restore(accepted, progress []rowstore.Row, fence uint64) {
+	records := make(map[jobs.ID][]byte, len(progress))
+	for _, row := range progress {
+		records[jobs.ID(row.Key.Key)] = row.Value
+		t.journal.loaded(row.Key, row.Version)
+	}
+	var cancelled []jobs.ID
+	for _, row := range accepted {
+		id, cancel, ok := gateway.ParseJobKey(row.Key.Key)
+		if !ok {
+			continue
+		}
+		if cancel {
+			cancelled = append(cancelled, id)
+			continue
+		}
+		if err := t.restoreJob(id, row, records[id], row.Version < fence); err != nil {
+			t.env.Count("jobs_unreadable", 1)
+			t.env.Log.WithError(err).Error("job not taken on")
+		}
+	}
+	for _, id := range cancelled {
+		t.core.Cancel(id, t.env.Clock())
+	}
+}
+
+func (t *tenure) restoreJob(id jobs.ID, row rowstore.Row, record []byte, inherited bool) error {
+	j, err := jobs.DecodeAccepted(id, row.Value, row.Version)
+	if err != nil {
+		return err
+	}
+	if record != nil {
+		if err := j.Restore(record); err != nil {
+			return err
+		}
+	}
+	if j.State.Terminal() {
+		_, ended, err := jobs.DecodeState(record)
+		t.ended[id] = ended
+		return err
+	}
+	t.core.Accept(j, inherited, time.Duration(time.Now().UnixNano()))
+	return nil
+}
+
+// inherit notes which runners may run a predecessor's tasks.
+func (t *tenure) inherit(ctx context.Context, registry []rowstore.Row) error {
+	roster, err := t.env.Store.Read(ctx, rowstore.Range{Table: rosterKey.Table, Part: rosterKey.Part, From: rosterKey.Key, To: rosterKey.Key + "\x00"})
+	if err != nil {
+		return err
+	}
+	var ids []string
+	for _, row := range roster.Rows {
+		t.journal.loaded(row.Key, row.Version)
+		t.notes[row.Key] = string(row.Value)
+		ids = append(ids, strings.FieldsFunc(string(row.Value), func(r rune) bool { return r == '\n' })...)
+	}
+	for _, row := range registry {
+		if _, err := t.env.DecodeRunner(row); err == nil {
+			ids = append(ids, row.Key.Key)
+		}
+	}
+	acting := max(t.env.Clock(), t.term.PredecessorGone)
+	t.core.Inherit(ids, acting+t.env.Lease*100/(100-clockDrift)+lapseMargin)
+	return nil
+}
+
+// followJobs passes on accepted and cancelled jobs. While another process may
+// hold the lease, it passes nothing on: that process may start those jobs.
+func (t *tenure) followJobs(ctx context.Context, after uint64) {
+	t.follow(ctx, gateway.JobsTable, after, t.rereadJobs, func(rows []rowstore.Row, _ bool) bool {
+		if !t.term.Exclusive() {
+			return false
+		}
+		t.post(ctx, jobsEvent{rows})
+		return true
+	})
+}
+
+func (t *tenure) followRunners(ctx context.Context, after uint64) {
+	reread := func(ctx context.Context) (rowstore.Result, error) {
+		return rowstore.ReadAll(ctx, t.env.Store, rowstore.Range{Table: t.env.RunnersTable})
+	}
+	t.follow(ctx, t.env.RunnersTable, after, reread, func(rows []rowstore.Row, whole bool) bool {
+		t.post(ctx, registryEvent{rows, whole})
+		return true
+	})
+}
+
+func (t *tenure) rereadJobs(ctx context.Context) (rowstore.Result, error) {
+	var all rowstore.Result
+	for i, part := range gateway.Parts() {
+		res, err := rowstore.ReadAll(ctx, t.env.Store, rowstore.Range{Table: gateway.JobsTable, Part: part})
+		if err != nil {
+			return rowstore.Result{}, err
+		}
+		if i == 0 {
+			all.Version = res.Version
+		}
+		all.Rows = append(all.Rows, res.Rows...)
+	}
+	return all, nil
+}
+
+// follow passes the changes of a table on. Where the history is gone, all rows
+// are read again.
+func (t *tenure) follow(ctx context.Context, table string, after uint64, reread func(context.Context) (rowstore.Result, error), take func(rows []rowstore.Row, whole bool) bool) {
+	for ctx.Err() == nil {
+		res, err := t.env.Store.Changes(ctx, table, after, feedWait)
+		whole := errors.Is(err, rowstore.ErrHistoryGone)
+		if whole {
+			t.env.Count("history_gone", 1)
+			res, err = reread(ctx)
+		}
+		if err != nil {
+			t.env.Count("feed_retry", 1)
+			pause(ctx, feedRetry)
+			continue
+		}
+		if len(res.Rows) > 0 && !take(res.Rows, whole) {
+			pause(ctx, feedRetry)
+			continue
+		}
+		after = max(after, res.Version)
+	}
+}
--- /dev/null
+++ b/coordinator/tenure.go
@@ -0,0 +1,354 @@
+package coordinator
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"bergamotstile/gateway"
+	"bergamotstile/jobs"
+	"bergamotstile/leadership"
+	"bergamotstile/rowstore"
+)
+
+// Times of the coordinator's duties.
+const (
+	tickEvery = 100 * time.Millisecond
+	// storeEvery is the pause between writes of progress that is not urgent.
+	storeEvery  = 120 * time.Millisecond
+	notesEvery  = time.Second
+	sweepEvery  = 10 * time.Second
+	eventBuffer = 1024
+	maxBatch    = 128 // events handled between two rounds of scheduling
+	sweepMargin = 30 * time.Second
+	sweepJobs   = rowstore.MaxTransactionEntries/3 - 1
+)
+
+var rosterKey = rowstore.Key{Table: "lease", Part: sharedPart, Key: "roster"}
+
+// event is something that happened; apply is called by the loop.
+type event interface{ apply(t *tenure) }
+
+type (
+	reportEvent struct{ report Report }
+	silentEvent struct{ runner string }
+	lapsedEvent struct{ runner string }
+	answerEvent struct{ answer Answer }
+	jobsEvent   struct{ rows []rowstore.Row }
+	storedEvent struct{ acknowledged map[string]Acknowledged }
+	// registryEvent lists changed runners; whole means that others are gone.
+	registryEvent struct {
+		rows  []rowstore.Row
+		whole bool
+	}
+)
+
+// tenure is one term of the coordinator.
+type tenure struct {
+	env     Environment
+	term    *leadership.Term
+	core    *Core
+	journal *journal
+	links   map[string]*link
+	events  chan event
+	failed  chan error
+	ctx     context.Context
+
+	storing   bool
+	lastStore time.Duration
+	noting    chan struct{} // token of the writer of notes
+	notes     map[rowstore.Key]string
+	nextNotes time.Duration
+	nextSweep time.Duration
+	ended     map[jobs.ID]time.Duration // on the store's clock
+}
+
+// Lead coordinates until ctx ends or a later coordinator is noticed.
+func Lead(ctx context.Context, env Environment, term *leadership.Term) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	t := &tenure{
+		env: env, term: term,
+		core:    New(env.Limits, env.Log, env.Count),
+		journal: newJournal(env.Store, term.Epoch),
+		links:   map[string]*link{},
+		events:  make(chan event, eventBuffer),
+		failed:  make(chan error, 1),
+		ctx:     ctx,
+		noting:  make(chan struct{}, 1),
+		notes:   map[rowstore.Key]string{},
+		ended:   map[jobs.ID]time.Duration{},
+	}
+	begun := env.Clock()
+	versions, err := t.takeOver(ctx)
+	if err != nil {
+		return fmt.Errorf("take over: %w", err)
+	}
+	env.Log.WithFields(logrus.Fields{"epoch": term.Epoch, "jobs": len(t.core.jobs), "runners": len(t.core.runners),
+		"unresolved": t.core.Unresolved(), "took_ms": (env.Clock() - begun).Milliseconds()}).Info("coordinating")
+	go t.followJobs(ctx, versions.jobs)
+	go t.followRunners(ctx, versions.runners)
+	return t.loop(ctx)
+}
+
+// fail ends the term.
+func (t *tenure) fail(err error) {
+	select {
+	case t.failed <- err:
+	default:
+	}
+}
+
+func (t *tenure) post(ctx context.Context, e event) {
+	select {
+	case t.events <- e:
+	case <-ctx.Done():
+	}
+}
+
+func (t *tenure) loop(ctx context.Context) error {
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	t.act()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case err := <-t.failed:
+			return err
+		case <-tick.C:
+			t.tick()
+		case e := <-t.events:
+			e.apply(t)
+			t.drain()
+		}
+		t.act()
+	}
+}
+
+// drain handles events that wait, so that scheduling sees them together.
+func (t *tenure) drain() {
+	for range maxBatch {
+		select {
+		case e := <-t.events:
+			e.apply(t)
+		default:
+			return
+		}
+	}
+}
+
+func (t *tenure) tick() {
+	now := t.env.Clock()
+	t.core.SetStoreClock(now, t.env.StoreClock())
+	t.core.Configure(t.env.Queues())
+	t.core.Watch(now)
+	t.dropLinks()
+	if now >= t.nextNotes {
+		t.nextNotes = now + notesEvery
+		t.writeNotes()
+	}
+	if now >= t.nextSweep {
+		t.nextSweep = now + sweepEvery
+		t.sweep()
+	}
+}
+
+// act schedules, sends the orders and stores the progress.
+func (t *tenure) act() {
+	now := t.env.Clock()
+	t.core.Schedule(now, time.Duration(time.Now().UnixNano()))
+	for _, o := range t.core.TakeOrders() {
+		if l := t.links[o.Runner]; l != nil {
+			go l.send(t.ctx, o)
+		}
+	}
+	waits, urgent := t.core.Dirty()
+	if !t.storing && waits && (urgent || now-t.lastStore >= storeEvery) {
+		t.storeProgress(now)
+	}
+}
+
+func (t *tenure) storeProgress(now time.Duration) {
+	writes, acknowledged, err := t.core.TakeWrites(now)
+	if err != nil {
+		t.fail(err)
+		return
+	}
+	for _, w := range writes {
+		if w.Job.State.Terminal() {
+			t.ended[w.Job.ID] = t.env.StoreClock()
+		}
+	}
+	t.storing, t.lastStore = true, now
+	go func() {
+		if err := t.journal.storeAll(t.ctx, writes); err != nil {
+			t.fail(err)
+			return
+		}
+		t.env.Count("progress_stored", int64(len(writes)))
+		t.post(t.ctx, storedEvent{acknowledged})
+	}()
+}
+
+func (e storedEvent) apply(t *tenure) {
+	t.storing = false
+	for id, a := range e.acknowledged {
+		if l := t.links[id]; l != nil {
+			l.acknowledge(a)
+		}
+	}
+}
+
+func (e reportEvent) apply(t *tenure) { t.core.Report(e.report, t.env.Clock()) }
+func (e silentEvent) apply(t *tenure) { t.core.RunnerSilent(e.runner) }
+func (e answerEvent) apply(t *tenure) { t.core.Answered(e.answer, t.env.Clock()) }
+
+func (e lapsedEvent) apply(t *tenure) { t.core.RunnerLapsed(e.runner, t.env.Clock()) }
+
+// dropLinks ends the duties of runners that are gone.
+func (t *tenure) dropLinks() {
+	for id, l := range t.links {
+		if t.core.runners[id] == nil {
+			l.stop()
+			delete(t.links, id)
+		}
+	}
+}
+
+func (e jobsEvent) apply(t *tenure) {
+	for _, row := range e.rows {
+		t.noteJob(row, false)
+	}
+}
+
+// noteJob takes on or cancels the job that a row is about.
+func (t *tenure) noteJob(row rowstore.Row, inherited bool) {
+	id, cancel, ok := gateway.ParseJobKey(row.Key.Key)
+	if !ok || row.Deleted {
+		return
+	}
+	now := t.env.Clock()
+	if cancel {
+		t.core.Cancel(id, now)
+		return
+	}
+	if _, over := t.ended[id]; over || t.core.Knows(id) {
+		return
+	}
+	j, err := jobs.DecodeAccepted(id, row.Value, row.Version)
+	if err != nil {
+		t.env.Count("jobs_unreadable", 1)
+		t.env.Log.WithError(err).Error("job not taken on")
+		return
+	}
+	t.core.Configure(t.env.Queues())
+	t.core.Accept(j, inherited, time.Duration(time.Now().UnixNano()))
+}
+
+func (e registryEvent) apply(t *tenure) {
+	now := t.env.Clock()
+	seen := map[string]bool{}
+	for _, row := range e.rows {
+		id := row.Key.Key
+		if row.Deleted {
+			t.core.RunnerUnlisted(id, now)
+			continue
+		}
+		info, err := t.env.DecodeRunner(row)
+		if err != nil {
+			t.env.Count("runners_unreadable", 1)
+			t.env.Log.WithError(err).Warn("registry entry ignored")
+			continue
+		}
+		seen[id] = true
+		t.noteRunner(info, now)
+	}
+	if !e.whole {
+		return
+	}
+	for id := range t.core.runners {
+		if !seen[id] {
+			t.core.RunnerUnlisted(id, now)
+		}
+	}
+}
+
+func (t *tenure) noteRunner(info RunnerInfo, now time.Duration) {
+	t.core.RunnerSeen(info, now)
+	if l := t.links[info.ID]; l != nil {
+		l.setAddress(info.Address)
+		return
+	}
+	l := newLink(t, info.ID, info.Address)
+	ctx, cancel := context.WithCancel(t.ctx)
+	l.stop = cancel
+	t.links[info.ID] = l
+	go l.serve(ctx)
+}
+
+// writeNotes stores the numbers of pending jobs and the roster where they have
+// changed.
+func (t *tenure) writeNotes() {
+	notes := map[rowstore.Key]string{rosterKey: strings.Join(t.core.Roster(), "\n")}
+	for queue, n := range t.core.Pending() {
+		notes[gateway.PendingKey(queue)] = strconv.Itoa(n)
+	}
+	maps.DeleteFunc(notes, func(k rowstore.Key, v string) bool { return t.notes[k] == v })
+	if len(notes) == 0 {
+		return
+	}
+	select {
+	case t.noting <- struct{}{}:
+	default:
+		return
+	}
+	maps.Copy(t.notes, notes)
+	go func() {
+		defer func() { <-t.noting }()
+		t.putNotes(notes)
+	}()
+}
+
+func (t *tenure) putNotes(notes map[rowstore.Key]string) {
+	var puts []rowstore.Put
+	for key, value := range notes {
+		puts = append(puts, rowstore.Put{Key: key, Value: []byte(value)})
+	}
+	for chunk := range slices.Chunk(puts, jobsPerTransaction) {
+		if err := t.journal.put(t.ctx, sharedPart, chunk); err != nil {
+			t.fail(err)
+			return
+		}
+	}
+}
+
+// sweep removes the rows of jobs that ended long ago.
+func (t *tenure) sweep() {
+	old := map[string][]jobs.ID{}
+	limit := t.env.StoreClock() - t.env.Retention - sweepMargin
+	for id, ended := range t.ended {
+		part := gateway.PartOf(id)
+		if ended < limit && len(old[part]) < sweepJobs {
+			old[part] = append(old[part], id)
+		}
+	}
+	for part, ids := range old {
+		for _, id := range ids {
+			delete(t.ended, id)
+		}
+		go func() {
+			ctx, cancel := context.WithTimeout(t.ctx, journalTimeout)
+			defer cancel()
+			if err := t.journal.remove(ctx, part, ids); err != nil {
+				t.env.Log.WithError(err).WithField("jobs", len(ids)).Warn("rows of ended jobs not removed")
+			}
+		}()
+	}
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,200 @@
+// Package gateway accepts, cancels and reports jobs on any instance. It keeps
+// nothing: every answer comes from the store.
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"time"
+
+	"bergamotstile/jobs"
+	"bergamotstile/rowstore"
+)
+
+// Errors of the gateway.
+var (
+	// ErrNotAccepted means that the call had no effect and may be sent again.
+	ErrNotAccepted = errors.New("not accepted")
+	// ErrUnknown means that the call may have had an effect.
+	ErrUnknown = errors.New("outcome unknown")
+)
+
+// Times of calls to the store.
+const (
+	// writeTimeout bounds one write; a slow store answers within it.
+	writeTimeout = 1200 * time.Millisecond
+	readTimeout  = 1200 * time.Millisecond
+	// refusedRetry is the pause before the one repetition of a refused write.
+	refusedRetry = 25 * time.Millisecond
+	unknownRetry = 50 * time.Millisecond
+	// answerMargin is kept of the client's time for the answer itself.
+	answerMargin = 60 * time.Millisecond
+)
+
+// Clock returns the store's clock, as far as it is known.
+type Clock func() time.Duration
+
+// Gateway answers clients out of the store.
+type Gateway struct {
+	Store rowstore.Store
+	Clock Clock
+}
+
+// Submit records a job. It returns nil once the job is durable, also if it was
+// before.
+func (g *Gateway) Submit(ctx context.Context, queue string, id jobs.ID, spec jobs.Spec) error {
+	value, err := jobs.EncodeAccepted(queue, spec, g.Clock())
+	if err != nil {
+		return fmt.Errorf("%w: %v", ErrNotAccepted, err)
+	}
+	key := AcceptedKey(id)
+	return g.write(ctx, rowstore.Transaction{
+		Conditions: []rowstore.Condition{{Key: key}},
+		Puts:       []rowstore.Put{{Key: key, Value: value}},
+	})
+}
+
+// write commits a transaction whose conditions fail once it took effect. A
+// refusal is passed on only while no attempt can take effect.
+func (g *Gateway) write(ctx context.Context, tx rowstore.Transaction) error {
+	unknown := false
+	for attempt := 0; ; attempt++ {
+		call, cancel := context.WithTimeout(ctx, writeTimeout)
+		_, err := g.Store.Commit(call, tx)
+		cancel()
+		var conflict *rowstore.ConflictError
+		switch {
+		case err == nil, errors.As(err, &conflict):
+			return nil
+		case !errors.Is(err, rowstore.ErrRefused):
+			unknown = true
+		case !unknown && attempt > 0:
+			return fmt.Errorf("%w: %v", ErrNotAccepted, err)
+		}
+		pause := refusedRetry
+		if unknown {
+			pause = unknownRetry << min(attempt, 3)
+		}
+		if !wait(ctx, pause) {
+			if unknown {
+				return fmt.Errorf("%w: %v", ErrUnknown, err)
+			}
+			return fmt.Errorf("%w: %v", ErrNotAccepted, err)
+		}
+	}
+}
+
+// wait pauses and reports whether enough time is left for another attempt.
+func wait(ctx context.Context, pause time.Duration) bool {
+	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < pause+answerMargin {
+		return false
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(pause):
+		return true
+	}
+}
+
+// rows are the records of one job.
+type rows struct {
+	accepted *rowstore.Row
+	cancel   bool
+}
+
+func (g *Gateway) rows(ctx context.Context, id jobs.ID) (rows, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	res, err := g.Store.Read(ctx, JobRange(id))
+	if err != nil {
+		return rows{}, fmt.Errorf("%w: %v", ErrNotAccepted, err)
+	}
+	var out rows
+	for i := range res.Rows {
+		switch res.Rows[i].Key {
+		case AcceptedKey(id):
+			out.accepted = &res.Rows[i]
+		case CancelKey(id):
+			out.cancel = true
+		}
+	}
+	return out, nil
+}
+
+// progress returns the state that the coordinator has stored.
+func (g *Gateway) progress(ctx context.Context, id jobs.ID) (jobs.State, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	key := ProgressKey(id)
+	res, err := g.Store.Read(ctx, rowstore.Range{Table: key.Table, Part: key.Part, From: key.Key, To: key.Key + "\x00"})
+	if err != nil {
+		return 0, fmt.Errorf("%w: %v", ErrNotAccepted, err)
+	}
+	if len(res.Rows) == 0 {
+		return jobs.Queued, nil
+	}
+	state, _, err := jobs.DecodeState(res.Rows[0].Value)
+	return state, err
+}
+
+// Status returns a job's state and whether the job exists.
+func (g *Gateway) Status(ctx context.Context, id jobs.ID) (jobs.State, bool, error) {
+	found, err := g.rows(ctx, id)
+	if err != nil || found.accepted == nil {
+		return 0, false, err
+	}
+	if found.cancel {
+		return jobs.Cancelled, true, nil
+	}
+	state, err := g.progress(ctx, id)
+	return state, err == nil, err
+}
+
+// Cancel records that a job is to end and reports whether the job exists.
+func (g *Gateway) Cancel(ctx context.Context, id jobs.ID) (bool, error) {
+	found, err := g.rows(ctx, id)
+	if err != nil || found.accepted == nil {
+		return false, err
+	}
+	if found.cancel {
+		return true, nil
+	}
+	state, err := g.progress(ctx, id)
+	if err != nil {
+		return false, err
+	}
+	if state.Terminal() {
+		return true, nil
+	}
+	key := CancelKey(id)
+	// The conditions keep a delayed write from marking a job whose rows were
+	// removed meanwhile.
+	err = g.write(ctx, rowstore.Transaction{
+		Conditions: []rowstore.Condition{{Key: key}, {Key: found.accepted.Key, Version: found.accepted.Version}},
+		Puts:       []rowstore.Put{{Key: key}},
+	})
+	return err == nil, err
+}
+
+// Pending returns the number of a queue's jobs that have not begun, as the
+// coordinator last stored it.
+func (g *Gateway) Pending(ctx context.Context, queue string) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	key := PendingKey(queue)
+	res, err := g.Store.Read(ctx, rowstore.Range{Table: key.Table, Part: key.Part, From: key.Key, To: key.Key + "\x00"})
+	if err != nil {
+		return 0, fmt.Errorf("%w: %v", ErrNotAccepted, err)
+	}
+	if len(res.Rows) == 0 {
+		return 0, nil
+	}
+	n, err := strconv.Atoi(string(res.Rows[0].Value))
+	if err != nil {
+		return 0, fmt.Errorf("pending jobs of queue %s: %w", queue, err)
+	}
+	return n, nil
+}
