--- a/coordinator/types.go
+++ b/coordinator/types.go
@@ -67,6 +67,9 @@
 	return [...]string{"done", "failed", "stopped", "lapsed", "broken", "alone"}[h]
 }
 
+// MarshalText implements encoding.TextMarshaler, for log lines.
+func (h How) MarshalText() ([]byte, error) { return []byte(h.String()), nil }
+
 // RunEnd is one end that a runner lists until it is acknowledged.
 type RunEnd struct {
 	Number int // rises by one with each end of an incarnation
@@ -132,6 +135,9 @@
 	return [...]string{"accepted", "old", "late", "room", "ticket", "unhealthy", "wrong_runner"}[o]
 }
 
+// MarshalText implements encoding.TextMarshaler, for log lines.
+func (o Outcome) MarshalText() ([]byte, error) { return []byte(o.String()), nil }
+
 // Answer is the outcome of an order.
 type Answer struct {
 	Order   Order
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -28,6 +28,9 @@
 	return [...]string{"queued", "running", "completed", "failed", "cancelled"}[s]
 }
 
+// MarshalText implements encoding.TextMarshaler, for log lines.
+func (s State) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
+
 // TaskID names a task of a job's occurrence.
 type TaskID struct {
 	Job        ID
@@ -47,6 +50,9 @@
 	return string(b)
 }
 
+// MarshalText implements encoding.TextMarshaler, for log lines.
+func (t TaskID) MarshalText() ([]byte, error) { return []byte(t.String()), nil }
+
 // ParseTaskID is the inverse of String.
 func ParseTaskID(name string) (TaskID, error) {
 	fields := strings.Split(name, ".")
