--- a/coordinator/harm.go
+++ b/coordinator/harm.go
@@ -14,47 +14,47 @@
 // Tasks that fill disturb tasks that serve, some pairs of images much, most
 // hardly. The tail latency of a serving task grows like that of a queue: the
 // share of quiet time over tail falls linearly with its own load and with what
-// its neighbours press. That share is what the model learns from.
+// its neighbours press. Disturbance is one minus that share; it is what the
+// model learns and what the paces are set by.
 const (
 	fullPace = 100 // percent
 	minPace  = 1
+	// quietOfTarget is the assumed quiet tail in percent of the target, until
+	// it is measured.
+	quietOfTarget  = 45
+	quietPrior     = 30 // samples that the assumption counts for
+	quietSamples   = 400
+	quietFillShare = 0.04 // of the processors, below which tails count as quiet
 	// tailNoise is the deviation that a serving task's own changes of load
 	// cause in a measurement.
 	tailNoise = 0.3
-	// quietGain is the weight of one undisturbed measurement in the quiet tail.
-	quietGain = 0.02
-	// quietPressure is the predicted pressure below which a measurement counts
-	// as undisturbed.
-	quietPressure = 0.05
-	// slowAbove and raiseBelow are shares of the tail's target, in percent.
-	slowAbove  = 85
-	raiseBelow = 65
-	// relief is the share of the measured excess that a slowdown aims below the
-	// target, to leave room for the serving task's own changes.
-	relief = 0.25
-	// paceSettle is how long a change takes to show in figures that cover the
-	// last half second.
-	paceSettle = 700 * time.Millisecond
-	raiseStep  = 20 // percent
-	// leastBlame is the pressure below which an image is not slowed.
-	leastBlame = 0.04
-	// calmPressure is the pressure that a serving task bears whatever its own
-	// load; mostPressure is what a filling task may add up to.
-	calmPressure = 0.15
-	mostPressure = 0.4
-	// A serving task that stays over its target for suspectAll has all images
-	// slowed, whatever the model says, and for stopAll has them at minPace.
-	suspectAll = 1400 * time.Millisecond
-	stopAll    = 2300 * time.Millisecond
-	// harmWait is how long a filling task waits for a runner where it does
-	// little harm.
-	harmWait = 1500 * time.Millisecond
+	// headroom is kept below the target's disturbance, for changes of the
+	// serving task's own load before the next reading.
+	headroom = 0.17
+	// calmPressure is the pressure that filling tasks may always cause.
+	calmPressure = 0.06
+	// plannedLoad is the disturbance by a serving task's own load that
+	// placement reckons with, beside headroom.
+	plannedLoad = 0.2
+	// smallPart is the part of all pressure on a task below which an image is
+	// not slowed for it.
+	smallPart = 0.15
+	// paceStep is the least change of pace that is ordered, in percent.
+	paceStep = 5
+	// harmWait is how long a filling task waits for a runner where it can work
+	// at full pace; after that leastPace is enough.
+	harmWait  = 1200 * time.Millisecond
+	leastPace = 35 // percent
+	// A serving task that stays over its target for suspectAll has every image
+	// beside it slowed, whatever the model says.
+	suspectAll = 1500 * time.Millisecond
+	stopAll    = 2400 * time.Millisecond
 )
 
 // quietTail is the learned tail of undisturbed tasks of an image.
 type quietTail struct {
 	ms      float64
-	samples int
+	samples float64
 }
 
 // harm is what is known of how tasks disturb each other.
@@ -66,6 +66,7 @@
 func newHarm() harm {
 	settings := interference.DefaultSettings()
 	settings.NoiseDeviation = tailNoise
+	settings.PriorMean = 0.5
 	return harm{model: interference.New(settings), quiet: map[string]*quietTail{}}
 }
 
@@ -75,198 +76,161 @@
 	return h.model.Pair(h.model.Kind(serving), h.model.Kind(filling), 0).Mean
 }
 
-// disturbance is how far a tail is from a quiet one: 0 undisturbed, 1 endless.
-func (h *harm) disturbance(image string, tail int) float64 {
-	q := h.quiet[image]
-	if q == nil || tail <= 0 {
-		return 0
-	}
-	return 1 - q.ms/float64(tail)
-}
+func targetMS(s *jobs.Step) float64 { return float64(s.TailTarget) / float64(time.Millisecond) }
 
-// measure learns from a serving task's tail beside the filling images.
-func (h *harm) measure(x *run, beside []interference.Pressure) {
-	if x.load <= 0 || x.percent < fullPace {
-		return
-	}
-	image := x.step.Image
-	pressure := h.model.Predict(h.model.Kind(image), 0, beside).Mean
-	q := h.quiet[image]
+// quietMS is the undisturbed tail of a serving step's image.
+func (h *harm) quietMS(s *jobs.Step) *quietTail {
+	q := h.quiet[s.Image]
 	if q == nil {
-		// A target is set a few times above the quiet tail.
-		q = &quietTail{ms: float64(x.step.TailTarget/time.Millisecond) / 2}
-		h.quiet[image] = q
+		q = &quietTail{ms: targetMS(s) * quietOfTarget / 100, samples: quietPrior}
+		h.quiet[s.Image] = q
 	}
-	if pressure < quietPressure {
-		q.samples++
-		gain := max(quietGain, 1/float64(q.samples+1))
-		q.ms += gain * (float64(x.load) - q.ms)
-	}
-	if len(beside) == 0 {
-		return
-	}
-	h.model.Observe(interference.Measurement{
-		Victim:     h.model.Kind(image),
-		Slowdown:   1 + max(-0.9, h.disturbance(image, x.load)),
-		Neighbours: beside,
-	})
+	return q
 }
 
-// fillState is the pace of the filling tasks of one image on a runner.
-type fillState struct {
-	pace    int // percent
-	changed time.Duration
+// disturbance is how far a tail is from a quiet one: 0 undisturbed, 1 endless.
+func (h *harm) disturbance(s *jobs.Step, tailMS float64) float64 {
+	return 1 - h.quietMS(s).ms/max(1, tailMS)
 }
 
-// pressures returns what the filling images of the runner use of it.
-func (h *harm) pressures(r *runner) []interference.Pressure {
-	used := map[string]int{}
+// neighbours is what the filling images of a runner use of it.
+type neighbours struct {
+	pressures []interference.Pressure
+	total     float64
+}
+
+func (h *harm) neighbours(r *runner) neighbours {
+	used := map[string]int64{}
 	for x := range r.runs {
 		if x.step.Fills && x.phase == running {
-			used[x.step.Image] += x.load
+			used[x.step.Image] += int64(x.load)
 		}
 	}
-	out := make([]interference.Pressure, 0, len(used))
+	var n neighbours
 	for _, image := range sortedKeys(used) {
-		out = append(out, interference.Pressure{Kind: h.model.Kind(image), Share: float64(used[image]) / float64(max(1, r.Capacity.CPUMilli))})
+		share := float64(used[image]) / float64(max(1, r.Capacity.CPUMilli))
+		n.pressures = append(n.pressures, interference.Pressure{Kind: h.model.Kind(image), Share: share})
+		n.total += share
+	}
+	return n
+}
+
+// measure learns from a serving task's tail and returns the disturbance by its
+// own load alone.
+func (h *harm) measure(x *run, beside neighbours) float64 {
+	q := h.quietMS(x.step)
+	if beside.total < quietFillShare {
+		q.samples = min(quietSamples, q.samples+1)
+		q.ms += (float64(x.load) - q.ms) / q.samples
+	}
+	victim := h.model.Kind(x.step.Image)
+	now := h.disturbance(x.step, float64(x.load))
+	own := now - h.model.Predict(victim, 0, beside.pressures).Mean
+	if len(beside.pressures) > 0 {
+		h.model.Observe(interference.Measurement{Victim: victim, Slowdown: 1 + max(-0.9, now), Neighbours: beside.pressures})
 	}
-	return out
+	return own
 }
 
-// controlPace learns from the runner's last report and adjusts the pace of its
+// fillState is the pace of the filling tasks of one image on a runner.
+type fillState struct {
+	pace int // percent
+}
+
+// controlPace learns from the runner's last report and sets the paces of its
 // filling tasks.
 func (c *Core) controlPace(r *runner, now time.Duration) {
-	beside := c.harm.pressures(r)
+	beside := c.harm.neighbours(r)
+	paces := map[string]float64{}
+	for image := range r.fillingImages {
+		paces[image] = 1
+	}
 	for x := range r.runs {
-		if x.step.TailTarget <= 0 || x.phase != running || x.load <= 0 {
+		if x.step.TailTarget <= 0 || x.phase != running || x.load <= 0 || x.percent < fullPace {
 			continue
 		}
-		c.harm.measure(x, beside)
-		percent := tailPercent(x)
-		x.noteTail(percent, now)
-		if percent <= slowAbove || r.filling == 0 {
-			continue
+		own := c.harm.measure(x, beside)
+		x.noteTail(now)
+		if len(paces) > 0 {
+			c.spare(r, x, own, paces)
+			x.slowAll(paces, now)
 		}
-		c.slowDown(r, x, now)
-		c.slowAll(r, x, now)
 	}
-	c.speedUp(r, now)
+	for image, pace := range paces {
+		r.fill(image).set(int(pace * fullPace))
+	}
 	c.orderPaces(r)
 }
 
-// tailPercent is a serving task's tail in percent of its target.
-func tailPercent(x *run) int {
-	return x.load * 100 / max(1, int(x.step.TailTarget/time.Millisecond))
-}
-
-// noteTail records since when a serving task has been over its target.
-func (x *run) noteTail(percent int, now time.Duration) {
-	if percent < 100 {
-		x.over = 0
-	} else if x.over == 0 {
-		x.over = now
+// set takes a pace over if it differs enough from the present one.
+func (s *fillState) set(pace int) {
+	pace = min(fullPace, max(minPace, pace))
+	if pace < s.pace-paceStep || pace > s.pace+paceStep || pace == fullPace || pace < paceStep {
+		s.pace = pace
 	}
 }
 
-// slowAll slows every image beside a serving task that has been over its target
-// for long.
-func (c *Core) slowAll(r *runner, victim *run, now time.Duration) {
-	if victim.over == 0 || now-victim.over < suspectAll {
+// spare lowers the paces so that a serving task stays below its target, given
+// the disturbance by its own load. The images that press most are slowed.
+func (c *Core) spare(r *runner, x *run, own float64, paces map[string]float64) {
+	allowed := max(calmPressure, c.harm.disturbance(x.step, targetMS(x.step))-headroom-max(0, own))
+	total := c.pressure(r, x.step.Image, "")
+	if total <= allowed {
 		return
 	}
-	for image := range r.fillingImages {
-		s := r.fill(image)
-		if now-s.changed < paceSettle && now-victim.over < stopAll || s.pace == minPace {
-			continue
-		}
-		s.pace, s.changed = max(minPace, s.pace/3), now
-		if now-victim.over >= stopAll {
-			s.pace = minPace
+	var large float64
+	for image := range paces {
+		if part := c.pressureOf(r, x.step.Image, image); part > smallPart*total {
+			large += part
 		}
-		c.counters("paces_forced", 1)
 	}
-}
-
-// slowDown slows the images that press most on a serving task, as far as the
-// model says it takes.
-func (c *Core) slowDown(r *runner, victim *run, now time.Duration) {
-	target := int(victim.step.TailTarget / time.Millisecond)
-	tail := c.harm.disturbance(victim.step.Image, victim.load)
-	excess := tail - c.harm.disturbance(victim.step.Image, target) + relief*max(0, tail)
-	blames := c.blame(r, victim)
-	for _, b := range blames {
-		if excess <= 0 || b.pressure < leastBlame {
-			return
-		}
-		s := r.fill(b.image)
-		if now-s.changed < paceSettle {
-			excess -= b.pressure / 2
-			continue
-		}
-		keep := max(0.1, 1-excess/b.pressure)
-		pace := max(minPace, int(float64(s.pace)*keep))
-		excess -= b.pressure * (1 - keep)
-		if pace < s.pace {
-			c.counters("paces_lowered", 1)
-			c.log.WithFields(logrus.Fields{"runner": r.ID, "image": b.image, "pace": pace, "task": victim.task,
-				"tail_ms": victim.load, "target_ms": target}).Info("filling tasks slowed")
-			s.pace, s.changed = pace, now
+	keep := max(0, 1-(total-allowed)/max(large, 1e-9))
+	for image := range paces {
+		if c.pressureOf(r, x.step.Image, image) > smallPart*total {
+			paces[image] = min(paces[image], keep)
 		}
 	}
 }
 
-// blamed is the present pressure of an image on a serving task.
-type blamed struct {
-	image    string
-	pressure float64
+// pressureOf is the pressure of an image's tasks on the runner at full pace.
+func (c *Core) pressureOf(r *runner, serving, filling string) float64 {
+	share := float64(r.fillingImages[filling]) / float64(max(1, r.Capacity.CPUMilli))
+	return share * c.harm.between(serving, filling)
 }
 
-// blame lists the filling images by their pressure on a serving task.
-func (c *Core) blame(r *runner, victim *run) []blamed {
-	used := map[string]int{}
-	for x := range r.runs {
-		if x.step.Fills && x.phase == running {
-			used[x.step.Image] += max(x.load, int(x.step.Ask.CPUMilli)*x.pace/fullPace)
+// pressure is that of all images but one.
+func (c *Core) pressure(r *runner, serving, except string) float64 {
+	var sum float64
+	for image := range r.fillingImages {
+		if image != except {
+			sum += c.pressureOf(r, serving, image)
 		}
 	}
-	out := make([]blamed, 0, len(used))
-	for _, image := range sortedKeys(used) {
-		share := float64(used[image]) / float64(max(1, r.Capacity.CPUMilli))
-		out = append(out, blamed{image, share * c.harm.between(victim.step.Image, image)})
-	}
-	slices.SortStableFunc(out, func(a, b blamed) int {
-		switch {
-		case a.pressure > b.pressure:
-			return -1
-		case a.pressure < b.pressure:
-			return 1
-		}
-		return 0
-	})
-	return out
+	return sum
 }
 
-// speedUp raises the pace of images whose victims are well below their target.
-func (c *Core) speedUp(r *runner, now time.Duration) {
-	for image, s := range r.fills {
-		if s.pace == fullPace || now-s.changed < paceSettle || !c.calm(r, image) {
-			continue
-		}
-		s.pace = min(fullPace, s.pace+max(raiseStep, s.pace/2))
-		s.changed = now
+// noteTail records since when a serving task has been over its target.
+func (x *run) noteTail(now time.Duration) {
+	if float64(x.load) <= targetMS(x.step) {
+		x.over = 0
+	} else if x.over == 0 {
+		x.over = now
 	}
 }
 
-// calm reports whether no serving task that the image presses on is near its
-// target.
-func (c *Core) calm(r *runner, image string) bool {
-	for x := range r.runs {
-		if x.step.TailTarget > 0 && x.phase == running && tailPercent(x) > raiseBelow &&
-			c.harm.between(x.step.Image, image) > calmPressure {
-			return false
-		}
+// slowAll slows every image beside a serving task that has been over its target
+// for long.
+func (x *run) slowAll(paces map[string]float64, now time.Duration) {
+	if x.over == 0 || now-x.over < suspectAll {
+		return
+	}
+	most := 0.3
+	if now-x.over >= stopAll {
+		most = 0
+	}
+	for image := range paces {
+		paces[image] = min(paces[image], most)
 	}
-	return true
 }
 
 // fill returns the pace of an image on the runner.
@@ -279,6 +243,14 @@
 	return s
 }
 
+// paceOf is the pace at which filling tasks of the image run there.
+func (r *runner) paceOf(image string) int {
+	if s := r.fills[image]; s != nil {
+		return s.pace
+	}
+	return fullPace
+}
+
 func (c *Core) orderPaces(r *runner) {
 	for x := range r.runs {
 		if !x.step.Fills || x.phase != running {
@@ -291,29 +263,47 @@
 }
 
 func (c *Core) orderPace(x *run, percent int) {
+	c.counters("paces", 1)
+	c.log.WithFields(logrus.Fields{"task": x.task, "run": x.number, "runner": x.runner.ID, "pace": percent, "before": x.pace}).Info("pace ordered")
 	x.pace = percent
 	x.settled.Store(true)
 	x.settled = new(atomic.Bool)
 	c.orders = append(c.orders, Order{Kind: Pace, Runner: x.runner.ID, Address: x.runner.Address, Task: x.task, Run: x.number, Percent: percent, Settled: x.settled})
 }
 
-// added is the pressure on the worst and on all serving tasks of a runner if a
-// filling task came to it.
-func (c *Core) added(r *runner, step *jobs.Step) (worst, sum float64) {
+// safePace is the pace in percent at which a further filling task, with those
+// of its image that are there, spares every serving task of the runner. Harm is
+// the pressure that it would add at full pace, summed over the serving tasks.
+func (c *Core) safePace(r *runner, step *jobs.Step) (pace int, harm float64) {
 	cpu := float64(max(1, r.Capacity.CPUMilli))
-	for image := range r.servingImages {
-		var present float64
-		for other, milli := range r.fillingImages {
-			present += float64(milli) / cpu * c.harm.between(image, other)
+	share := float64(r.fillingImages[step.Image]+step.Ask.CPUMilli) / cpu
+	allowed := 1.0
+	for serving, s := range r.servingImages {
+		between := c.harm.between(serving, step.Image)
+		if between <= 0 {
+			continue
 		}
-		more := float64(step.Ask.CPUMilli) / cpu * c.harm.between(image, step.Image)
-		worst = max(worst, present+more)
-		sum += more * float64(r.servingImages[image])
+		limit := max(calmPressure, c.harm.disturbance(s.step, targetMS(s.step))-headroom-plannedLoad)
+		others := 0.0
+		for other := range r.fillingImages {
+			if other != step.Image {
+				others += c.pressureOf(r, serving, other) * float64(r.paceOf(other)) / fullPace
+			}
+		}
+		allowed = min(allowed, (limit-others)/(between*share))
+		harm += float64(step.Ask.CPUMilli) / cpu * between * float64(s.tasks)
+	}
+	return int(fullPace * max(0, allowed)), harm
+}
+
+// limitPace sets the safe pace of an image before a task of it is started.
+func (c *Core) limitPace(r *runner, step *jobs.Step) {
+	if pace, _ := c.safePace(r, step); pace < r.paceOf(step.Image) {
+		r.fill(step.Image).pace = max(minPace, pace)
 	}
-	return worst, sum
 }
 
-func sortedKeys(m map[string]int) []string {
+func sortedKeys(m map[string]int64) []string {
 	keys := make([]string, 0, len(m))
 	for k := range m {
 		keys = append(keys, k)
--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -281,6 +281,7 @@
 		x.confirmed = now
 		if x.phase == starting {
 			x.phase = running
+			c.orderPaces(x.runner)
 		}
 		return
 	}
--- a/coordinator/runner.go
+++ b/coordinator/runner.go
@@ -30,7 +30,7 @@
 	firm, serving, filling int64
 	// servingImages counts serving tasks by image; fillingImages sums what
 	// filling tasks ask for, in thousandths of a processor.
-	servingImages map[string]int
+	servingImages map[string]*servingImage
 	fillingImages map[string]int64
 	fills         map[string]*fillState // by image
 	health        health
@@ -39,7 +39,7 @@
 func newRunner() *runner {
 	return &runner{
 		runs:          map[*run]struct{}{},
-		servingImages: map[string]int{},
+		servingImages: map[string]*servingImage{},
 		fillingImages: map[string]int64{},
 		fills:         map[string]*fillState{},
 	}
@@ -135,15 +135,30 @@
 		}
 	case x.step.TailTarget > 0:
 		r.serving += cpu
-		r.servingImages[x.step.Image] += int(sign)
-		if r.servingImages[x.step.Image] == 0 {
-			delete(r.servingImages, x.step.Image)
-		}
+		r.countServing(x.step, int(sign))
 	default:
 		r.firm += cpu
 	}
 }
 
+// servingImage is an image of serving tasks on a runner.
+type servingImage struct {
+	tasks int
+	step  *jobs.Step // one of the steps, for its target
+}
+
+func (r *runner) countServing(step *jobs.Step, change int) {
+	s := r.servingImages[step.Image]
+	if s == nil {
+		s = &servingImage{step: step}
+		r.servingImages[step.Image] = s
+	}
+	s.tasks += change
+	if s.tasks == 0 {
+		delete(r.servingImages, step.Image)
+	}
+}
+
 // usable reports whether the runner may be given new tasks.
 func (r *runner) usable() bool {
 	return r.listed && r.reported && !r.Draining && !r.suspect
--- a/coordinator/schedule.go
+++ b/coordinator/schedule.go
@@ -26,7 +26,7 @@
 	harmWeight = 4.0
 	// mixPenalty keeps serving tasks of different images apart: a runner with
 	// one image is open to every filling image that does not harm that one.
-	mixPenalty = 0.3
+	mixPenalty = 1.0
 )
 
 // Schedule gives start orders for tasks whose turn has come. Wall is the time
@@ -115,6 +115,9 @@
 	t := w.job.Task(id)
 	t.LastRun = number
 	x := &run{job: w.job, task: id, number: number, runner: r, step: w.step, settled: new(atomic.Bool), began: now, pace: fullPace}
+	if w.step.Fills {
+		c.limitPace(r, w.step)
+	}
 	c.attach(x)
 	saved := t.Saved
 	if !w.step.Checkpoints {
@@ -185,33 +188,27 @@
 // otherServing counts the images of serving tasks other than the one given.
 func (r *runner) otherServing(image string) int {
 	n := len(r.servingImages)
-	if r.servingImages[image] > 0 {
+	if r.servingImages[image] != nil {
 		n--
 	}
 	return n
 }
 
-// fillCost is the cost for a filling task: its share of idle processors, and
-// the harm it does to tasks that serve.
+// fillCost is the cost for a filling task: how long it would take with the
+// idle processors at the pace that spares the tasks that serve, and the harm
+// that it would do them.
 func (c *Core) fillCost(w *work, r *runner, factor float64, idle int64, now time.Duration) float64 {
 	ask := max(1, w.step.Ask.CPUMilli)
-	share := min(100, idle*100/ask) * int64(r.paceOf(w.step.Image)) / fullPace
+	share := min(100, idle*100/ask)
 	if share < fillShare {
 		return -1
 	}
-	worst, sum := c.added(r, w.step)
-	if worst > mostPressure && now-w.since < harmWait {
+	pace, harm := c.safePace(r, w.step)
+	pace = min(pace, r.paceOf(w.step.Image))
+	if pace < leastPace || pace < fullPace && now-w.since < harmWait {
 		return -1
 	}
-	return factor*100/float64(share) + harmWeight*sum + harmWeight*max(0, worst-calmPressure) - float64(idle)/float64(1+r.Capacity.CPUMilli)/4
-}
-
-// paceOf is the pace at which filling tasks of the image run there.
-func (r *runner) paceOf(image string) int {
-	if s := r.fills[image]; s != nil {
-		return s.pace
-	}
-	return fullPace
+	return factor*100/float64(share)*fullPace/float64(pace) + harmWeight*harm - float64(idle)/float64(1+r.Capacity.CPUMilli)/4
 }
 
 // startGang starts all tasks of a gang or none.
