--- a/coordinator/harm.go
+++ b/coordinator/harm.go
@@ -28,6 +28,14 @@
 	// tailNoise is the deviation that a serving task's own changes of load
 	// cause in a measurement.
 	tailNoise = 0.3
+	// Most pairs press by about 0.3, a few by ten times as much; the model must
+	// tell them apart after a few readings.
+	priorPressure  = 0.5
+	priorDeviation = 1.5
+	pressureDrift  = 0.02
+	// saturated is the disturbance above which a tail says only that the
+	// pressure is at least as large as predicted.
+	saturated = 0.85
 	// headroom is kept below the target's disturbance, for changes of the
 	// serving task's own load before the next reading.
 	headroom = 0.17
@@ -66,7 +74,9 @@
 func newHarm() harm {
 	settings := interference.DefaultSettings()
 	settings.NoiseDeviation = tailNoise
-	settings.PriorMean = 0.5
+	settings.PriorMean = priorPressure
+	settings.PriorDeviation = priorDeviation
+	settings.DriftPerMeasurement = pressureDrift
 	return harm{model: interference.New(settings), quiet: map[string]*quietTail{}}
 }
 
@@ -125,8 +135,9 @@
 	}
 	victim := h.model.Kind(x.step.Image)
 	now := h.disturbance(x.step, float64(x.load))
-	own := now - h.model.Predict(victim, 0, beside.pressures).Mean
-	if len(beside.pressures) > 0 {
+	predicted := h.model.Predict(victim, 0, beside.pressures).Mean
+	own := now - predicted
+	if len(beside.pressures) > 0 && (now < saturated || own > 0) {
 		h.model.Observe(interference.Measurement{Victim: victim, Slowdown: 1 + max(-0.9, now), Neighbours: beside.pressures})
 	}
 	return own
