--- a/builtin/builtin.go
+++ b/builtin/builtin.go
@@ -52,12 +52,8 @@
 	if err != nil {
 		return fmt.Errorf("--log-level: %w", err)
 	}
-	s, err := hosted.LoadSettings(o.Settings)
-	if err != nil {
-		return err
-	}
 	log, _ := logging.NewStructured(out, level)
-	return hosted.Run(ctx, s, log)
+	return hosted.Run(ctx, o.Settings, log)
 }
 
 func runDemo(ctx context.Context, o command.DemoOptions, out io.Writer) error {
--- a/coordinator/runner.go
+++ b/coordinator/runner.go
@@ -33,7 +33,10 @@
 	servingImages map[string]*servingImage
 	fillingImages map[string]int64
 	fills         map[string]*fillState // by image
-	health        health
+	// strays is the number of runs in the last report that are not known here
+	// and are being stopped. What they hold is not known either.
+	strays int
+	health health
 }
 
 func newRunner() *runner {
@@ -161,5 +164,5 @@
 
 // usable reports whether the runner may be given new tasks.
 func (r *runner) usable() bool {
-	return r.listed && r.reported && !r.Draining && !r.suspect
+	return r.listed && r.reported && !r.Draining && !r.suspect && r.strays == 0
 }
