--- a/coordinator/harm.go
+++ b/coordinator/harm.go
@@ -19,6 +19,8 @@
 const (
 	fullPace = 100 // percent
 	minPace  = 1
+	// unknownPace is that of a run which a predecessor paced.
+	unknownPace = -1
 	// quietOfTarget is the assumed quiet tail in percent of the target, until
 	// it is measured.
 	quietOfTarget  = 45
@@ -49,6 +51,13 @@
 	smallPart = 0.15
 	// paceStep is the least change of pace that is ordered, in percent.
 	paceStep = 5
+	// A pace is raised by at most raiseStep and half of itself each raisePause.
+	raiseStep  = 10 // percent
+	raisePause = 600 * time.Millisecond
+	// A serving task counts as over its target from overAt of it until its
+	// tail is below overUntil of it.
+	overAt    = 0.95
+	overUntil = 0.7
 	// harmWait is how long a filling task waits for a runner where it can work
 	// at full pace; after that leastPace is enough.
 	harmWait  = 1200 * time.Millisecond
@@ -145,7 +154,8 @@
 
 // fillState is the pace of the filling tasks of one image on a runner.
 type fillState struct {
-	pace int // percent
+	pace    int // percent
+	changed time.Duration
 }
 
 // controlPace learns from the runner's last report and sets the paces of its
@@ -168,17 +178,26 @@
 		}
 	}
 	for image, pace := range paces {
-		r.fill(image).set(int(pace * fullPace))
+		r.fill(image).set(int(pace*fullPace), now)
 	}
 	c.orderPaces(r)
 }
 
-// set takes a pace over if it differs enough from the present one.
-func (s *fillState) set(pace int) {
+// set lowers the pace at once and raises it step by step: a single reading is
+// rough. Small changes aren't worth an order.
+func (s *fillState) set(pace int, now time.Duration) {
 	pace = min(fullPace, max(minPace, pace))
-	if pace < s.pace-paceStep || pace > s.pace+paceStep || pace == fullPace || pace < paceStep {
-		s.pace = pace
+	if pace > s.pace {
+		if now-s.changed < raisePause {
+			return
+		}
+		pace = min(pace, s.pace+raiseStep+s.pace/2)
+	}
+	small := pace >= s.pace-paceStep && pace <= s.pace+paceStep
+	if pace == s.pace || small && pace != fullPace && pace >= paceStep {
+		return
 	}
+	s.pace, s.changed = pace, now
 }
 
 // spare lowers the paces so that a serving task stays below its target, given
@@ -222,9 +241,10 @@
 
 // noteTail records since when a serving task has been over its target.
 func (x *run) noteTail(now time.Duration) {
-	if float64(x.load) <= targetMS(x.step) {
+	tail, target := float64(x.load), targetMS(x.step)
+	if tail < overUntil*target {
 		x.over = 0
-	} else if x.over == 0 {
+	} else if x.over == 0 && tail > overAt*target {
 		x.over = now
 	}
 }
--- /dev/null
+++ b/coordinator/harm_test.go
@@ -0,0 +1,112 @@
+package coordinator
+
+import (
+	"testing"
+	"time"
+
+	"bergamotstile/jobs"
+)
+
+const tailTargetMS = 20
+
+func serving(image string) jobs.Step {
+	s := plain(1, 4000)
+	s.LongRunning, s.Image, s.TailTarget = true, image, tailTargetMS*time.Millisecond
+	return s
+}
+
+func filling(count int, image string) jobs.Step {
+	s := plain(count, 4000)
+	s.Fills, s.Image = true, image
+	return s
+}
+
+// harmWorld has one runner with a serving task at work.
+func harmWorld(t *testing.T) (*world, Order) {
+	w := newWorld(t, machine("a", 32000))
+	w.accept(firstID, false, serving("shop"))
+	o := starts(w.schedule())[0]
+	w.answer(o, Accepted, false)
+	return w, o
+}
+
+// tails reports a tail of the serving task beside the running orders, each
+// using all it asked for.
+func (w *world) tails(victim Order, beside []Order, ms int) []Order {
+	w.now += 500 * time.Millisecond
+	running := []RunStatus{{Task: victim.Task, Run: victim.Run, Percent: 100, Load: ms}}
+	for _, o := range beside {
+		running = append(running, RunStatus{Task: o.Task, Run: o.Run, Percent: 1, Load: 4000})
+	}
+	w.report(Report{Runner: "a", Incarnation: 1, Running: running})
+	return w.core.TakeOrders()
+}
+
+// A serving task that stays over its target must have every filling task beside
+// it slowed to the least within the time that harm is allowed, also if the
+// model blames none of them, and though single readings dip below the target.
+func TestLastingHarmSlowsEverything(t *testing.T) {
+	w, victim := harmWorld(t)
+	w.accept(secondID, false, filling(2, "render"))
+	fills := starts(w.schedule())
+	if len(fills) != 2 {
+		t.Fatalf("%d filling tasks started, want 2", len(fills))
+	}
+	for _, o := range fills {
+		w.answer(o, Accepted, false)
+	}
+	for range 200 {
+		w.core.harm.measure(w.core.runners["a"].find(victim.Task, 1), w.core.harm.neighbours(w.core.runners["a"]))
+	}
+	pace := map[jobs.TaskID]int{}
+	for i := range 7 {
+		tail := 30
+		if i%2 == 1 {
+			tail = 19
+		}
+		for _, o := range ofKind(w.tails(victim, fills, tail), Pace) {
+			pace[o.Task] = o.Percent
+		}
+	}
+	for _, o := range fills {
+		if p, ok := pace[o.Task]; !ok || p > minPace {
+			t.Errorf("pace of %v is %d after 3.5 s of harm", o.Task, p)
+		}
+	}
+}
+
+// Images that were seen to disturb each other must not be placed together while
+// another runner is free of the victim.
+func TestHarmfulImageIsPlacedElsewhere(t *testing.T) {
+	w, victim := harmWorld(t)
+	w.accept(secondID, false, filling(2, "render"))
+	fills := starts(w.schedule())
+	for _, o := range fills {
+		w.answer(o, Accepted, false)
+	}
+	for range 40 {
+		w.tails(victim, fills, 200)
+	}
+	w.core.RunnerSeen(machine("b", 8000), w.now)
+	w.report(Report{Runner: "b", Incarnation: 1})
+	w.accept("00000000000000c3", false, filling(1, "render"))
+	w.accept("00000000000000d4", false, filling(1, "calm"))
+	for _, o := range starts(w.schedule()) {
+		if o.Task.Job == "00000000000000c3" && o.Runner != "b" {
+			t.Errorf("harmful image placed beside its victim")
+		}
+	}
+}
+
+// A runner paced down by a predecessor must get the pace of this coordinator:
+// its tasks crawled on for good.
+func TestAdoptedFillingTaskGetsItsPace(t *testing.T) {
+	w := newWorld(t, machine("a", 32000))
+	w.accept(firstID, true, filling(1, "render"))
+	status := RunStatus{Task: task(firstID, 0, 0), Run: 1, Load: 40}
+	w.report(Report{Runner: "a", Incarnation: 1, Running: []RunStatus{status}})
+	paces := ofKind(w.core.TakeOrders(), Pace)
+	if len(paces) != 1 || paces[0].Percent != fullPace {
+		t.Errorf("orders %+v, want full pace", paces)
+	}
+}
--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -102,7 +102,7 @@
 		return nil
 	}
 	x := &run{job: j, task: s.Task, number: s.Run, runner: r, step: &j.Spec.Steps[s.Task.Step], phase: running,
-		settled: new(atomic.Bool), began: now, confirmed: now, pace: fullPace}
+		settled: new(atomic.Bool), began: now, confirmed: now, pace: unknownPace}
 	c.attach(x)
 	x.observe(s, now)
 	t := j.Task(s.Task)
