--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"bergamotstile/interference"
 	"bergamotstile/jobs"
 )
 
@@ -28,6 +29,7 @@
 	number  int
 	runner  *runner
 	step    *jobs.Step
+	kind    interference.Kind // of the step's image
 	phase   phase
 	settled *atomic.Bool // ends the repetition of its last order
 	began   time.Duration
@@ -49,6 +51,7 @@
 	queue Queue
 	// objective is when the job should be completed, on the store's clock.
 	objective time.Duration
+	allowed   time.Duration // from acceptance to objective
 	work      map[[2]int]*work
 	runs      map[jobs.TaskID][]*run
 	begun     bool
@@ -62,11 +65,16 @@
 	number   int // of the occurrence
 	index    int // of the step
 	step     *jobs.Step
-	pending  []int // tasks to start
+	kind     interference.Kind // of the step's image
+	pending  []int             // tasks to start
 	notUntil time.Duration
 	since    time.Duration // when a task was first pending
 	onRunner map[*runner]int
 	listed   bool // in Core.waiting
+	// slack is what is left of the job's time after the estimated rest of its
+	// chain, as of the present round.
+	slack time.Duration
+	rest  time.Duration // estimated rest of the chain
 }
 
 // Core is the state of the coordinator. Its methods are called by one
@@ -89,6 +97,7 @@
 	storeOffset time.Duration
 	counters    Counter
 	harm        harm
+	full        fullFor
 }
 
 // Counter counts decisions by name.
@@ -109,6 +118,7 @@
 		unresolved: map[string]struct{}{},
 		counters:   count,
 		harm:       newHarm(),
+		full:       fullFor{},
 	}
 }
 
@@ -149,7 +159,8 @@
 	j := &job{Job: accepted, work: map[[2]int]*work{}, runs: map[jobs.TaskID][]*run{}, inherited: inherited}
 	j.queue = c.queues[j.Queue]
 	j.begun = j.State == jobs.Running
-	j.objective = j.Accepted + j.queue.Target + time.Duration(j.queue.Stretch*float64(j.Spec.Chain()))
+	j.allowed = j.queue.Target + time.Duration(j.queue.Stretch*float64(j.Spec.Chain()))
+	j.objective = j.Accepted + j.allowed
 	c.jobs[j.ID] = j
 	if j.Spec.Repeats > 0 {
 		c.timed = append(c.timed, j)
@@ -180,7 +191,8 @@
 		if o.Steps[i].Left == 0 || j.work[key] != nil || !j.Ready(o, i) {
 			continue
 		}
-		w := &work{job: j, number: o.Number, index: i, step: &j.Spec.Steps[i], onRunner: map[*runner]int{}}
+		w := &work{job: j, number: o.Number, index: i, step: &j.Spec.Steps[i], onRunner: map[*runner]int{},
+			kind: c.harm.model.Kind(j.Spec.Steps[i].Image), rest: chainFrom(&j.Spec, i)}
 		j.work[key] = w
 		for index := range o.Steps[i].Tasks {
 			id := jobs.TaskID{Job: j.ID, Occurrence: o.Number, Step: i, Index: index}
--- a/coordinator/harm.go
+++ b/coordinator/harm.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"maps"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -91,8 +92,8 @@
 
 // between is the pressure of a neighbour's image on a serving image, for a
 // neighbour that uses all of a runner's processors.
-func (h *harm) between(serving, filling string) float64 {
-	return h.model.Pair(h.model.Kind(serving), h.model.Kind(filling), 0).Mean
+func (h *harm) between(serving, filling interference.Kind) float64 {
+	return h.model.Pair(serving, filling, 0).Mean
 }
 
 func targetMS(s *jobs.Step) float64 { return float64(s.TailTarget) / float64(time.Millisecond) }
@@ -119,16 +120,16 @@
 }
 
 func (h *harm) neighbours(r *runner) neighbours {
-	used := map[string]int64{}
+	used := map[interference.Kind]int64{}
 	for x := range r.runs {
 		if x.step.Fills && x.phase == running {
-			used[x.step.Image] += int64(x.load)
+			used[x.kind] += int64(x.load)
 		}
 	}
 	var n neighbours
-	for _, image := range sortedKeys(used) {
-		share := float64(used[image]) / float64(max(1, r.Capacity.CPUMilli))
-		n.pressures = append(n.pressures, interference.Pressure{Kind: h.model.Kind(image), Share: share})
+	for _, kind := range slices.Sorted(maps.Keys(used)) {
+		share := float64(used[kind]) / float64(max(1, r.Capacity.CPUMilli))
+		n.pressures = append(n.pressures, interference.Pressure{Kind: kind, Share: share})
 		n.total += share
 	}
 	return n
@@ -142,7 +143,7 @@
 		q.samples = min(quietSamples, q.samples+1)
 		q.ms += (float64(x.load) - q.ms) / q.samples
 	}
-	victim := h.model.Kind(x.step.Image)
+	victim := x.kind
 	now := h.disturbance(x.step, float64(x.load))
 	predicted := h.model.Predict(victim, 0, beside.pressures).Mean
 	own := now - predicted
@@ -162,9 +163,9 @@
 // filling tasks.
 func (c *Core) controlPace(r *runner, now time.Duration) {
 	beside := c.harm.neighbours(r)
-	paces := map[string]float64{}
-	for image := range r.fillingImages {
-		paces[image] = 1
+	paces := make(map[interference.Kind]float64, len(r.filled))
+	for kind := range r.filled {
+		paces[kind] = 1
 	}
 	for x := range r.runs {
 		if x.step.TailTarget <= 0 || x.phase != running || x.load <= 0 || x.percent < fullPace {
@@ -177,9 +178,10 @@
 			x.slowAll(paces, now)
 		}
 	}
-	for image, pace := range paces {
-		r.fill(image).set(int(pace*fullPace), now)
+	for kind, pace := range paces {
+		r.fill(kind).set(int(pace*fullPace), now)
 	}
+	r.pressed = nil
 	c.orderPaces(r)
 }
 
@@ -202,43 +204,34 @@
 
 // spare lowers the paces so that a serving task stays below its target, given
 // the disturbance by its own load. The images that press most are slowed.
-func (c *Core) spare(r *runner, x *run, own float64, paces map[string]float64) {
+func (c *Core) spare(r *runner, x *run, own float64, paces map[interference.Kind]float64) {
 	allowed := max(calmPressure, c.harm.disturbance(x.step, targetMS(x.step))-headroom-max(0, own))
-	total := c.pressure(r, x.step.Image, "")
+	var total, large float64
+	for kind := range paces {
+		total += c.pressureOf(r, x.kind, kind)
+	}
 	if total <= allowed {
 		return
 	}
-	var large float64
-	for image := range paces {
-		if part := c.pressureOf(r, x.step.Image, image); part > smallPart*total {
+	for kind := range paces {
+		if part := c.pressureOf(r, x.kind, kind); part > smallPart*total {
 			large += part
 		}
 	}
 	keep := max(0, 1-(total-allowed)/max(large, 1e-9))
-	for image := range paces {
-		if c.pressureOf(r, x.step.Image, image) > smallPart*total {
-			paces[image] = min(paces[image], keep)
+	for kind := range paces {
+		if c.pressureOf(r, x.kind, kind) > smallPart*total {
+			paces[kind] = min(paces[kind], keep)
 		}
 	}
 }
 
 // pressureOf is the pressure of an image's tasks on the runner at full pace.
-func (c *Core) pressureOf(r *runner, serving, filling string) float64 {
-	share := float64(r.fillingImages[filling]) / float64(max(1, r.Capacity.CPUMilli))
+func (c *Core) pressureOf(r *runner, serving, filling interference.Kind) float64 {
+	share := float64(r.filled[filling]) / float64(max(1, r.Capacity.CPUMilli))
 	return share * c.harm.between(serving, filling)
 }
 
-// pressure is that of all images but one.
-func (c *Core) pressure(r *runner, serving, except string) float64 {
-	var sum float64
-	for image := range r.fillingImages {
-		if image != except {
-			sum += c.pressureOf(r, serving, image)
-		}
-	}
-	return sum
-}
-
 // noteTail records since when a serving task has been over its target.
 func (x *run) noteTail(now time.Duration) {
 	tail, target := float64(x.load), targetMS(x.step)
@@ -251,7 +244,7 @@
 
 // slowAll slows every image beside a serving task that has been over its target
 // for long.
-func (x *run) slowAll(paces map[string]float64, now time.Duration) {
+func (x *run) slowAll(paces map[interference.Kind]float64, now time.Duration) {
 	if x.over == 0 || now-x.over < suspectAll {
 		return
 	}
@@ -259,24 +252,24 @@
 	if now-x.over >= stopAll {
 		most = 0
 	}
-	for image := range paces {
-		paces[image] = min(paces[image], most)
+	for kind := range paces {
+		paces[kind] = min(paces[kind], most)
 	}
 }
 
 // fill returns the pace of an image on the runner.
-func (r *runner) fill(image string) *fillState {
-	s := r.fills[image]
+func (r *runner) fill(kind interference.Kind) *fillState {
+	s := r.fills[kind]
 	if s == nil {
 		s = &fillState{pace: fullPace}
-		r.fills[image] = s
+		r.fills[kind] = s
 	}
 	return s
 }
 
 // paceOf is the pace at which filling tasks of the image run there.
-func (r *runner) paceOf(image string) int {
-	if s := r.fills[image]; s != nil {
+func (r *runner) paceOf(kind interference.Kind) int {
+	if s := r.fills[kind]; s != nil {
 		return s.pace
 	}
 	return fullPace
@@ -287,7 +280,7 @@
 		if !x.step.Fills || x.phase != running {
 			continue
 		}
-		if pace := r.fill(x.step.Image).pace; x.pace != pace {
+		if pace := r.fill(x.kind).pace; x.pace != pace {
 			c.orderPace(x, pace)
 		}
 	}
@@ -302,43 +295,55 @@
 	c.orders = append(c.orders, Order{Kind: Pace, Runner: x.runner.ID, Address: x.runner.Address, Task: x.task, Run: x.number, Percent: percent, Settled: x.settled})
 }
 
+// pressed is a serving image on a runner with the pressure that it bears.
+type pressed struct {
+	kind    interference.Kind
+	tasks   int
+	limit   float64
+	present float64 // of all filling tasks at their paces
+}
+
+// pressedOn returns the serving images of a runner. The result is kept until
+// the runner's tasks or readings change.
+func (c *Core) pressedOn(r *runner) []pressed {
+	if r.pressed != nil || len(r.served) == 0 {
+		return r.pressed
+	}
+	for kind, s := range r.served {
+		p := pressed{kind: kind, tasks: s.tasks}
+		p.limit = max(calmPressure, c.harm.disturbance(s.step, targetMS(s.step))-headroom-plannedLoad)
+		for other := range r.filled {
+			p.present += c.pressureOf(r, kind, other) * float64(r.paceOf(other)) / fullPace
+		}
+		r.pressed = append(r.pressed, p)
+	}
+	return r.pressed
+}
+
 // safePace is the pace in percent at which a further filling task, with those
 // of its image that are there, spares every serving task of the runner. Harm is
 // the pressure that it would add at full pace, summed over the serving tasks.
-func (c *Core) safePace(r *runner, step *jobs.Step) (pace int, harm float64) {
+func (c *Core) safePace(r *runner, kind interference.Kind, ask int64) (pace int, harm float64) {
 	cpu := float64(max(1, r.Capacity.CPUMilli))
-	share := float64(r.fillingImages[step.Image]+step.Ask.CPUMilli) / cpu
+	there := float64(r.filled[kind]) / cpu
+	more := float64(ask) / cpu
 	allowed := 1.0
-	for serving, s := range r.servingImages {
-		between := c.harm.between(serving, step.Image)
+	for _, p := range c.pressedOn(r) {
+		between := c.harm.between(p.kind, kind)
 		if between <= 0 {
 			continue
 		}
-		limit := max(calmPressure, c.harm.disturbance(s.step, targetMS(s.step))-headroom-plannedLoad)
-		others := 0.0
-		for other := range r.fillingImages {
-			if other != step.Image {
-				others += c.pressureOf(r, serving, other) * float64(r.paceOf(other)) / fullPace
-			}
-		}
-		allowed = min(allowed, (limit-others)/(between*share))
-		harm += float64(step.Ask.CPUMilli) / cpu * between * float64(s.tasks)
+		others := p.present - there*between*float64(r.paceOf(kind))/fullPace
+		allowed = min(allowed, (p.limit-others)/(between*(there+more)))
+		harm += more * between * float64(p.tasks)
 	}
 	return int(fullPace * max(0, allowed)), harm
 }
 
 // limitPace sets the safe pace of an image before a task of it is started.
-func (c *Core) limitPace(r *runner, step *jobs.Step) {
-	if pace, _ := c.safePace(r, step); pace < r.paceOf(step.Image) {
-		r.fill(step.Image).pace = max(minPace, pace)
-	}
-}
-
-func sortedKeys(m map[string]int64) []string {
-	keys := make([]string, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
+func (c *Core) limitPace(r *runner, w *work, now time.Duration) {
+	pace, _ := c.safePace(r, w.kind, w.step.Ask.CPUMilli)
+	if pace < r.paceOf(w.kind) {
+		*r.fill(w.kind) = fillState{pace: max(minPace, pace), changed: now}
 	}
-	slices.Sort(keys)
-	return keys
 }
--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -101,7 +101,7 @@
 		c.orders = append(c.orders, Order{Kind: Stop, Runner: r.ID, Address: r.Address, Task: s.Task, Run: s.Run, Settled: new(atomic.Bool)})
 		return nil
 	}
-	x := &run{job: j, task: s.Task, number: s.Run, runner: r, step: &j.Spec.Steps[s.Task.Step], phase: running,
+	x := &run{job: j, task: s.Task, number: s.Run, runner: r, step: &j.Spec.Steps[s.Task.Step], kind: c.harm.model.Kind(j.Spec.Steps[s.Task.Step].Image), phase: running,
 		settled: new(atomic.Bool), began: now, confirmed: now, pace: unknownPace}
 	c.attach(x)
 	x.observe(s, now)
--- a/coordinator/runner.go
+++ b/coordinator/runner.go
@@ -5,6 +5,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"bergamotstile/interference"
 	"bergamotstile/jobs"
 )
 
@@ -28,23 +29,24 @@
 	// firm, serving and filling are thousandths of a processor asked for by
 	// plain tasks, by tasks that serve and by tasks that fill.
 	firm, serving, filling int64
-	// servingImages counts serving tasks by image; fillingImages sums what
-	// filling tasks ask for, in thousandths of a processor.
-	servingImages map[string]*servingImage
-	fillingImages map[string]int64
-	fills         map[string]*fillState // by image
+	// served are the serving tasks by image; filled sums what filling tasks ask
+	// for, in thousandths of a processor; fills are the paces of the latter.
+	served  map[interference.Kind]*servedImage
+	filled  map[interference.Kind]int64
+	fills   map[interference.Kind]*fillState
+	pressed []pressed // see pressedOn
+	health  health
 	// strays is the number of runs in the last report that are not known here
 	// and are being stopped. What they hold is not known either.
 	strays int
-	health health
 }
 
 func newRunner() *runner {
 	return &runner{
-		runs:          map[*run]struct{}{},
-		servingImages: map[string]*servingImage{},
-		fillingImages: map[string]int64{},
-		fills:         map[string]*fillState{},
+		runs:   map[*run]struct{}{},
+		served: map[interference.Kind]*servedImage{},
+		filled: map[interference.Kind]int64{},
+		fills:  map[interference.Kind]*fillState{},
 	}
 }
 
@@ -128,37 +130,38 @@
 }
 
 func (r *runner) share(x *run, sign int64) {
+	r.pressed = nil
 	cpu := sign * x.step.Ask.CPUMilli
 	switch {
 	case x.step.Fills:
 		r.filling += cpu
-		r.fillingImages[x.step.Image] += cpu
-		if r.fillingImages[x.step.Image] == 0 {
-			delete(r.fillingImages, x.step.Image)
+		r.filled[x.kind] += cpu
+		if r.filled[x.kind] == 0 {
+			delete(r.filled, x.kind)
 		}
 	case x.step.TailTarget > 0:
 		r.serving += cpu
-		r.countServing(x.step, int(sign))
+		r.countServing(x, int(sign))
 	default:
 		r.firm += cpu
 	}
 }
 
-// servingImage is an image of serving tasks on a runner.
-type servingImage struct {
+// servedImage is an image of serving tasks on a runner.
+type servedImage struct {
 	tasks int
 	step  *jobs.Step // one of the steps, for its target
 }
 
-func (r *runner) countServing(step *jobs.Step, change int) {
-	s := r.servingImages[step.Image]
+func (r *runner) countServing(x *run, change int) {
+	s := r.served[x.kind]
 	if s == nil {
-		s = &servingImage{step: step}
-		r.servingImages[step.Image] = s
+		s = &servedImage{step: x.step}
+		r.served[x.kind] = s
 	}
 	s.tasks += change
 	if s.tasks == 0 {
-		delete(r.servingImages, step.Image)
+		delete(r.served, x.kind)
 	}
 }
 
--- a/coordinator/schedule.go
+++ b/coordinator/schedule.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"bergamotstile/interference"
 	"bergamotstile/jobs"
 )
 
@@ -24,9 +25,13 @@
 	doubtPenalty = 3.0
 	// harmWeight weighs pressure on serving tasks against time lost.
 	harmWeight = 4.0
-	// mixPenalty keeps serving tasks of different images apart: a runner with
-	// one image is open to every filling image that does not harm that one.
+	// mixPenalty is for each other image of serving tasks on a runner,
+	// newPenalty for one that has not got the image yet.
 	mixPenalty = 1.0
+	newPenalty = 0.4
+	// hopeless is how late, in times of the objective, a job is no longer worth
+	// anything to its client.
+	hopeless = 3
 )
 
 // Schedule gives start orders for tasks whose turn has come. Wall is the time
@@ -39,7 +44,11 @@
 	}
 	c.dropEmpty()
 	store := now + c.storeOffset
-	slices.SortFunc(c.waiting, func(a, b *work) int { return c.order(a, b, store) })
+	for _, w := range c.waiting {
+		w.slack = w.job.objective - store - w.rest
+	}
+	slices.SortFunc(c.waiting, order)
+	clear(c.full)
 	for _, w := range c.waiting {
 		if w.job.inherited && len(c.unresolved) > 0 || w.notUntil > now {
 			continue
@@ -72,29 +81,95 @@
 	})
 }
 
-// order says which of two waiting steps is served first: by priority, then
-// those that can still meet their objective, then by objective.
-func (c *Core) order(a, b *work, store time.Duration) int {
-	if d := cmp.Compare(a.job.queue.Priority, b.job.queue.Priority); d != 0 {
-		return d
+// rank groups waiting steps of one priority.
+type rank uint8
+
+const (
+	onTime rank = iota // the job can still meet its objective
+	late
+	worthless
+)
+
+func (w *work) rank() rank {
+	switch {
+	case w.slack >= 0 || w.step.LongRunning:
+		return onTime
+	case w.slack >= -(hopeless-1)*w.job.allowed:
+		return late
 	}
-	lateA, lateB := a.job.objective < store, b.job.objective < store
-	if lateA != lateB {
-		if lateA {
-			return 1
+	return worthless
+}
+
+// order says which of two waiting steps is served first: by priority, then
+// those that can still meet their objective, then by slack.
+func order(a, b *work) int {
+	return cmp.Or(
+		cmp.Compare(a.job.queue.Priority, b.job.queue.Priority),
+		cmp.Compare(a.rank(), b.rank()),
+		cmp.Compare(a.slack, b.slack),
+		cmp.Compare(a.job.ID, b.job.ID),
+	)
+}
+
+// chainFrom is the estimated run time of the longest chain of steps that begins
+// with a step.
+func chainFrom(s *jobs.Spec, first int) time.Duration {
+	ends := make([]time.Duration, len(s.Steps))
+	ends[first] = s.Steps[first].Estimate
+	longest := ends[first]
+	for i := first + 1; i < len(s.Steps); i++ {
+		for _, before := range s.Steps[i].After {
+			if ends[before] > 0 {
+				ends[i] = max(ends[i], ends[before]+s.Steps[i].Estimate)
+			}
 		}
-		return -1
+		longest = max(longest, ends[i])
 	}
-	if d := cmp.Compare(a.job.objective, b.job.objective); d != 0 {
-		return d
+	return longest
+}
+
+// demand is what tasks have in common that find the same runners full.
+type demand struct {
+	service string
+	kind    interference.Kind
+	fills   bool
+	waited  bool
+}
+
+// fullFor are the least resources for which a round has found no runner. It
+// saves looking again for each of many equal tasks.
+type fullFor map[demand]jobs.Resources
+
+func (w *work) demand(now time.Duration) demand {
+	d := demand{service: w.job.queue.Service, fills: w.step.Fills, waited: now-w.since >= harmWait}
+	if w.step.Fills {
+		d.kind = w.kind
+	}
+	return d
+}
+
+// covers reports whether the step's tasks can't be placed in this round.
+func (f fullFor) covers(w *work, now time.Duration) bool {
+	least, ok := f[w.demand(now)]
+	return ok && least.Fits(w.step.Ask)
+}
+
+// note records that no runner was found. Steps with conditions of their own say
+// nothing about others.
+func (f fullFor) note(w *work, now time.Duration) {
+	if w.step.Label == "" && w.step.MaxPerRunner == 0 {
+		f[w.demand(now)] = w.step.Ask
 	}
-	return cmp.Compare(a.job.ID, b.job.ID)
 }
 
 func (c *Core) startTasks(w *work, now time.Duration) {
 	for _, index := range slices.Clone(w.pending) {
+		if c.full.covers(w, now) {
+			return
+		}
 		r := c.pick(w, now, nil)
 		if r == nil {
+			c.full.note(w, now)
 			return
 		}
 		c.start(w, index, c.nextRun(w, index), r, now)
@@ -114,9 +189,9 @@
 	id := w.taskID(index)
 	t := w.job.Task(id)
 	t.LastRun = number
-	x := &run{job: w.job, task: id, number: number, runner: r, step: w.step, settled: new(atomic.Bool), began: now, pace: fullPace}
+	x := &run{job: w.job, task: id, number: number, runner: r, step: w.step, kind: w.kind, settled: new(atomic.Bool), began: now, pace: fullPace}
 	if w.step.Fills {
-		c.limitPace(r, w.step)
+		c.limitPace(r, w, now)
 	}
 	c.attach(x)
 	saved := t.Saved
@@ -177,21 +252,21 @@
 	if w.step.Fills {
 		return c.fillCost(w, r, factor, idle, now)
 	}
-	free := r.Capacity.CPUMilli - r.held.CPUMilli
-	cost := factor - float64(free)/float64(1+r.Capacity.CPUMilli)/4
+	free := float64(r.Capacity.CPUMilli-r.held.CPUMilli) / float64(1+r.Capacity.CPUMilli)
 	if w.step.TailTarget > 0 {
-		cost += mixPenalty * float64(r.otherServing(w.step.Image))
+		return factor + c.mixCost(w, r) + free/4
 	}
-	return cost
+	return factor - free/4
 }
 
-// otherServing counts the images of serving tasks other than the one given.
-func (r *runner) otherServing(image string) int {
-	n := len(r.servingImages)
-	if r.servingImages[image] != nil {
-		n--
+// mixCost keeps serving tasks of one image together and apart from others: a
+// runner with one image is open to every filling image that does not harm it.
+func (c *Core) mixCost(w *work, r *runner) float64 {
+	others := len(r.served)
+	if r.served[w.kind] != nil {
+		return mixPenalty * float64(others-1)
 	}
-	return n
+	return mixPenalty*float64(others) + newPenalty
 }
 
 // fillCost is the cost for a filling task: how long it would take with the
@@ -203,8 +278,8 @@
 	if share < fillShare {
 		return -1
 	}
-	pace, harm := c.safePace(r, w.step)
-	pace = min(pace, r.paceOf(w.step.Image))
+	pace, harm := c.safePace(r, w.kind, ask)
+	pace = min(pace, r.paceOf(w.kind))
 	if pace < leastPace || pace < fullPace && now-w.since < harmWait {
 		return -1
 	}
