--- /dev/null
+++ b/coordinator/bench_test.go
@@ -0,0 +1,51 @@
+package coordinator
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"bergamotstile/jobs"
+)
+
+// BenchmarkBacklog measures a round of reports and scheduling with 48 runners
+// full of serving tasks and 60 jobs of filling tasks that wait.
+func BenchmarkBacklog(b *testing.B) {
+	t := &testing.T{}
+	var machines []RunnerInfo
+	for i := range 48 {
+		machines = append(machines, machine(fmt.Sprint("m", i), 32000))
+	}
+	w := newWorld(t, machines...)
+	for i := range 40 {
+		s := serving(fmt.Sprint("shop", i%5))
+		s.Count = 6
+		w.accept(jobs.ID(fmt.Sprintf("%016x", i)), false, s)
+	}
+	running := map[string][]RunStatus{}
+	take := func() {
+		for _, o := range starts(w.schedule()) {
+			w.answer(o, Accepted, false)
+			load := 3000
+			if o.Task.Step == 0 && o.Task.Job < "0000000000000100" {
+				load = 12
+			}
+			running[o.Runner] = append(running[o.Runner], RunStatus{Task: o.Task, Run: o.Run, Percent: 100, Load: load})
+		}
+	}
+	take()
+	for i := range 60 {
+		w.accept(jobs.ID(fmt.Sprintf("%016x", 0x100+i)), false, filling(12, fmt.Sprint("render", i%9)))
+	}
+	take()
+	b.ResetTimer()
+	for b.Loop() {
+		for i := range 48 {
+			id := fmt.Sprint("m", i)
+			w.now += time.Millisecond
+			w.core.Report(Report{Runner: id, Incarnation: 1, Running: running[id]}, w.now)
+			w.core.Schedule(w.now, 0)
+			w.core.TakeOrders()
+		}
+	}
+}
--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -43,6 +43,9 @@
 	// over is since when a serving task has been over its target; zero if it
 	// is not.
 	over time.Duration
+	// own is the disturbance by a serving task's own load, once measured.
+	own      float64
+	measured bool
 }
 
 // job is an accepted job with its runs.
--- a/coordinator/harm.go
+++ b/coordinator/harm.go
@@ -28,9 +28,13 @@
 	quietPrior     = 30 // samples that the assumption counts for
 	quietSamples   = 400
 	quietFillShare = 0.04 // of the processors, below which tails count as quiet
-	// tailNoise is the deviation that a serving task's own changes of load
-	// cause in a measurement.
-	tailNoise = 0.3
+	// tailNoise is the deviation of a measurement by the roughness of the figure
+	// and the change of a serving task's own load since the last one.
+	tailNoise = 0.15
+	// ownGain is the part of an unexplained change that is laid to the serving
+	// task's own load; mostOwn bounds the disturbance by it.
+	ownGain = 0.4
+	mostOwn = 0.6
 	// Most pairs press by about 0.3, a few by ten times as much; the model must
 	// tell them apart after a few readings.
 	priorPressure  = 0.5
@@ -135,22 +139,28 @@
 	return n
 }
 
-// measure learns from a serving task's tail and returns the disturbance by its
-// own load alone.
-func (h *harm) measure(x *run, beside neighbours) float64 {
+// measure learns from a serving task's tail. What the present pressures don't
+// explain is the disturbance by the task's own load, which changes slowly; a
+// sudden change beside a change of pressures teaches the model. Comparing
+// levels instead would teach it that harmful images are harmless, since they
+// are slowed just when the own load is high.
+func (h *harm) measure(x *run, beside neighbours) {
 	q := h.quietMS(x.step)
 	if beside.total < quietFillShare {
 		q.samples = min(quietSamples, q.samples+1)
-		q.ms += (float64(x.load) - q.ms) / q.samples
+		q.ms = 1 / (1/q.ms + (1/float64(x.load)-1/q.ms)/q.samples)
 	}
-	victim := x.kind
-	now := h.disturbance(x.step, float64(x.load))
-	predicted := h.model.Predict(victim, 0, beside.pressures).Mean
-	own := now - predicted
-	if len(beside.pressures) > 0 && (now < saturated || own > 0) {
-		h.model.Observe(interference.Measurement{Victim: victim, Slowdown: 1 + max(-0.9, now), Neighbours: beside.pressures})
+	now := max(-1, h.disturbance(x.step, float64(x.load)))
+	surprise := now - x.own - h.model.Predict(x.kind, 0, beside.pressures).Mean
+	capped := now > saturated
+	if len(beside.pressures) > 0 && x.measured && (!capped || surprise > 0) {
+		h.model.Observe(interference.Measurement{Victim: x.kind, Slowdown: max(0.01, 1+now-x.own), Neighbours: beside.pressures})
+		surprise = now - x.own - h.model.Predict(x.kind, 0, beside.pressures).Mean
 	}
-	return own
+	if !capped || surprise > 0 {
+		x.own = min(mostOwn, max(-mostOwn, x.own+ownGain*surprise))
+	}
+	x.measured = true
 }
 
 // fillState is the pace of the filling tasks of one image on a runner.
@@ -171,10 +181,10 @@
 		if x.step.TailTarget <= 0 || x.phase != running || x.load <= 0 || x.percent < fullPace {
 			continue
 		}
-		own := c.harm.measure(x, beside)
+		c.harm.measure(x, beside)
 		x.noteTail(now)
 		if len(paces) > 0 {
-			c.spare(r, x, own, paces)
+			c.spare(r, x, paces)
 			x.slowAll(paces, now)
 		}
 	}
@@ -204,8 +214,8 @@
 
 // spare lowers the paces so that a serving task stays below its target, given
 // the disturbance by its own load. The images that press most are slowed.
-func (c *Core) spare(r *runner, x *run, own float64, paces map[interference.Kind]float64) {
-	allowed := max(calmPressure, c.harm.disturbance(x.step, targetMS(x.step))-headroom-max(0, own))
+func (c *Core) spare(r *runner, x *run, paces map[interference.Kind]float64) {
+	allowed := max(calmPressure, c.harm.disturbance(x.step, targetMS(x.step))-headroom-max(0, x.own))
 	var total, large float64
 	for kind := range paces {
 		total += c.pressureOf(r, x.kind, kind)
