--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -101,6 +101,7 @@
 	counters    Counter
 	harm        harm
 	full        fullFor
+	reserves    reserves
 }
 
 // Counter counts decisions by name.
@@ -122,6 +123,7 @@
 		counters:   count,
 		harm:       newHarm(),
 		full:       fullFor{},
+		reserves:   reserves{services: map[string]*reserve{}},
 	}
 }
 
--- a/coordinator/core_test.go
+++ b/coordinator/core_test.go
@@ -315,3 +315,39 @@
 		t.Error("a failed run was forgotten")
 	}
 }
+
+// New long-running work must not take the room that plain work comes and goes
+// in: on full days proofs waited behind it for seconds.
+func TestNewLongRunningWorkLeavesRoomForPlainWork(t *testing.T) {
+	w := newWorld(t, machine("a", 10_000))
+	w.accept(firstID, false, plain(4, 2000))
+	for i, o := range starts(w.schedule()) {
+		w.answer(o, Accepted, false)
+		w.report(Report{Runner: "a", Incarnation: 1, Ended: []RunEnd{{Number: i + 1, Task: o.Task, Run: 1, How: EndedDone}}, Running: nil})
+	}
+	lasting := plain(1, 8000)
+	lasting.LongRunning = true
+	w.accept(secondID, false, lasting)
+	if n := len(starts(w.schedule())); n != 0 {
+		t.Error("long-running work took the room of plain work that was there a moment ago")
+	}
+	w.now += time.Minute
+	if n := len(starts(w.schedule())); n != 1 {
+		t.Errorf("%d starts after a minute without plain work, want 1", n)
+	}
+}
+
+// Work that can still meet its objective goes before work that can't.
+func TestOnTimeWorkGoesFirst(t *testing.T) {
+	w := newWorld(t, machine("a", 1000))
+	w.now = time.Minute
+	late := jobs.New(firstID, testQueue, jobs.Spec{Steps: []jobs.Step{plain(1, 1000)}}, 0, 1)
+	w.core.Accept(late, false, 0)
+	fresh := jobs.New(secondID, testQueue, jobs.Spec{Steps: []jobs.Step{plain(1, 1000)}}, w.now, 2)
+	w.core.Accept(fresh, false, 0)
+	w.report(Report{Runner: "a", Incarnation: 1})
+	orders := starts(w.schedule())
+	if len(orders) != 1 || orders[0].Task.Job != secondID {
+		t.Errorf("orders %v, want the job that can be on time", orders)
+	}
+}
--- a/coordinator/schedule.go
+++ b/coordinator/schedule.go
@@ -49,10 +49,14 @@
 	}
 	slices.SortFunc(c.waiting, order)
 	clear(c.full)
+	c.updateReserves(now)
 	for _, w := range c.waiting {
 		if w.job.inherited && len(c.unresolved) > 0 || w.notUntil > now {
 			continue
 		}
+		if w.growth() > 0 && !c.reserves.allow(w) {
+			continue
+		}
 		if w.since == 0 {
 			w.since = now
 		}
@@ -100,11 +104,21 @@
 	return worthless
 }
 
+// growth is 1 for long-running tasks that have not run yet, otherwise 0.
+func (w *work) growth() int {
+	if w.step.LongRunning && !w.job.begun {
+		return 1
+	}
+	return 0
+}
+
 // order says which of two waiting steps is served first: by priority, then
-// those that can still meet their objective, then by slack.
+// those that can still meet their objective, then by slack. Long-running tasks
+// that have not run yet come after work that ends: they hold what they get.
 func order(a, b *work) int {
 	return cmp.Or(
 		cmp.Compare(a.job.queue.Priority, b.job.queue.Priority),
+		cmp.Compare(a.growth(), b.growth()),
 		cmp.Compare(a.rank(), b.rank()),
 		cmp.Compare(a.slack, b.slack),
 		cmp.Compare(a.job.ID, b.job.ID),
