--- a/coordinator/harm.go
+++ b/coordinator/harm.go
@@ -1,11 +1,13 @@
 package coordinator
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"sync/atomic"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/sirupsen/logrus"
 
 	"bergamotstile/interference"
@@ -94,6 +96,36 @@
 	return harm{model: interference.New(settings), quiet: map[string]*quietTail{}}
 }
 
+// learned is the stored form of what is known.
+type learned struct {
+	Pairs []interference.Learned `cbor:"1,keyasint"`
+	Quiet map[string]float64     `cbor:"2,keyasint"` // tails in milliseconds
+}
+
+// Learned returns what is known of interference, for a successor.
+func (c *Core) Learned() ([]byte, error) {
+	l := learned{Pairs: c.harm.model.Export(), Quiet: map[string]float64{}}
+	for image, q := range c.harm.quiet {
+		l.Quiet[image] = q.ms
+	}
+	return cbor.Marshal(l)
+}
+
+// Learn takes over what a predecessor knew of interference.
+func (c *Core) Learn(value []byte) error {
+	var l learned
+	if err := cbor.Unmarshal(value, &l); err != nil {
+		return fmt.Errorf("learned interference: %w", err)
+	}
+	c.harm.model.Import(l.Pairs)
+	for image, ms := range l.Quiet {
+		if ms > 0 {
+			c.harm.quiet[image] = &quietTail{ms: ms, samples: quietPrior}
+		}
+	}
+	return nil
+}
+
 // between is the pressure of a neighbour's image on a serving image, for a
 // neighbour that uses all of a runner's processors.
 func (h *harm) between(serving, filling interference.Kind) float64 {
--- /dev/null
+++ b/coordinator/journal_test.go
@@ -0,0 +1,128 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"bergamotstile/gateway"
+	"bergamotstile/jobs"
+	"bergamotstile/rowstore"
+)
+
+func progressOf(t *testing.T, id jobs.ID, done int) Write {
+	t.Helper()
+	j := jobs.New(id, testQueue, jobs.Spec{Steps: []jobs.Step{{Count: 5}}}, 0, 1)
+	j.Open(0)
+	for i := range done {
+		j.MarkDone(task(id, 0, i))
+	}
+	value, err := jobs.EncodeProgress(j, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return Write{Job: j, Value: value}
+}
+
+func fencedJournal(t *testing.T, store rowstore.Store, epoch uint64) *journal {
+	t.Helper()
+	n := newJournal(store, epoch)
+	if _, err := n.fence(context.Background(), gateway.PartOf(firstID)); err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+// delayed holds the first commit of progress back and carries it out on
+// request, as a store does with a call that it has not answered.
+type delayed struct {
+	*rowstore.Memory
+	held *rowstore.Transaction
+}
+
+func (d *delayed) Commit(ctx context.Context, tx rowstore.Transaction) (uint64, error) {
+	if d.held == nil && len(tx.Puts) > 0 && tx.Puts[0].Key.Table == gateway.ProgressTable {
+		d.held = &tx
+		return 0, rowstore.ErrUnknown
+	}
+	return d.Memory.Commit(ctx, tx)
+}
+
+// A write that the store carries out late must not undo progress that was
+// stored after it: the tasks in between would run again.
+func TestLateWriteDoesNotUndoProgress(t *testing.T) {
+	store := &delayed{Memory: rowstore.NewMemory()}
+	n := fencedJournal(t, store, 1)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	for done := 1; done <= 3; done++ {
+		if err := n.storeAll(ctx, []Write{progressOf(t, firstID, done)}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var conflict *rowstore.ConflictError
+	if _, err := store.Memory.Commit(ctx, *store.held); !errors.As(err, &conflict) {
+		t.Errorf("late write: %v, want a conflict", err)
+	}
+}
+
+// An answer that is lost after the write took effect must not block later ones.
+func TestLostAnswersAreResolved(t *testing.T) {
+	store := rowstore.NewMemory()
+	n := fencedJournal(t, store, 1)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	calls := 0
+	store.Lose = func(string) error {
+		if calls++; calls%2 == 1 {
+			return rowstore.ErrUnknown
+		}
+		return nil
+	}
+	for done := 1; done <= 4; done++ {
+		if err := n.storeAll(ctx, []Write{progressOf(t, firstID, done)}); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// A coordinator that was deposed must not write progress any more.
+func TestDeposedCoordinatorCannotWrite(t *testing.T) {
+	store := rowstore.NewMemory()
+	old := fencedJournal(t, store, 1)
+	fencedJournal(t, store, 2)
+	if err := old.storeAll(context.Background(), []Write{progressOf(t, firstID, 1)}); !errors.Is(err, ErrDeposed) {
+		t.Errorf("error %v, want deposed", err)
+	}
+	late := newJournal(store, 1)
+	if _, err := late.fence(context.Background(), gateway.PartOf(firstID)); !errors.Is(err, ErrDeposed) {
+		t.Errorf("fence of an old epoch: %v, want deposed", err)
+	}
+}
+
+// A lease on a runner that never answered is that of the predecessor: it has
+// not lapsed before the time inherited. A takeover started tasks a second time
+// because it took such a runner's leases as lapsed at once.
+func TestUnseenRunnerLapsesWithThePredecessorsLease(t *testing.T) {
+	tn := &tenure{env: Environment{Lease: 8 * time.Second}}
+	l := newLink(tn, "a", "", 20*time.Second)
+	if l.unanswered(15 * time.Second) {
+		t.Error("lapsed before the predecessor's leases had")
+	}
+	if !l.unanswered(21 * time.Second) {
+		t.Error("not lapsed after the predecessor's leases had")
+	}
+}
+
+// The runner's clock may be slow; leases there lapse later than here.
+func TestLapseAllowsForASlowClock(t *testing.T) {
+	l := lease{duration: 8 * time.Second, reading: 100 * time.Second, received: 10 * time.Second}
+	granted := l.extend(11 * time.Second)
+	if granted != 109*time.Second {
+		t.Errorf("granted %v, want 109 s on the runner's clock", granted)
+	}
+	if least := 10*time.Second + 9*time.Second*100/98; l.lapsed < least {
+		t.Errorf("lapsed at %v, want at least %v", l.lapsed, least)
+	}
+}
--- a/coordinator/takeover.go
+++ b/coordinator/takeover.go
@@ -142,17 +142,25 @@
 	return nil
 }
 
-// inherit notes which runners may run a predecessor's tasks.
+// inherit notes which runners may run a predecessor's tasks, and what it had
+// learned.
 func (t *tenure) inherit(ctx context.Context, registry []rowstore.Row) error {
-	roster, err := t.env.Store.Read(ctx, rowstore.Range{Table: rosterKey.Table, Part: rosterKey.Part, From: rosterKey.Key, To: rosterKey.Key + "\x00"})
+	notes, err := rowstore.ReadAll(ctx, t.env.Store, rowstore.Range{Table: rosterKey.Table, Part: sharedPart})
 	if err != nil {
 		return err
 	}
 	var ids []string
-	for _, row := range roster.Rows {
+	for _, row := range notes.Rows {
 		t.journal.loaded(row.Key, row.Version)
-		t.notes[row.Key] = string(row.Value)
-		ids = append(ids, strings.FieldsFunc(string(row.Value), func(r rune) bool { return r == '\n' })...)
+		switch row.Key {
+		case rosterKey:
+			t.notes[row.Key] = string(row.Value)
+			ids = strings.Fields(string(row.Value))
+		case learnedKey:
+			if err := t.core.Learn(row.Value); err != nil {
+				t.env.Log.WithError(err).Warn("starting without what was learned")
+			}
+		}
 	}
 	for _, row := range registry {
 		if _, err := t.env.DecodeRunner(row); err == nil {
--- a/coordinator/tenure.go
+++ b/coordinator/tenure.go
@@ -21,16 +21,22 @@
 const (
 	tickEvery = 100 * time.Millisecond
 	// storeEvery is the pause between writes of progress that is not urgent.
-	storeEvery  = 120 * time.Millisecond
-	notesEvery  = time.Second
-	sweepEvery  = 10 * time.Second
-	eventBuffer = 1024
-	maxBatch    = 128 // events handled between two rounds of scheduling
-	sweepMargin = 30 * time.Second
-	sweepJobs   = rowstore.MaxTransactionEntries/3 - 1
+	storeEvery = 120 * time.Millisecond
+	notesEvery = time.Second
+	sweepEvery = 10 * time.Second
+	// learnedEvery is how often what is known of interference is stored.
+	learnedEvery = 4 * time.Second
+	eventBuffer  = 1024
+	maxBatch     = 128 // events handled between two rounds of scheduling
+	sweepMargin  = 30 * time.Second
+	sweepJobs    = rowstore.MaxTransactionEntries/3 - 1
 )
 
-var rosterKey = rowstore.Key{Table: "lease", Part: sharedPart, Key: "roster"}
+// Rows that a successor starts from.
+var (
+	rosterKey  = rowstore.Key{Table: "lease", Part: sharedPart, Key: "roster"}
+	learnedKey = rowstore.Key{Table: "lease", Part: sharedPart, Key: "interference"}
+)
 
 // event is something that happened; apply is called by the loop.
 type event interface{ apply(t *tenure) }
@@ -65,6 +71,7 @@
 	noting    chan struct{} // token of the writer of notes
 	notes     map[rowstore.Key]string
 	nextNotes time.Duration
+	nextLearn time.Duration
 	nextSweep time.Duration
 	ended     map[jobs.ID]time.Duration // on the store's clock
 }
@@ -152,7 +159,7 @@
 	t.dropLinks()
 	if now >= t.nextNotes {
 		t.nextNotes = now + notesEvery
-		t.writeNotes()
+		t.writeNotes(now)
 	}
 	if now >= t.nextSweep {
 		t.nextSweep = now + sweepEvery
@@ -295,11 +302,12 @@
 
 // writeNotes stores the numbers of pending jobs and the roster where they have
 // changed.
-func (t *tenure) writeNotes() {
+func (t *tenure) writeNotes(now time.Duration) {
 	notes := map[rowstore.Key]string{rosterKey: strings.Join(t.core.Roster(), "\n")}
 	for queue, n := range t.core.Pending() {
 		notes[gateway.PendingKey(queue)] = strconv.Itoa(n)
 	}
+	t.addLearned(notes, now)
 	maps.DeleteFunc(notes, func(k rowstore.Key, v string) bool { return t.notes[k] == v })
 	if len(notes) == 0 {
 		return
@@ -316,6 +324,20 @@
 	}()
 }
 
+// addLearned adds what is known of interference, now and then.
+func (t *tenure) addLearned(notes map[rowstore.Key]string, now time.Duration) {
+	if now < t.nextLearn {
+		return
+	}
+	t.nextLearn = now + learnedEvery
+	value, err := t.core.Learned()
+	if err != nil {
+		t.env.Log.WithError(err).Error("learned interference not stored")
+		return
+	}
+	notes[learnedKey] = string(value)
+}
+
 func (t *tenure) putNotes(notes map[rowstore.Key]string) {
 	var puts []rowstore.Put
 	for key, value := range notes {
