Serve small jobs first among those that can be on time

Cause: with twice the work that serving tasks leave room for, jobs in order of slack were nearly all late.

--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -58,6 +58,7 @@
 	work      map[[2]int]*work
 	runs      map[jobs.TaskID][]*run
 	begun     bool
+	left      int64 // estimated work left, in milliseconds of a processor
 	// inherited jobs may have runs that a predecessor started.
 	inherited bool
 }
@@ -166,6 +167,7 @@
 	j.begun = j.State == jobs.Running
 	j.allowed = j.queue.Target + time.Duration(j.queue.Stretch*float64(j.Spec.Chain()))
 	j.objective = j.Accepted + j.allowed
+	j.left = j.workLeft()
 	c.jobs[j.ID] = j
 	if j.Spec.Repeats > 0 {
 		c.timed = append(c.timed, j)
@@ -174,6 +176,25 @@
 	c.log.WithFields(logrus.Fields{"job": j.ID, "queue": j.Queue, "inherited": inherited}).Info("job taken on")
 }
 
+// workOf is the estimated work of one task of a step, in milliseconds of a
+// processor.
+func workOf(s *jobs.Step) int64 {
+	return s.Ask.CPUMilli * s.Estimate.Milliseconds() / 1000
+}
+
+// workLeft is the estimated work of the tasks that are not done.
+func (j *job) workLeft() int64 {
+	var sum int64
+	for i := range j.Spec.Steps {
+		tasks := j.Spec.Steps[i].Count
+		for _, o := range j.Current {
+			tasks = min(tasks, o.Steps[i].Left)
+		}
+		sum += int64(tasks) * workOf(&j.Spec.Steps[i])
+	}
+	return sum
+}
+
 // openDue opens the occurrences that are due at the time of day.
 func (c *Core) openDue(j *job, wall time.Duration) {
 	for number := range j.Occurrences() {
--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -210,6 +210,9 @@
 		c.touch(j, false)
 		return
 	}
+	if t := j.Task(e.Task); t != nil && !t.Done {
+		j.left -= workOf(step)
+	}
 	finished := j.MarkDone(e.Task)
 	c.touch(j, false)
 	for _, other := range slices.Clone(j.runs[e.Task]) {
--- a/coordinator/schedule.go
+++ b/coordinator/schedule.go
@@ -112,14 +112,26 @@
 	return 0
 }
 
+// effort is the estimated work left in a job that can still be on time: when
+// not all can, the most are if small ones go first. Late jobs go by slack, so
+// that large ones are not put off for good.
+func (w *work) effort() int64 {
+	if w.rank() != onTime || w.step.LongRunning {
+		return 0
+	}
+	return w.job.left
+}
+
 // order says which of two waiting steps is served first: by priority, then
-// those that can still meet their objective, then by slack. Long-running tasks
-// that have not run yet come after work that ends: they hold what they get.
+// those that can still meet their objective, the small ones first, then by
+// slack. Long-running tasks that have not run yet come after work that ends:
+// they hold what they get.
 func order(a, b *work) int {
 	return cmp.Or(
 		cmp.Compare(a.job.queue.Priority, b.job.queue.Priority),
 		cmp.Compare(a.growth(), b.growth()),
 		cmp.Compare(a.rank(), b.rank()),
+		cmp.Compare(a.effort(), b.effort()),
 		cmp.Compare(a.slack, b.slack),
 		cmp.Compare(a.job.ID, b.job.ID),
 	)
