React within a second to serving tasks over their target

The forced slowdown came 2.4 s after the first reading over the target, which with the age of readings and pacing leaves 0.2 s of the 4 s, and new filling tasks could join meanwhile.

--- a/coordinator/harm.go
+++ b/coordinator/harm.go
@@ -71,8 +71,10 @@
 	leastPace = 35 // percent
 	// A serving task that stays over its target for suspectAll has every image
 	// beside it slowed, whatever the model says.
-	suspectAll = 1500 * time.Millisecond
-	stopAll    = 2400 * time.Millisecond
+	suspectAll = 1000 * time.Millisecond
+	stopAll    = 1600 * time.Millisecond
+	// suspectPace is the share of its pace that an image keeps meanwhile.
+	suspectPace = 0.2
 )
 
 // quietTail is the learned tail of undisturbed tasks of an image.
@@ -205,6 +207,7 @@
 // filling tasks.
 func (c *Core) controlPace(r *runner, now time.Duration) {
 	beside := c.harm.neighbours(r)
+	r.overSince = 0
 	paces := make(map[interference.Kind]float64, len(r.filled))
 	for kind := range r.filled {
 		paces[kind] = 1
@@ -215,6 +218,9 @@
 		}
 		c.harm.measure(x, beside)
 		x.noteTail(now)
+		if x.over > 0 && (r.overSince == 0 || x.over < r.overSince) {
+			r.overSince = x.over
+		}
 		if len(paces) > 0 {
 			c.spare(r, x, paces)
 			x.slowAll(paces, now)
@@ -290,7 +296,7 @@
 	if x.over == 0 || now-x.over < suspectAll {
 		return
 	}
-	most := 0.3
+	most := suspectPace
 	if now-x.over >= stopAll {
 		most = 0
 	}
@@ -299,6 +305,12 @@
 	}
 }
 
+// troubled reports whether a serving task of the runner has been over its
+// target for long, so that no filling task may join it.
+func (r *runner) troubled(now time.Duration) bool {
+	return r.overSince > 0 && now-r.overSince >= suspectAll
+}
+
 // fill returns the pace of an image on the runner.
 func (r *runner) fill(kind interference.Kind) *fillState {
 	s := r.fills[kind]
--- a/coordinator/harm_test.go
+++ b/coordinator/harm_test.go
@@ -59,7 +59,7 @@
 		w.core.harm.measure(w.core.runners["a"].find(victim.Task, 1), w.core.harm.neighbours(w.core.runners["a"]))
 	}
 	pace := map[jobs.TaskID]int{}
-	for i := range 7 {
+	for i := range 4 {
 		tail := 30
 		if i%2 == 1 {
 			tail = 19
@@ -70,11 +70,28 @@
 	}
 	for _, o := range fills {
 		if p, ok := pace[o.Task]; !ok || p > minPace {
-			t.Errorf("pace of %v is %d after 3.5 s of harm", o.Task, p)
+			t.Errorf("pace of %v is %d after 2 s of harm", o.Task, p)
 		}
 	}
 }
 
+// No filling task may join a serving task that has been over its target for a
+// while: it would work at full pace until its first pace is set.
+func TestNoFillingTaskJoinsATroubledOne(t *testing.T) {
+	w, victim := harmWorld(t)
+	for range 4 {
+		w.tails(victim, nil, 30)
+	}
+	w.accept(secondID, false, filling(1, "render"))
+	if n := len(starts(w.schedule())); n != 0 {
+		t.Errorf("%d filling tasks started beside it", n)
+	}
+	w.tails(victim, nil, 5)
+	if n := len(starts(w.schedule())); n != 1 {
+		t.Errorf("%d filling tasks started after it recovered", n)
+	}
+}
+
 // Images that were seen to disturb each other must not be placed together while
 // another runner is free of the victim.
 func TestHarmfulImageIsPlacedElsewhere(t *testing.T) {
--- a/coordinator/link.go
+++ b/coordinator/link.go
@@ -9,7 +9,7 @@
 
 // Times of the calls to one runner.
 const (
-	holdWait = 700 * time.Millisecond
+	holdWait = 500 * time.Millisecond
 	// silentRetry is the pause between calls to a runner that does not answer.
 	silentRetry = 250 * time.Millisecond
 	// storeWait bounds the wait for reported ends to be stored before the next
--- a/coordinator/runner.go
+++ b/coordinator/runner.go
@@ -35,7 +35,10 @@
 	filled  map[interference.Kind]int64
 	fills   map[interference.Kind]*fillState
 	pressed []pressed // see pressedOn
-	health  health
+	// overSince is since when one of its serving tasks has been over its
+	// target; zero if none is.
+	overSince time.Duration
+	health    health
 	// strays is the number of runs in the last report that are not known here
 	// and are being stopped. What they hold is not known either.
 	strays int
