--- a/coordinator/core_test.go
+++ b/coordinator/core_test.go
@@ -351,3 +351,17 @@
 		t.Errorf("orders %v, want the job that can be on time", orders)
 	}
 }
+
+// A stop that an unhealthy runner refuses has done nothing; it must be given
+// again, or the task of a cancelled job runs on.
+func TestRefusedStopIsRepeated(t *testing.T) {
+	w := newWorld(t, machine("a", 1000))
+	w.accept(firstID, false, plain(1, 1000))
+	w.answer(starts(w.schedule())[0], Accepted, false)
+	w.core.Cancel(firstID, w.now)
+	stop := ofKind(w.schedule(), Stop)[0]
+	w.answer(stop, RefusedOther, false)
+	if n := len(ofKind(w.schedule(), Stop)); n != 1 {
+		t.Errorf("%d stops after a refused one, want 1", n)
+	}
+}
--- a/coordinator/harm.go
+++ b/coordinator/harm.go
@@ -226,6 +226,11 @@
 			x.slowAll(paces, now)
 		}
 	}
+	for kind := range r.fills {
+		if r.filled[kind] == 0 {
+			delete(r.fills, kind)
+		}
+	}
 	for kind, pace := range paces {
 		r.fill(kind).set(int(pace*fullPace), now)
 	}
--- a/coordinator/harm_test.go
+++ b/coordinator/harm_test.go
@@ -127,3 +127,22 @@
 		t.Errorf("orders %+v, want full pace", paces)
 	}
 }
+
+// A pace that was set for tasks that are gone must not keep others of their
+// image away: jobs waited for good although runners had become free.
+func TestPaceIsForgottenWithItsTasks(t *testing.T) {
+	w, victim := harmWorld(t)
+	w.accept(secondID, false, filling(1, "render"))
+	fill := starts(w.schedule())[0]
+	w.answer(fill, Accepted, false)
+	for range 6 {
+		w.tails(victim, []Order{fill}, 200)
+	}
+	w.core.Cancel(firstID, w.now)
+	w.report(Report{Runner: "a", Incarnation: 1, Ended: []RunEnd{
+		{Number: 1, Task: fill.Task, Run: fill.Run, How: EndedDone}, {Number: 2, Task: victim.Task, Run: victim.Run, How: EndedStopped}}})
+	w.accept("00000000000000c3", false, filling(1, "render"))
+	if n := len(starts(w.schedule())); n != 1 {
+		t.Errorf("%d starts on an empty runner, want 1", n)
+	}
+}
--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -272,10 +272,20 @@
 	case Start:
 		c.startAnswered(x, a, now)
 	case Stop:
-		if a.Outcome == WrongRunner {
-			c.lose(x, now, a.Outcome.String())
-			return
-		}
+		c.stopAnswered(x, a, now)
+	}
+}
+
+// stopAnswered notes that a run is being stopped. A runner that takes no orders
+// is asked again.
+func (c *Core) stopAnswered(x *run, a Answer, now time.Duration) {
+	switch a.Outcome {
+	case WrongRunner:
+		c.lose(x, now, a.Outcome.String())
+	case RefusedOther:
+		x.phase = running
+		c.stop(x, now)
+	default:
 		x.confirmed = now
 	}
 }
