Keep a job's queue with the job

Cause, from the code: a job whose queue is removed after its acceptance had no service for a successor that never saw the queue, so it waited for good (LOST). The record of acceptance now holds the queue.

--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -51,7 +51,7 @@
 // job is an accepted job with its runs.
 type job struct {
 	*jobs.Job
-	queue Queue
+	queue jobs.Queue
 	// objective is when the job should be completed, on the store's clock.
 	objective time.Duration
 	allowed   time.Duration // from acceptance to objective
@@ -86,7 +86,7 @@
 type Core struct {
 	limits  Limits
 	log     logrus.FieldLogger
-	queues  map[string]Queue
+	queues  map[string]jobs.Queue
 	jobs    map[jobs.ID]*job
 	runners map[string]*runner
 	waiting []*work
@@ -116,7 +116,7 @@
 	return &Core{
 		limits:     limits,
 		log:        log,
-		queues:     map[string]Queue{},
+		queues:     map[string]jobs.Queue{},
 		jobs:       map[jobs.ID]*job{},
 		runners:    map[string]*runner{},
 		dirty:      map[*job]struct{}{},
@@ -129,16 +129,23 @@
 }
 
 // Configure replaces the queues in force.
-func (c *Core) Configure(queues []Queue) {
+func (c *Core) Configure(queues []jobs.Queue) {
 	clear(c.queues)
 	for _, q := range queues {
 		c.queues[q.Name] = q
 	}
 	for _, j := range c.jobs {
-		if q, ok := c.queues[j.Queue]; ok {
-			j.queue = q
-		}
+		j.queue = c.queueOf(j.Job)
+	}
+}
+
+// queueOf returns a job's queue as it is in force, or as it was when the job was
+// accepted if it has been removed since.
+func (c *Core) queueOf(j *jobs.Job) jobs.Queue {
+	if q, ok := c.queues[j.Queue.Name]; ok {
+		return q
 	}
+	return j.Queue
 }
 
 // SetStoreClock tells the core the store's clock.
@@ -163,7 +170,7 @@
 		return
 	}
 	j := &job{Job: accepted, work: map[[2]int]*work{}, runs: map[jobs.TaskID][]*run{}, inherited: inherited}
-	j.queue = c.queues[j.Queue]
+	j.queue = c.queueOf(accepted)
 	j.begun = j.State == jobs.Running
 	j.allowed = j.queue.Target + time.Duration(j.queue.Stretch*float64(j.Spec.Chain()))
 	j.objective = j.Accepted + j.allowed
@@ -173,7 +180,7 @@
 		c.timed = append(c.timed, j)
 	}
 	c.openDue(j, wall)
-	c.log.WithFields(logrus.Fields{"job": j.ID, "queue": j.Queue, "inherited": inherited}).Info("job taken on")
+	c.log.WithFields(logrus.Fields{"job": j.ID, "queue": j.Queue.Name, "inherited": inherited}).Info("job taken on")
 }
 
 // workOf is the estimated work of one task of a step, in milliseconds of a
@@ -345,7 +352,7 @@
 	}
 	for _, j := range c.jobs {
 		if !j.begun && j.Spec.Repeats == 0 && !j.State.Terminal() {
-			counts[j.Queue]++
+			counts[j.Queue.Name]++
 		}
 	}
 	return counts
--- a/coordinator/core_test.go
+++ b/coordinator/core_test.go
@@ -12,12 +12,13 @@
 )
 
 const (
-	testQueue   = "renders"
 	testService = "paths"
 	firstID     = jobs.ID("00000000000000a1")
 	secondID    = jobs.ID("00000000000000b2")
 )
 
+var renders = jobs.Queue{Name: "renders", Service: testService, Attempts: 2, Stretch: 1.5, Target: time.Second}
+
 // world drives a Core as the platform would.
 type world struct {
 	t    *testing.T
@@ -30,7 +31,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	w := &world{t: t, core: New(Limits{FarFactor: 2}, log, nil), now: time.Second}
-	w.core.Configure([]Queue{{Name: testQueue, Service: testService, Attempts: 2, Stretch: 1.5, Target: time.Second}})
+	w.core.Configure([]jobs.Queue{renders})
 	for _, r := range runners {
 		w.core.RunnerSeen(r, w.now)
 		w.report(Report{Runner: r.ID, Incarnation: 1})
@@ -48,7 +49,7 @@
 	if err := spec.Check(); err != nil {
 		w.t.Fatal(err)
 	}
-	j := jobs.New(id, testQueue, spec, 0, 1)
+	j := jobs.New(id, renders, spec, 0, 1)
 	w.core.Accept(j, inherited, 0)
 	return j
 }
@@ -302,7 +303,7 @@
 		t.Fatalf("writes %v, acknowledged %v, error %v", writes, acknowledged, err)
 	}
 	next := newWorld(t, machine("a", 4000))
-	j := jobs.New(firstID, testQueue, writes[0].Job.Spec, 0, 1)
+	j := jobs.New(firstID, renders, writes[0].Job.Spec, 0, 1)
 	if err := j.Restore(writes[0].Value); err != nil {
 		t.Fatal(err)
 	}
@@ -341,9 +342,9 @@
 func TestOnTimeWorkGoesFirst(t *testing.T) {
 	w := newWorld(t, machine("a", 1000))
 	w.now = time.Minute
-	late := jobs.New(firstID, testQueue, jobs.Spec{Steps: []jobs.Step{plain(1, 1000)}}, 0, 1)
+	late := jobs.New(firstID, renders, jobs.Spec{Steps: []jobs.Step{plain(1, 1000)}}, 0, 1)
 	w.core.Accept(late, false, 0)
-	fresh := jobs.New(secondID, testQueue, jobs.Spec{Steps: []jobs.Step{plain(1, 1000)}}, w.now, 2)
+	fresh := jobs.New(secondID, renders, jobs.Spec{Steps: []jobs.Step{plain(1, 1000)}}, w.now, 2)
 	w.core.Accept(fresh, false, 0)
 	w.report(Report{Runner: "a", Incarnation: 1})
 	orders := starts(w.schedule())
@@ -365,3 +366,14 @@
 		t.Errorf("%d stops after a refused one, want 1", n)
 	}
 }
+
+// A job whose queue was removed after it was accepted must still run, also under
+// a successor that has never seen the queue.
+func TestJobOfARemovedQueueRuns(t *testing.T) {
+	w := newWorld(t, machine("a", 1000))
+	w.core.Configure([]jobs.Queue{{Name: "another", Service: testService}})
+	w.accept(firstID, false, plain(1, 1000))
+	if n := len(starts(w.schedule())); n != 1 {
+		t.Errorf("%d starts, want 1", n)
+	}
+}
--- a/coordinator/platform.go
+++ b/coordinator/platform.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"bergamotstile/jobs"
 	"bergamotstile/rowstore"
 )
 
@@ -55,7 +56,7 @@
 	RunnersTable string
 	DecodeRunner func(rowstore.Row) (RunnerInfo, error)
 	// Queues returns the queues in force.
-	Queues func() []Queue
+	Queues func() []jobs.Queue
 	Limits Limits
 	// Lease is how long a runner keeps runs without hearing of the
 	// coordinator.
--- a/coordinator/tenure_test.go
+++ b/coordinator/tenure_test.go
@@ -173,8 +173,8 @@
 			err := json.Unmarshal(row.Value, &info)
 			return info, err
 		},
-		Queues: func() []Queue {
-			return []Queue{{Name: testQueue, Service: testService, Attempts: 2, Stretch: 2, Target: time.Second}}
+		Queues: func() []jobs.Queue {
+			return []jobs.Queue{renders}
 		},
 		Lease: 8 * time.Second, Retention: time.Minute, Clock: clock, StoreClock: clock,
 		Log: log, Count: func(string, int64) {},
@@ -232,7 +232,7 @@
 	for i := range count {
 		id := jobs.ID(fmt.Sprintf("%016x", i+1))
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-		if err := g.Submit(ctx, testQueue, id, spec); err != nil {
+		if err := g.Submit(ctx, renders, id, spec); err != nil {
 			t.Fatal(err)
 		}
 		cancel()
--- a/coordinator/types.go
+++ b/coordinator/types.go
@@ -10,20 +10,6 @@
 	"bergamotstile/jobs"
 )
 
-// Queue is where jobs of one kind wait, and how they are treated.
-type Queue struct {
-	Name     string
-	Service  string
-	Priority int // 0 comes first
-	// Attempts is how often a task may fail before its job has failed.
-	Attempts int
-	// Stretch times the estimated chain, plus Target, is the job's objective.
-	Stretch float64
-	Target  time.Duration
-	// Advised queues need a ticket for each runner that runs a step.
-	Advised bool
-}
-
 // RunnerInfo is what a runner says of itself in the registry.
 type RunnerInfo struct {
 	ID       string
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -44,7 +44,7 @@
 
 // Submit records a job. It returns nil once the job is durable, also if it was
 // before.
-func (g *Gateway) Submit(ctx context.Context, queue string, id jobs.ID, spec jobs.Spec) error {
+func (g *Gateway) Submit(ctx context.Context, queue jobs.Queue, id jobs.ID, spec jobs.Spec) error {
 	value, err := jobs.EncodeAccepted(queue, spec, g.Clock())
 	if err != nil {
 		return fmt.Errorf("%w: %v", ErrNotAccepted, err)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -12,6 +12,8 @@
 
 const id = jobs.ID("00000000000000a1")
 
+var queue = jobs.Queue{Name: "q", Service: "s"}
+
 var spec = jobs.Spec{Text: "text", Steps: []jobs.Step{{Count: 2}}}
 
 func gatewayOn(store rowstore.Store) *Gateway {
@@ -37,7 +39,7 @@
 		return nil
 	}
 	for range 3 {
-		if err := g.Submit(short(t), "q", id, spec); err != nil {
+		if err := g.Submit(short(t), queue, id, spec); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -68,7 +70,7 @@
 			attempt++
 			return err
 		}
-		if err := gatewayOn(store).Submit(short(t), "q", id, spec); !errors.Is(err, c.want) {
+		if err := gatewayOn(store).Submit(short(t), queue, id, spec); !errors.Is(err, c.want) {
 			t.Errorf("%s: %v, want %v", c.name, err, c.want)
 		}
 	}
@@ -82,7 +84,7 @@
 	store.Fail = func(string) error { calls++; return rowstore.ErrRefused }
 	ctx, cancel := context.WithTimeout(context.Background(), time.Hour)
 	defer cancel()
-	if err := gatewayOn(store).Submit(ctx, "q", id, spec); !errors.Is(err, ErrNotAccepted) || calls > 2 {
+	if err := gatewayOn(store).Submit(ctx, queue, id, spec); !errors.Is(err, ErrNotAccepted) || calls > 2 {
 		t.Errorf("%d calls, error %v", calls, err)
 	}
 }
@@ -98,7 +100,7 @@
 	if exists, err := g.Cancel(short(t), id); exists || err != nil {
 		t.Fatalf("cancel of an unknown job: exists %v, error %v", exists, err)
 	}
-	if err := g.Submit(short(t), "q", id, spec); err != nil {
+	if err := g.Submit(short(t), queue, id, spec); err != nil {
 		t.Fatal(err)
 	}
 	expect := func(want jobs.State) {
@@ -109,7 +111,7 @@
 	}
 	expect(jobs.Queued)
 	store2 := func(state jobs.State) {
-		j := jobs.New(id, "q", spec, 0, 1)
+		j := jobs.New(id, queue, spec, 0, 1)
 		j.State = state
 		value, err := jobs.EncodeProgress(j, 0)
 		if err != nil {
--- a/jobs/codec.go
+++ b/jobs/codec.go
@@ -9,15 +9,16 @@
 	"github.com/fxamacker/cbor/v2"
 )
 
-// acceptedRecord is the stored form of an accepted job.
+// acceptedRecord is the stored form of an accepted job. It holds the queue, so
+// that the job runs also after the queue was removed.
 type acceptedRecord struct {
-	Queue    string        `cbor:"1,keyasint"`
+	Queue    Queue         `cbor:"1,keyasint"`
 	Spec     Spec          `cbor:"2,keyasint"`
 	Accepted time.Duration `cbor:"3,keyasint"`
 }
 
 // EncodeAccepted returns the record of a newly accepted job.
-func EncodeAccepted(queue string, spec Spec, accepted time.Duration) ([]byte, error) {
+func EncodeAccepted(queue Queue, spec Spec, accepted time.Duration) ([]byte, error) {
 	return cbor.Marshal(acceptedRecord{queue, spec, accepted})
 }
 
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -95,7 +95,7 @@
 // Job is one accepted job and its progress.
 type Job struct {
 	ID       ID
-	Queue    string
+	Queue    Queue // as it was when the job was accepted
 	Spec     Spec
 	Accepted time.Duration // on the store's clock
 	Version  uint64        // version of the row that records the acceptance
@@ -107,7 +107,7 @@
 }
 
 // New returns a job without progress.
-func New(id ID, queue string, spec Spec, accepted time.Duration, version uint64) *Job {
+func New(id ID, queue Queue, spec Spec, accepted time.Duration, version uint64) *Job {
 	j := &Job{ID: id, Queue: queue, Spec: spec, Accepted: accepted, Version: version}
 	j.Current = map[int]*Occurrence{}
 	j.Finished = map[int]bool{}
