Move filling tasks that serving ones leave next to nothing

Cause: traces showed filling tasks at a pace of 1 to 3 for 10 s and more while other runners could have run them. They are stopped, which saves a checkpoint, and go on elsewhere, if a runner would take them at a pace of 70 or more.

--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -39,7 +39,8 @@
 	// moved is when percent last changed.
 	moved time.Duration
 	load  int
-	pace  int // percent of its full speed
+	pace  int           // percent of its full speed
+	paced time.Duration // when pace last passed stuckPace
 	// over is since when a serving task has been over its target; zero if it
 	// is not.
 	over time.Duration
@@ -101,6 +102,7 @@
 	storeOffset time.Duration
 	counters    Counter
 	harm        harm
+	now         time.Duration // of the report being processed
 	full        fullFor
 	reserves    reserves
 }
--- a/coordinator/harm.go
+++ b/coordinator/harm.go
@@ -348,6 +348,9 @@
 func (c *Core) orderPace(x *run, percent int) {
 	c.counters("paces", 1)
 	c.log.WithFields(logrus.Fields{"task": x.task, "run": x.number, "runner": x.runner.ID, "pace": percent, "before": x.pace}).Info("pace ordered")
+	if x.pace > stuckPace || percent > stuckPace {
+		x.paced = c.now
+	}
 	x.pace = percent
 	x.settled.Store(true)
 	x.settled = new(atomic.Bool)
--- a/coordinator/harm_test.go
+++ b/coordinator/harm_test.go
@@ -146,3 +146,33 @@
 		t.Errorf("%d starts on an empty runner, want 1", n)
 	}
 }
+
+// A filling task that is slowed to next to nothing must go on where there is
+// room for it; it held its job up for the rest of the day.
+func TestStuckFillingTaskMoves(t *testing.T) {
+	w, victim := harmWorld(t)
+	render := filling(1, "render")
+	render.Checkpoints = true
+	w.accept(secondID, false, render)
+	fill := starts(w.schedule())[0]
+	w.answer(fill, Accepted, false)
+	for range 6 {
+		w.tails(victim, []Order{fill}, 200)
+		w.core.Watch(w.now)
+	}
+	if n := len(ofKind(w.schedule(), Stop)); n != 0 {
+		t.Fatalf("%d stops although no other runner is there", n)
+	}
+	w.core.RunnerSeen(machine("b", 8000), w.now)
+	w.report(Report{Runner: "b", Incarnation: 1})
+	w.core.Watch(w.now)
+	if n := len(ofKind(w.schedule(), Stop)); n != 1 {
+		t.Errorf("%d stops, want one", n)
+	}
+	w.report(Report{Runner: "a", Incarnation: 1, Running: []RunStatus{{Task: victim.Task, Run: 1, Percent: 100, Load: 5}},
+		Ended: []RunEnd{{Number: 1, Task: fill.Task, Run: fill.Run, How: EndedStopped, Saved: "s"}}})
+	orders := starts(w.schedule())
+	if len(orders) != 1 || orders[0].Runner != "b" || orders[0].Saved != "s" {
+		t.Errorf("orders %+v, want a start on b from the checkpoint", orders)
+	}
+}
--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -12,6 +12,7 @@
 
 // Report brings the state in line with what a runner lists.
 func (c *Core) Report(rep Report, now time.Duration) {
+	c.now = now
 	r := c.runners[rep.Runner]
 	if r == nil {
 		r = newRunner()
@@ -260,6 +261,7 @@
 
 // Answered records a runner's answer to an order.
 func (c *Core) Answered(a Answer, now time.Duration) {
+	c.now = now
 	r := c.runners[a.Order.Runner]
 	if r == nil {
 		return
--- a/coordinator/schedule.go
+++ b/coordinator/schedule.go
@@ -274,7 +274,7 @@
 	if r.health.doubtful(now) {
 		factor *= doubtPenalty
 	}
-	idle := r.Capacity.CPUMilli - r.firm - r.serving*servingUse/100 - r.filling
+	idle := r.idle()
 	if w.step.Fills {
 		return c.fillCost(w, r, factor, idle, now)
 	}
@@ -285,6 +285,11 @@
 	return factor - free/4
 }
 
+// idle is what is expected to be left of the runner's processors.
+func (r *runner) idle() int64 {
+	return r.Capacity.CPUMilli - r.firm - r.serving*servingUse/100 - r.filling
+}
+
 // mixCost keeps serving tasks of one image together and apart from others: a
 // runner with one image is open to every filling image that does not harm it.
 func (c *Core) mixCost(w *work, r *runner) float64 {
--- a/coordinator/watch.go
+++ b/coordinator/watch.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"bergamotstile/interference"
 )
 
 // Bounds of the watch over running tasks.
@@ -14,6 +16,14 @@
 	stallPace = 50
 	// stallAvoid is how long a runner with a stalled task gets no new ones.
 	stallAvoid = 3 * time.Second
+	// A filling task at stuckPace or less for stuckTime goes on elsewhere if it
+	// can resume there at betterPace. At most movesPerRound are moved at once.
+	stuckPace     = 15 // percent
+	stuckTime     = 900 * time.Millisecond
+	betterPace    = 70 // percent
+	movesPerRound = 3
+	// nearlyDone is the progress from which a move isn't worth it, in percent.
+	nearlyDone = 85
 	// leaveMargin is kept free before a draining runner may be gone.
 	leaveMargin = 500 * time.Millisecond
 )
@@ -23,6 +33,7 @@
 func (c *Core) Watch(now time.Duration) {
 	c.dropUnlisted(now)
 	c.dropGone()
+	c.moveStuck(now)
 	for _, r := range c.runners {
 		if !r.reported || r.suspect {
 			continue
@@ -52,6 +63,59 @@
 	}
 }
 
+// moveStuck moves filling tasks that serving ones leave no room to runners that
+// have some.
+func (c *Core) moveStuck(now time.Duration) {
+	moves := 0
+	open := map[interference.Kind]bool{}
+	for _, r := range c.runners {
+		if !r.usable() {
+			continue
+		}
+		for x := range r.runs {
+			if !x.stuck(now) {
+				continue
+			}
+			better, known := open[x.kind]
+			if !known {
+				better = c.hasBetter(x, now)
+				open[x.kind] = better
+			}
+			if !better {
+				continue
+			}
+			open[x.kind] = false // one for each image in a round
+			c.move(x, now, "slowed for serving tasks")
+			if moves++; moves == movesPerRound {
+				return
+			}
+		}
+	}
+}
+
+// stuck reports whether a task gets next to nothing and would lose little.
+func (x *run) stuck(now time.Duration) bool {
+	return x.step.Fills && x.step.Checkpoints && !x.step.Gang && x.phase == running &&
+		x.pace >= 0 && x.pace <= stuckPace && now-x.paced > stuckTime && x.percent < nearlyDone
+}
+
+// hasBetter reports whether another runner would run the task at betterPace.
+func (c *Core) hasBetter(x *run, now time.Duration) bool {
+	ask := max(1, x.step.Ask.CPUMilli)
+	for _, r := range c.runners {
+		if r == x.runner || r.Service != x.runner.Service || !r.usable() || r.health.avoided(now) || r.troubled(now) {
+			continue
+		}
+		if r.idle() < ask || !r.held.Add(x.step.Reserved()).Fits(r.Capacity) {
+			continue
+		}
+		if pace, _ := c.safePace(r, x.kind, ask); min(pace, r.paceOf(x.kind)) >= betterPace {
+			return true
+		}
+	}
+	return false
+}
+
 func (c *Core) move(x *run, now time.Duration, cause string) {
 	c.counters("runs_moved", 1)
 	c.log.WithFields(logrus.Fields{"task": x.task, "run": x.number, "runner": x.runner.ID, "percent": x.percent, "cause": cause}).Info("run is moved")
