--- a/coordinator/harm.go
+++ b/coordinator/harm.go
@@ -67,8 +67,8 @@
 	overUntil = 0.7
 	// harmWait is how long a filling task waits for a runner where it can work
 	// at full pace; after that leastPace is enough.
-	harmWait  = 1200 * time.Millisecond
-	leastPace = 35 // percent
+	harmWait  = 500 * time.Millisecond
+	leastPace = 50 // percent
 	// A serving task that stays over its target for suspectAll has every image
 	// beside it slowed, whatever the model says.
 	suspectAll = 1000 * time.Millisecond
