--- a/coordinator/harm.go
+++ b/coordinator/harm.go
@@ -32,7 +32,7 @@
 	quietFillShare = 0.04 // of the processors, below which tails count as quiet
 	// tailNoise is the deviation of a measurement by the roughness of the figure
 	// and the change of a serving task's own load since the last one.
-	tailNoise = 0.15
+	tailNoise = 0.2
 	// ownGain is the part of an unexplained change that is laid to the serving
 	// task's own load; mostOwn bounds the disturbance by it.
 	ownGain = 0.4
@@ -41,7 +41,7 @@
 	// tell them apart after a few readings.
 	priorPressure  = 0.5
 	priorDeviation = 1.5
-	pressureDrift  = 0.02
+	pressureDrift  = 0.01
 	// saturated is the disturbance above which a tail says only that the
 	// pressure is at least as large as predicted.
 	saturated = 0.85
