--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -24,8 +24,8 @@
 // Times of calls to the store.
 const (
 	// writeTimeout bounds one write; a slow store answers within it.
-	writeTimeout = 1200 * time.Millisecond
-	readTimeout  = 1200 * time.Millisecond
+	writeTimeout = time.Second
+	readTimeout  = time.Second
 	// refusedRetry is the pause before the one repetition of a refused write.
 	refusedRetry = 25 * time.Millisecond
 	unknownRetry = 50 * time.Millisecond
--- a/leadership/leadership.go
+++ b/leadership/leadership.go
@@ -19,7 +19,7 @@
 const (
 	renewEvery  = 700 * time.Millisecond
 	pollEvery   = 400 * time.Millisecond
-	callTimeout = 1500 * time.Millisecond
+	callTimeout = time.Second
 	// readGap is the pause between reads that shows that the store was away;
 	// returnTime is what the holder then has to renew.
 	readGap    = 1200 * time.Millisecond
