--- a/command/command.go
+++ b/command/command.go
@@ -44,6 +44,7 @@
 	Submit  *submitCommand  `arg:"subcommand:submit" help:"submit a work item"`
 	Status  *statusCommand  `arg:"subcommand:status" help:"show the state of an instance or a work item"`
 	Cancel  *cancelCommand  `arg:"subcommand:cancel" help:"cancel a work item"`
+	Explain *explainCommand `arg:"subcommand:explain" help:"tell a job's story from the logs of instances"`
 	Demo    *DemoOptions    `arg:"subcommand:demo" help:"run a small deployment in this process"`
 	Bench   *BenchOptions   `arg:"subcommand:bench" help:"compare placement policies in virtual time"`
 	Standin *standinCommand `arg:"subcommand:standin" help:"run a stand-in of an outside system"`
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -90,7 +90,7 @@
 
 // Guards against settings that an operator cannot look up.
 func TestEverySettingIsDocumented(t *testing.T) {
-	docs, err := os.ReadFile("../docs/operations.md")
+	docs, err := os.ReadFile("../docs/OPERATIONS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -102,7 +102,7 @@
 			row += fmt.Sprint(v.Field(i).Interface(), " | ")
 		}
 		if !strings.Contains(string(docs), row) {
-			t.Errorf("docs/operations.md has no row %q", row)
+			t.Errorf("docs/OPERATIONS.md has no row %q", row)
 		}
 	}
 }
