--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -80,6 +80,9 @@
 	// chain, as of the present round.
 	slack time.Duration
 	rest  time.Duration // estimated rest of the chain
+	// lastChance is set while a task is placed whose next failure would be the
+	// last.
+	lastChance bool
 }
 
 // Core is the state of the coordinator. Its methods are called by one
--- a/coordinator/core_test.go
+++ b/coordinator/core_test.go
@@ -377,3 +377,24 @@
 		t.Errorf("%d starts, want 1", n)
 	}
 }
+
+// A task whose next failure ends its job goes to a runner that has done
+// something lately: with some runners failing all they start, a second unproven
+// one failed the job.
+func TestLastAttemptGoesToAProvenRunner(t *testing.T) {
+	w := newWorld(t, machine("a", 8000), machine("b", 4000), machine("c", 2000))
+	w.accept(firstID, false, plain(1, 1000))
+	o := starts(w.schedule())[0]
+	w.answer(o, Accepted, false)
+	proven := map[string]string{"a": "c", "b": "c", "c": "b"}[o.Runner]
+	other := jobs.New(secondID, renders, jobs.Spec{Steps: []jobs.Step{plain(1, 10)}}, 0, 1)
+	w.core.Accept(other, false, 0)
+	x := &run{job: w.core.jobs[secondID], runner: w.core.runners[proven]}
+	w.core.noteHealth(x, EndedDone, w.now)
+	w.core.Cancel(secondID, w.now)
+	w.report(Report{Runner: o.Runner, Incarnation: 1, Ended: []RunEnd{{Number: 1, Task: o.Task, Run: 1, How: EndedFailed}}})
+	again := starts(w.schedule())
+	if len(again) != 1 || again[0].Runner != proven {
+		t.Errorf("orders %+v, want a start on %s", again, proven)
+	}
+}
--- a/coordinator/health.go
+++ b/coordinator/health.go
@@ -16,6 +16,8 @@
 	// recentFailure is how long a failure counts against a runner when another
 	// could take the task.
 	recentFailure = 6 * time.Second
+	// provenTime is how long a success vouches for a runner.
+	provenTime = 4 * time.Second
 )
 
 // health is the judgement of a runner by the outcomes of its runs.
@@ -24,6 +26,7 @@
 	failures   int
 	lastFailed time.Duration
 	lastJob    *job
+	lastDone   time.Duration
 	avoidUntil time.Duration
 	stalls     int
 }
@@ -41,12 +44,18 @@
 	return h.failures > 0 && now-h.lastFailed < recentFailure || h.stalls > 0
 }
 
+// proven reports whether the runner has done a task lately and failed none
+// since.
+func (h *health) proven(now time.Duration) bool {
+	return h.lastDone > 0 && now-h.lastDone < provenTime && h.failures == 0 && h.stalls == 0
+}
+
 // noteHealth judges a runner by the end of a run.
 func (c *Core) noteHealth(x *run, how How, now time.Duration) {
 	h := &x.runner.health
 	switch how {
 	case EndedDone:
-		h.failures, h.stalls = 0, 0
+		h.failures, h.stalls, h.lastDone = 0, 0, now
 	case EndedFailed:
 		if h.lastJob != x.job {
 			h.failures++
--- a/coordinator/link.go
+++ b/coordinator/link.go
@@ -14,7 +14,7 @@
 	silentRetry = 250 * time.Millisecond
 	// storeWait bounds the wait for reported ends to be stored before the next
 	// call, which would list them again.
-	storeWait = 300 * time.Millisecond
+	storeWait = 80 * time.Millisecond
 	// clockDrift is how much slower a runner's clock may be, in percent.
 	clockDrift = 2
 	// lapseMargin covers the time that a runner takes to kill its runs.
--- a/coordinator/schedule.go
+++ b/coordinator/schedule.go
@@ -21,7 +21,8 @@
 	// filling task is started.
 	fillShare = 70
 	// doubtPenalty multiplies the expected time on a runner with recent
-	// failures.
+	// failures, or on one that has done nothing lately if another failure of
+	// the task would be the job's end.
 	doubtPenalty = 3.0
 	// harmWeight weighs pressure on serving tasks against time lost.
 	harmWeight = 4.0
@@ -190,6 +191,7 @@
 
 func (c *Core) startTasks(w *work, now time.Duration) {
 	for _, index := range slices.Clone(w.pending) {
+		w.lastChance = w.job.queue.Attempts > 1 && w.job.Failures(w.taskID(index)) >= w.job.queue.Attempts-1
 		if c.full.covers(w, now) {
 			return
 		}
@@ -271,7 +273,7 @@
 	if w.step.DataRack != "" && w.step.DataRack != r.Rack && c.limits.FarFactor > 1 {
 		factor *= c.limits.FarFactor
 	}
-	if r.health.doubtful(now) {
+	if r.health.doubtful(now) || w.lastChance && !r.health.proven(now) {
 		factor *= doubtPenalty
 	}
 	idle := r.idle()
--- a/coordinator/tenure.go
+++ b/coordinator/tenure.go
@@ -21,7 +21,7 @@
 const (
 	tickEvery = 100 * time.Millisecond
 	// storeEvery is the pause between writes of progress that is not urgent.
-	storeEvery = 120 * time.Millisecond
+	storeEvery = 60 * time.Millisecond
 	notesEvery = time.Second
 	sweepEvery = 10 * time.Second
 	// learnedEvery is how often what is known of interference is stored.
