Count a lease from the renewal that took effect, and wait for stray runs

The row is now renewed once more, and a job whose run is being stopped waits. The lease test fails without the change.

--- a/coordinator/core_test.go
+++ b/coordinator/core_test.go
@@ -398,3 +398,19 @@
 		t.Errorf("orders %+v, want a start on %s", again, proven)
 	}
 }
+
+// A run may be seen before its job: the registry's answer and the feed of jobs
+// are not in step. The job must not start that task again while the run is
+// being stopped.
+func TestJobSeenAfterItsRunWaitsForTheStop(t *testing.T) {
+	w := newWorld(t, machine("a", 4000), machine("b", 4000))
+	w.report(Report{Runner: "a", Incarnation: 1, Running: []RunStatus{{Task: task(firstID, 0, 0), Run: 1}}})
+	w.accept(firstID, false, plain(1, 1000))
+	if n := len(starts(w.schedule())); n != 0 {
+		t.Fatal("started beside a run of the same task")
+	}
+	w.report(Report{Runner: "a", Incarnation: 1, Ended: []RunEnd{{Number: 1, Task: task(firstID, 0, 0), Run: 1, How: EndedStopped}}})
+	if orders := starts(w.schedule()); len(orders) != 1 || orders[0].Run != 2 {
+		t.Errorf("orders %+v, want run 2", orders)
+	}
+}
--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -33,7 +33,7 @@
 			r.seen = end.Number
 		}
 	}
-	r.strays = 0
+	r.strays = nil
 	listed := make(map[*run]struct{}, len(rep.Running))
 	for _, status := range rep.Running {
 		if x := c.noteRunning(r, status, rep, now); x != nil {
@@ -97,7 +97,7 @@
 func (c *Core) adopt(r *runner, s RunStatus, now time.Duration) *run {
 	j := c.jobs[s.Task.Job]
 	if j == nil || j.State.Terminal() || j.Task(s.Task) == nil || j.Task(s.Task).Done || c.runsElsewhere(j, s.Task) {
-		r.strays++
+		r.strays = append(r.strays, s.Task.Job)
 		c.log.WithFields(logrus.Fields{"task": s.Task, "run": s.Run, "runner": r.ID}).Warn("stopping a run that should not be there")
 		c.orders = append(c.orders, Order{Kind: Stop, Runner: r.ID, Address: r.Address, Task: s.Task, Run: s.Run, Settled: new(atomic.Bool)})
 		return nil
--- a/coordinator/runner.go
+++ b/coordinator/runner.go
@@ -39,9 +39,9 @@
 	// target; zero if none is.
 	overSince time.Duration
 	health    health
-	// strays is the number of runs in the last report that are not known here
-	// and are being stopped. What they hold is not known either.
-	strays int
+	// strays are the jobs of runs in the last report that are not known here and
+	// are being stopped. What they hold is not known either.
+	strays []jobs.ID
 }
 
 func newRunner() *runner {
@@ -170,5 +170,5 @@
 
 // usable reports whether the runner may be given new tasks.
 func (r *runner) usable() bool {
-	return r.listed && r.reported && !r.Draining && !r.suspect && r.strays == 0
+	return r.listed && r.reported && !r.Draining && !r.suspect && len(r.strays) == 0
 }
--- a/coordinator/schedule.go
+++ b/coordinator/schedule.go
@@ -51,8 +51,9 @@
 	slices.SortFunc(c.waiting, order)
 	clear(c.full)
 	c.updateReserves(now)
+	strays := c.strays()
 	for _, w := range c.waiting {
-		if w.job.inherited && len(c.unresolved) > 0 || w.notUntil > now {
+		if w.job.inherited && len(c.unresolved) > 0 || w.notUntil > now || strays[w.job.ID] {
 			continue
 		}
 		if w.growth() > 0 && !c.reserves.allow(w) {
@@ -70,6 +71,21 @@
 	c.dropEmpty()
 }
 
+// strays returns the jobs that have a run which is being stopped because it was
+// not known when it was seen. Their tasks must not start beside it.
+func (c *Core) strays() map[jobs.ID]bool {
+	var found map[jobs.ID]bool
+	for _, r := range c.runners {
+		for _, id := range r.strays {
+			if found == nil {
+				found = map[jobs.ID]bool{}
+			}
+			found[id] = true
+		}
+	}
+	return found
+}
+
 func (c *Core) openTimed(wall time.Duration) {
 	for _, j := range c.timed {
 		c.openDue(j, wall)
--- a/leadership/leadership.go
+++ b/leadership/leadership.go
@@ -232,7 +232,12 @@
 	version, err := c.write(context.Background(), next, h.version)
 	var conflict *rowstore.ConflictError
 	if errors.As(err, &conflict) {
-		version, err = c.ownRow(conflict, next)
+		// The row may be from an earlier renewal whose answer was lost. Others
+		// count from then, so it is renewed once more.
+		if h.version, err = c.ownRow(conflict, next); err == nil {
+			sent = c.Clock()
+			version, err = c.write(context.Background(), next, h.version)
+		}
 	}
 	if err != nil {
 		c.count("lease_renewal_failed")
@@ -244,7 +249,7 @@
 	return nil
 }
 
-// ownRow resolves a conflict with an earlier renewal whose answer was lost.
+// ownRow returns the version of the row if this process wrote it.
 func (c *Candidate) ownRow(conflict *rowstore.ConflictError, mine record) (uint64, error) {
 	row, ok := conflict.Find(Row)
 	if !ok {
--- a/leadership/leadership_test.go
+++ b/leadership/leadership_test.go
@@ -127,6 +127,36 @@
 	}
 }
 
+// The holder may rely on the lease only for the time that others leave it alone,
+// which they count from the renewal that took effect. An old renewal found in
+// the row, after its answer was lost, used to count as a new one; then two
+// coordinators started the same task.
+func TestOldRenewalDoesNotCountAsNew(t *testing.T) {
+	store, now := rowstore.NewMemory(), &clock{now: time.Minute}
+	owner := candidate(store, "a", "1", now)
+	h := holds(t, owner, 1, 0)
+	term := &Term{Epoch: 1, clock: now.read}
+	term.renewed.Store(int64(now.now))
+	store.Lose = func(string) error { return rowstore.ErrUnknown }
+	_ = owner.renew(term, h)
+	store.Lose = nil
+	now.now += 2 * time.Second
+	calls := 0
+	store.Fail = func(string) error {
+		if calls++; calls > 1 {
+			return rowstore.ErrRefused
+		}
+		return nil
+	}
+	if err := owner.renew(term, h); err == nil {
+		t.Error("no error although nothing was written")
+	}
+	now.now += time.Second
+	if term.Exclusive() {
+		t.Error("relies on the lease 3 s after the last renewal that took effect")
+	}
+}
+
 // A planned stop releases the lease only once the holder's work has stopped.
 func TestStopReleasesTheLease(t *testing.T) {
 	store := rowstore.NewMemory()
