--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -88,16 +88,18 @@
 // Core is the state of the coordinator. Its methods are called by one
 // goroutine. Times are readings of a steady clock unless they say otherwise.
 type Core struct {
-	limits  Limits
-	log     logrus.FieldLogger
-	queues  map[string]jobs.Queue
-	jobs    map[jobs.ID]*job
-	runners map[string]*runner
-	waiting []*work
-	timed   []*job // jobs with occurrences to come
-	dirty   map[*job]struct{}
-	urgent  bool
-	orders  []Order
+	limits Limits
+	log    logrus.FieldLogger
+	queues map[string]jobs.Queue
+	jobs   map[jobs.ID]*job
+	// finished are the jobs whose final state is stored.
+	finished map[jobs.ID]struct{}
+	runners  map[string]*runner
+	waiting  []*work
+	timed    []*job // jobs with occurrences to come
+	dirty    map[*job]struct{}
+	urgent   bool
+	orders   []Order
 	// unresolved are runners that may run tasks of a predecessor unseen.
 	unresolved map[string]struct{}
 	resolveBy  time.Duration
@@ -123,6 +125,7 @@
 		log:        log,
 		queues:     map[string]jobs.Queue{},
 		jobs:       map[jobs.ID]*job{},
+		finished:   map[jobs.ID]struct{}{},
 		runners:    map[string]*runner{},
 		dirty:      map[*job]struct{}{},
 		unresolved: map[string]struct{}{},
@@ -334,10 +337,17 @@
 	return writes, acknowledged, nil
 }
 
+// NoteFinished records a job that ended before this coordinator's time.
+func (c *Core) NoteFinished(id jobs.ID) { c.finished[id] = struct{}{} }
+
+// Forget drops what is known of a job whose rows are being removed.
+func (c *Core) Forget(id jobs.ID) { delete(c.finished, id) }
+
 // forget drops a job that has ended. Its runs stay with their runners until
 // their ends are proved.
 func (c *Core) forget(j *job) {
 	delete(c.jobs, j.ID)
+	c.finished[j.ID] = struct{}{}
 	c.timed = slices.DeleteFunc(c.timed, func(o *job) bool { return o == j })
 }
 
--- a/coordinator/core_test.go
+++ b/coordinator/core_test.go
@@ -414,3 +414,28 @@
 		t.Errorf("orders %+v, want run 2", orders)
 	}
 }
+
+// A run may end before its job is known. Acknowledging that end would lose it,
+// and the task would run again.
+func TestEndSeenBeforeItsJobIsKept(t *testing.T) {
+	w := newWorld(t, machine("a", 4000))
+	end := RunEnd{Number: 1, Task: task(firstID, 0, 0), Run: 1, How: EndedDone}
+	w.report(Report{Runner: "a", Incarnation: 1, Ended: []RunEnd{end}})
+	if _, acknowledged, _ := w.core.TakeWrites(w.now); acknowledged["a"].Number != 0 {
+		t.Error("the end of an unknown job was acknowledged")
+	}
+	j := w.accept(firstID, false, plain(1, 1000))
+	if n := len(starts(w.schedule())); n != 0 {
+		t.Error("started a task whose end is listed")
+	}
+	w.report(Report{Runner: "a", Incarnation: 1, Ended: []RunEnd{end}})
+	if j.State != jobs.Completed {
+		t.Errorf("state %v, want completed", j.State)
+	}
+	w.core.TakeWrites(w.now)
+	late := RunEnd{Number: 2, Task: task(firstID, 0, 0), Run: 2, How: EndedStopped}
+	w.report(Report{Runner: "a", Incarnation: 1, Ended: []RunEnd{late}})
+	if _, acknowledged, _ := w.core.TakeWrites(w.now); acknowledged["a"].Number != 2 {
+		t.Error("the end of a finished job is held back")
+	}
+}
--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -10,6 +10,9 @@
 	"bergamotstile/jobs"
 )
 
+// unknownWait is how long the end of a run waits for its job to become known.
+const unknownWait = 3 * time.Second
+
 // Report brings the state in line with what a runner lists.
 func (c *Core) Report(rep Report, now time.Duration) {
 	c.now = now
@@ -27,13 +30,18 @@
 		}
 	}
 	r.reported, r.suspect = true, false
-	for _, end := range rep.Ended {
-		if end.Number > r.seen {
-			c.end(r, end, now)
-			r.seen = end.Number
+	r.strays = nil
+	for i, end := range rep.Ended {
+		if end.Number <= r.seen {
+			continue
 		}
+		if c.early(r, end, now) {
+			r.noteStrays(rep.Ended[i:])
+			break
+		}
+		c.end(r, end, now)
+		r.seen = end.Number
 	}
-	r.strays = nil
 	listed := make(map[*run]struct{}, len(rep.Running))
 	for _, status := range rep.Running {
 		if x := c.noteRunning(r, status, rep, now); x != nil {
@@ -44,6 +52,34 @@
 	c.controlPace(r, now)
 }
 
+// early reports whether an end is of a job that is not known yet: after a
+// takeover a run may end before the feed has brought its job. The end must not
+// be acknowledged before that, or the task would run again.
+func (c *Core) early(r *runner, e RunEnd, now time.Duration) bool {
+	if _, over := c.finished[e.Task.Job]; over || c.jobs[e.Task.Job] != nil {
+		r.unknownSince = 0
+		return false
+	}
+	if r.unknownSince == 0 {
+		r.unknownSince = now
+	}
+	if now-r.unknownSince < unknownWait {
+		return true
+	}
+	r.unknownSince = 0
+	c.counters("ends_unknown", 1)
+	c.log.WithFields(logrus.Fields{"task": e.Task, "run": e.Run, "runner": r.ID, "how": e.How}).Warn("end of an unknown job")
+	return false
+}
+
+// noteStrays keeps the jobs of ends that are not processed yet from starting
+// their tasks.
+func (r *runner) noteStrays(ends []RunEnd) {
+	for _, e := range ends {
+		r.strays = append(r.strays, e.Task.Job)
+	}
+}
+
 func (c *Core) noteIncarnation(r *runner, rep Report) {
 	if r.incarnation == rep.Incarnation {
 		return
--- a/coordinator/runner.go
+++ b/coordinator/runner.go
@@ -39,9 +39,13 @@
 	// target; zero if none is.
 	overSince time.Duration
 	health    health
-	// strays are the jobs of runs in the last report that are not known here and
-	// are being stopped. What they hold is not known either.
+	// strays are the jobs of what the last report lists and is not known here:
+	// runs that are being stopped, which hold an unknown part of the runner, and
+	// ends that wait for their job.
 	strays []jobs.ID
+	// unknownSince is since when its next end has been of an unknown job; zero
+	// if it is not.
+	unknownSince time.Duration
 }
 
 func newRunner() *runner {
--- a/coordinator/takeover.go
+++ b/coordinator/takeover.go
@@ -136,6 +136,7 @@
 	if j.State.Terminal() {
 		_, ended, err := jobs.DecodeState(record)
 		t.ended[id] = ended
+		t.core.NoteFinished(id)
 		return err
 	}
 	t.core.Accept(j, inherited, time.Duration(time.Now().UnixNano()))
--- a/coordinator/tenure.go
+++ b/coordinator/tenure.go
@@ -364,6 +364,7 @@
 	for part, ids := range old {
 		for _, id := range ids {
 			delete(t.ended, id)
+			t.core.Forget(id)
 		}
 		go func() {
 			ctx, cancel := context.WithTimeout(t.ctx, journalTimeout)
