--- a/coordinator/core_test.go
+++ b/coordinator/core_test.go
@@ -140,6 +140,7 @@
 // ended. A takeover found runs of cancelled jobs and gave their room away.
 func TestNoStartBesideStrayRuns(t *testing.T) {
 	w := newWorld(t, machine("a", 4000))
+	w.core.NoteFinished(secondID)
 	stray := RunStatus{Task: task(secondID, 0, 0), Run: 1}
 	w.report(Report{Runner: "a", Incarnation: 1, Running: []RunStatus{stray}})
 	w.accept(firstID, false, plain(1, 1000))
