--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -95,6 +95,8 @@
 	// finished are the jobs whose final state is stored.
 	finished map[jobs.ID]struct{}
 	runners  map[string]*runner
+	sorted   []*runner // see candidates; nil after a change
+	cursor   int       // where the next search among them begins
 	waiting  []*work
 	timed    []*job // jobs with occurrences to come
 	dirty    map[*job]struct{}
--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -21,6 +21,7 @@
 		r = newRunner()
 		r.ID = rep.Runner
 		c.runners[rep.Runner] = r
+		c.sorted = nil
 	}
 	c.noteIncarnation(r, rep)
 	if _, ok := c.unresolved[rep.Runner]; ok {
--- a/coordinator/runner.go
+++ b/coordinator/runner.go
@@ -63,6 +63,7 @@
 	if r == nil {
 		r = newRunner()
 		c.runners[info.ID] = r
+		c.sorted = nil
 	}
 	if info.Draining && !r.Draining {
 		c.log.WithFields(logrus.Fields{"runner": info.ID, "remaining_ms": info.Remaining.Milliseconds()}).Info("runner is draining")
@@ -119,6 +120,7 @@
 	}
 	if !r.listed {
 		delete(c.runners, id)
+		c.sorted = nil
 	}
 }
 
--- a/coordinator/schedule.go
+++ b/coordinator/schedule.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -30,6 +31,8 @@
 	// newPenalty for one that has not got the image yet.
 	mixPenalty = 1.0
 	newPenalty = 0.4
+	// sampleSize bounds the runners that are compared for one task.
+	sampleSize = 64
 	// hopeless is how late, in times of the objective, a job is no longer worth
 	// anything to its client.
 	hopeless = 3
@@ -248,12 +251,24 @@
 	c.log.WithFields(logrus.Fields{"task": id, "run": number, "runner": r.ID, "free_milli": r.Capacity.CPUMilli - r.held.CPUMilli}).Info("start ordered")
 }
 
+// candidates returns the runners in the order of their IDs.
+func (c *Core) candidates() []*runner {
+	if len(c.sorted) != len(c.runners) {
+		c.sorted = slices.SortedFunc(maps.Values(c.runners), func(a, b *runner) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	return c.sorted
+}
+
 // pick returns the runner on which the step's next task is expected to end
-// first, or nil if none may take it now. Rack, if set, confines the choice.
+// first, or nil if none may take it now. Of many that could, sampleSize are
+// compared, others each time. Rack, if set, confines the choice.
 func (c *Core) pick(w *work, now time.Duration, rack *string) *runner {
 	var best *runner
 	var bestCost float64
-	for _, r := range c.runners {
+	all := c.candidates()
+	tried := 0
+	for i := range all {
+		r := all[(c.cursor+i)%len(all)]
 		if rack != nil && r.Rack != *rack || !c.eligible(w, r, now) {
 			continue
 		}
@@ -261,6 +276,10 @@
 		if cost < 0 {
 			continue
 		}
+		if tried++; tried > sampleSize {
+			c.cursor = (c.cursor + i) % len(all)
+			break
+		}
 		if best == nil || cost < bestCost || cost == bestCost && r.ID < best.ID {
 			best, bestCost = r, cost
 		}
--- a/coordinator/watch.go
+++ b/coordinator/watch.go
@@ -59,6 +59,7 @@
 	for id, r := range c.runners {
 		if !r.listed && r.suspect && len(r.runs) == 0 {
 			delete(c.runners, id)
+			c.sorted = nil
 		}
 	}
 }
