--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -70,7 +70,10 @@
 			return nil
 		case !errors.Is(err, rowstore.ErrRefused):
 			unknown = true
-		case !unknown && attempt > 0:
+		case unknown:
+			// The store can't tell now; the client may ask elsewhere at once.
+			return fmt.Errorf("%w: %v", ErrUnknown, err)
+		case attempt > 0:
 			return fmt.Errorf("%w: %v", ErrNotAccepted, err)
 		}
 		pause := refusedRetry
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -89,6 +89,24 @@
 	}
 }
 
+// Once the outcome can't be learned any more, the client is told at once: held
+// back to its deadline it could not ask elsewhere.
+func TestUnknownOutcomeIsToldAtOnce(t *testing.T) {
+	store := rowstore.NewMemory()
+	calls := 0
+	store.Fail = func(string) error {
+		if calls++; calls == 1 {
+			return rowstore.ErrUnknown
+		}
+		return rowstore.ErrRefused
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Hour)
+	defer cancel()
+	if err := gatewayOn(store).Submit(ctx, queue, id, spec); !errors.Is(err, ErrUnknown) || calls != 2 {
+		t.Errorf("%d calls, error %v", calls, err)
+	}
+}
+
 // The state that clients see must follow the stored progress, and a cancel that
 // was acknowledged must show.
 func TestStatusAndCancel(t *testing.T) {
