Leave no job with nothing running while most of the room is free

A job with nothing running for 1.2 s now goes first then and gets one task at whatever pace spares the others.

--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -80,6 +80,8 @@
 	// chain, as of the present round.
 	slack time.Duration
 	rest  time.Duration // estimated rest of the chain
+	// starved is set if the job needs something running at once.
+	starved bool
 	// lastChance is set while a task is placed whose next failure would be the
 	// last.
 	lastChance bool
--- a/coordinator/harm_test.go
+++ b/coordinator/harm_test.go
@@ -176,3 +176,26 @@
 		t.Errorf("orders %+v, want a start on b from the checkpoint", orders)
 	}
 }
+
+// At the end of a day, with most of the room free, no job may be left with
+// nothing running, also if its tasks would disturb whoever serves.
+func TestNoJobStarvesWhileMostRoomIsFree(t *testing.T) {
+	w, victim := harmWorld(t)
+	w.accept(secondID, false, filling(1, "render"))
+	fill := starts(w.schedule())[0]
+	w.answer(fill, Accepted, false)
+	for range 8 {
+		w.tails(victim, []Order{fill}, 300)
+	}
+	w.accept("00000000000000c3", false, filling(3, "render"))
+	if n := len(starts(w.schedule())); n != 0 {
+		t.Fatalf("%d starts beside a troubled serving task", n)
+	}
+	w.now += 2 * time.Second
+	if n := len(starts(w.schedule())); n != 1 {
+		t.Errorf("%d starts after 2 s, want one", n)
+	}
+	if n := len(starts(w.schedule())); n != 0 {
+		t.Errorf("%d more starts once something of the job runs", n)
+	}
+}
--- a/coordinator/reserve.go
+++ b/coordinator/reserve.go
@@ -15,8 +15,15 @@
 	peak float64 // thousandths of a processor, recent most of plain work
 	plan float64 // what plain work runs or waits now
 	free float64 // what nothing holds
+	all  float64
 }
 
+// mostFree is the free share above which no job may be left with nothing
+// running.
+const mostFree = 0.4
+
+func (r *reserve) mostlyFree() bool { return r.free > mostFree*r.all }
+
 // reserves are those of each service.
 type reserves struct {
 	services map[string]*reserve
@@ -37,7 +44,7 @@
 	decay := math.Exp(-float64(now-c.reserves.updated) / float64(reserveMemory))
 	c.reserves.updated = now
 	for _, r := range c.reserves.services {
-		r.plan, r.free = 0, 0
+		r.plan, r.free, r.all = 0, 0, 0
 	}
 	for _, x := range c.runners {
 		if !x.usable() {
@@ -45,6 +52,7 @@
 		}
 		r := c.reserves.of(x.Service)
 		r.plan += float64(x.firm)
+		r.all += float64(x.Capacity.CPUMilli)
 		r.free += float64(max(0, x.Capacity.CPUMilli-x.held.CPUMilli))
 	}
 	for _, w := range c.waiting {
--- a/coordinator/schedule.go
+++ b/coordinator/schedule.go
@@ -31,6 +31,8 @@
 	// newPenalty for one that has not got the image yet.
 	mixPenalty = 1.0
 	newPenalty = 0.4
+	// starveTime is how long nothing of a job may run while there is much room.
+	starveTime = 1200 * time.Millisecond
 	// sampleSize bounds the runners that are compared for one task.
 	sampleSize = 64
 	// hopeless is how late, in times of the objective, a job is no longer worth
@@ -47,13 +49,14 @@
 		clear(c.unresolved)
 	}
 	c.dropEmpty()
+	c.updateReserves(now)
 	store := now + c.storeOffset
 	for _, w := range c.waiting {
 		w.slack = w.job.objective - store - w.rest
+		w.starved = c.starved(w, now)
 	}
 	slices.SortFunc(c.waiting, order)
 	clear(c.full)
-	c.updateReserves(now)
 	strays := c.strays()
 	for _, w := range c.waiting {
 		if w.job.inherited && len(c.unresolved) > 0 || w.notUntil > now || strays[w.job.ID] {
@@ -109,13 +112,16 @@
 type rank uint8
 
 const (
-	onTime rank = iota // the job can still meet its objective
+	starved rank = iota // nothing of the job runs although there is much room
+	onTime              // the job can still meet its objective
 	late
 	worthless
 )
 
 func (w *work) rank() rank {
 	switch {
+	case w.starved:
+		return starved
 	case w.slack >= 0 || w.step.LongRunning:
 		return onTime
 	case w.slack >= -(hopeless-1)*w.job.allowed:
@@ -142,6 +148,14 @@
 	return w.job.left
 }
 
+// starved reports whether nothing of a step's job has run for a while although
+// most of the service is free. The tail of a backlog would else wait for the
+// room that serving tasks leave, or for smaller jobs.
+func (c *Core) starved(w *work, now time.Duration) bool {
+	return !w.step.LongRunning && w.since > 0 && now-w.since > starveTime && len(w.job.runs) == 0 &&
+		c.reserves.of(w.job.queue.Service).mostlyFree()
+}
+
 // order says which of two waiting steps is served first: by priority, then
 // those that can still meet their objective, the small ones first, then by
 // slack. Long-running tasks that have not run yet come after work that ends:
@@ -180,6 +194,7 @@
 	kind    interference.Kind
 	fills   bool
 	waited  bool
+	starved bool
 }
 
 // fullFor are the least resources for which a round has found no runner. It
@@ -187,7 +202,7 @@
 type fullFor map[demand]jobs.Resources
 
 func (w *work) demand(now time.Duration) demand {
-	d := demand{service: w.job.queue.Service, fills: w.step.Fills, waited: now-w.since >= harmWait}
+	d := demand{service: w.job.queue.Service, fills: w.step.Fills, waited: now-w.since >= harmWait, starved: w.starved}
 	if w.step.Fills {
 		d.kind = w.kind
 	}
@@ -220,6 +235,7 @@
 			return
 		}
 		c.start(w, index, c.nextRun(w, index), r, now)
+		w.starved = false
 	}
 }
 
@@ -343,12 +359,13 @@
 func (c *Core) fillCost(w *work, r *runner, factor float64, idle int64, now time.Duration) float64 {
 	ask := max(1, w.step.Ask.CPUMilli)
 	share := min(100, idle*100/ask)
-	if share < fillShare || r.troubled(now) {
+	if share < fillShare || r.troubled(now) && !w.starved {
 		return -1
 	}
 	pace, harm := c.safePace(r, w.kind, ask)
 	pace = min(pace, r.paceOf(w.kind))
-	if pace < leastPace || pace < fullPace && now-w.since < harmWait {
+	pace = max(minPace, pace)
+	if !w.starved && (pace < leastPace || pace < fullPace && now-w.since < harmWait) {
 		return -1
 	}
 	return factor*100/float64(share)*fullPace/float64(pace) + harmWeight*harm - float64(idle)/float64(1+r.Capacity.CPUMilli)/4
--- a/logging/async.go
+++ b/logging/async.go
@@ -13,6 +13,9 @@
 // asyncLines is the number of lines that may wait for a slow reader.
 const asyncLines = 4096
 
+// joinedLines is the most lines that are written with one call.
+const joinedLines = 32
+
 // AsyncWriter passes lines to a writer in a goroutine of its own. Lines that
 // find the ring full are dropped and counted: a process never waits for whoever
 // reads its logs.
@@ -43,7 +46,7 @@
 // serve joins lines that wait, so that many cost one system call.
 func (w *AsyncWriter) serve() {
 	for line := range w.lines.C() {
-		for _, more := range w.lines.Drain(asyncLines) {
+		for _, more := range w.lines.Drain(joinedLines) {
 			line = append(line, more...)
 		}
 		_, _ = w.out.Write(line)
