--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -76,6 +76,7 @@
 	since    time.Duration // when a task was first pending
 	onRunner map[*runner]int
 	listed   bool // in Core.waiting
+	advice   advised
 	// slack is what is left of the job's time after the estimated rest of its
 	// chain, as of the present round.
 	slack time.Duration
@@ -104,6 +105,7 @@
 	dirty    map[*job]struct{}
 	urgent   bool
 	orders   []Order
+	requests []AdviceRequest
 	// unresolved are runners that may run tasks of a predecessor unseen.
 	unresolved map[string]struct{}
 	resolveBy  time.Duration
@@ -237,7 +239,8 @@
 			continue
 		}
 		w := &work{job: j, number: o.Number, index: i, step: &j.Spec.Steps[i], onRunner: map[*runner]int{},
-			kind: c.harm.model.Kind(j.Spec.Steps[i].Image), rest: chainFrom(&j.Spec, i)}
+			kind: c.harm.model.Kind(j.Spec.Steps[i].Image), rest: chainFrom(&j.Spec, i),
+			advice: advised{tickets: map[string]ticket{}}}
 		j.work[key] = w
 		for index := range o.Steps[i].Tasks {
 			id := jobs.TaskID{Job: j.ID, Occurrence: o.Number, Step: i, Index: index}
--- a/coordinator/core_test.go
+++ b/coordinator/core_test.go
@@ -440,3 +440,60 @@
 		t.Error("the end of a finished job is held back")
 	}
 }
+
+// A queue whose policy allows only some runners must ask first, start only where
+// it has a ticket that holds, and ask again when that has run out.
+func TestAdvisedQueueStartsOnlyWithTickets(t *testing.T) {
+	w := newWorld(t, machine("a", 4000), machine("b", 4000))
+	advisedQueue := renders
+	advisedQueue.Advised = true
+	w.core.Configure([]jobs.Queue{advisedQueue})
+	w.accept(firstID, false, plain(2, 3000))
+	if n := len(starts(w.schedule())); n != 0 {
+		t.Fatalf("%d starts without advice", n)
+	}
+	requests := w.core.TakeRequests()
+	if len(requests) != 1 || len(requests[0].Runners) != 2 {
+		t.Fatalf("requests %+v, want one about both runners", requests)
+	}
+	if w.schedule(); len(w.core.TakeRequests()) != 0 {
+		t.Error("asked again before the answer")
+	}
+	w.core.Advised(requests[0], Advice{Tickets: map[string]string{"b": "t1"}, Valid: time.Second}, nil, w.now)
+	orders := starts(w.schedule())
+	if len(orders) != 1 || orders[0].Runner != "b" || orders[0].Ticket != "t1" {
+		t.Fatalf("orders %+v, want one on b with its ticket", orders)
+	}
+	w.answer(orders[0], RefusedTicket, false)
+	if n := len(starts(w.schedule())); n != 0 {
+		t.Error("started with a ticket that was refused")
+	}
+	if n := len(w.core.TakeRequests()); n != 1 {
+		t.Errorf("%d requests after a refused ticket, want 1", n)
+	}
+}
+
+// An occurrence starts when it is due and not before, and the job is completed
+// after the last one.
+func TestScheduledJob(t *testing.T) {
+	w := newWorld(t, machine("a", 4000))
+	spec := jobs.Spec{Steps: []jobs.Step{plain(1, 1000)}, Repeats: 2, First: time.Hour, Interval: time.Minute}
+	j := jobs.New(firstID, renders, spec, 0, 1)
+	w.core.Accept(j, false, time.Hour-time.Second)
+	for i, due := range []time.Duration{time.Hour, time.Hour + time.Minute} {
+		w.core.Schedule(w.now, due-time.Second)
+		if n := len(starts(w.core.TakeOrders())); n != 0 {
+			t.Fatalf("occurrence %d started before its time", i)
+		}
+		w.core.Schedule(w.now, due)
+		orders := starts(w.core.TakeOrders())
+		if len(orders) != 1 || orders[0].Task.Occurrence != i {
+			t.Fatalf("orders %+v, want occurrence %d", orders, i)
+		}
+		w.answer(orders[0], Accepted, false)
+		w.report(Report{Runner: "a", Incarnation: 1, Ended: []RunEnd{{Number: i + 1, Task: orders[0].Task, Run: 1, How: EndedDone}}})
+	}
+	if j.State != jobs.Completed {
+		t.Errorf("state %v, want completed", j.State)
+	}
+}
--- a/coordinator/platform.go
+++ b/coordinator/platform.go
@@ -52,6 +52,8 @@
 type Environment struct {
 	Store   rowstore.Store
 	Runners RunnerClient
+	// Adviser answers for queues whose policy allows only some runners.
+	Adviser Adviser
 	// RunnersTable is the registry; DecodeRunner decodes its rows.
 	RunnersTable string
 	DecodeRunner func(rowstore.Row) (RunnerInfo, error)
--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -359,7 +359,7 @@
 		x.runner.health.refused(now)
 	}
 	if w := x.job.work[[2]int{x.task.Occurrence, x.task.Step}]; w != nil && a.Outcome == RefusedTicket {
-		w.notUntil = now
+		delete(w.advice.tickets, x.runner.ID)
 	}
 	c.requeue(x.job, x.task)
 }
--- a/coordinator/schedule.go
+++ b/coordinator/schedule.go
@@ -218,7 +218,7 @@
 // note records that no runner was found. Steps with conditions of their own say
 // nothing about others.
 func (f fullFor) note(w *work, now time.Duration) {
-	if w.step.Label == "" && w.step.MaxPerRunner == 0 {
+	if w.step.Label == "" && w.step.MaxPerRunner == 0 && !w.job.queue.Advised {
 		f[w.demand(now)] = w.step.Ask
 	}
 }
@@ -232,6 +232,7 @@
 		r := c.pick(w, now, nil)
 		if r == nil {
 			c.full.note(w, now)
+			c.ask(w, now)
 			return
 		}
 		c.start(w, index, c.nextRun(w, index), r, now)
@@ -262,7 +263,7 @@
 		saved = ""
 	}
 	c.orders = append(c.orders, Order{Kind: Start, Runner: r.ID, Address: r.Address, Task: id, Run: number,
-		Spec: w.job.Spec.Text, Saved: saved, Settled: x.settled})
+		Spec: w.job.Spec.Text, Saved: saved, Ticket: w.advice.tickets[r.ID].text, Settled: x.settled})
 	c.counters("starts", 1)
 	c.log.WithFields(logrus.Fields{"task": id, "run": number, "runner": r.ID, "free_milli": r.Capacity.CPUMilli - r.held.CPUMilli}).Info("start ordered")
 }
@@ -314,6 +315,11 @@
 	if w.step.MaxPerRunner > 0 && w.onRunner[r] >= w.step.MaxPerRunner {
 		return false
 	}
+	return r.fits(w) && w.permitted(r, now)
+}
+
+// fits reports whether the runner has room for one of the step's tasks.
+func (r *runner) fits(w *work) bool {
 	return r.held.Add(w.step.Reserved()).Fits(r.Capacity)
 }
 
@@ -383,7 +389,9 @@
 			}
 		}
 	}
-	c.tryGang(w, now, nil)
+	if !c.tryGang(w, now, nil) {
+		c.ask(w, now)
+	}
 }
 
 func (c *Core) racks() []string {
--- a/coordinator/tenure.go
+++ b/coordinator/tenure.go
@@ -48,6 +48,11 @@
 	answerEvent struct{ answer Answer }
 	jobsEvent   struct{ rows []rowstore.Row }
 	storedEvent struct{ acknowledged map[string]Acknowledged }
+	adviceEvent struct {
+		request AdviceRequest
+		advice  Advice
+		err     error
+	}
 	// registryEvent lists changed runners; whole means that others are gone.
 	registryEvent struct {
 		rows  []rowstore.Row
@@ -68,6 +73,7 @@
 
 	storing   bool
 	lastStore time.Duration
+	advising  chan struct{} // token of the one request for advice
 	noting    chan struct{} // token of the writer of notes
 	notes     map[rowstore.Key]string
 	nextNotes time.Duration
@@ -82,15 +88,16 @@
 	defer cancel()
 	t := &tenure{
 		env: env, term: term,
-		core:    New(env.Limits, env.Log, env.Count),
-		journal: newJournal(env.Store, term.Epoch),
-		links:   map[string]*link{},
-		events:  make(chan event, eventBuffer),
-		failed:  make(chan error, 1),
-		ctx:     ctx,
-		noting:  make(chan struct{}, 1),
-		notes:   map[rowstore.Key]string{},
-		ended:   map[jobs.ID]time.Duration{},
+		core:     New(env.Limits, env.Log, env.Count),
+		journal:  newJournal(env.Store, term.Epoch),
+		links:    map[string]*link{},
+		events:   make(chan event, eventBuffer),
+		failed:   make(chan error, 1),
+		ctx:      ctx,
+		noting:   make(chan struct{}, 1),
+		advising: make(chan struct{}, 1),
+		notes:    map[rowstore.Key]string{},
+		ended:    map[jobs.ID]time.Duration{},
 	}
 	begun := env.Clock()
 	versions, err := t.takeOver(ctx)
@@ -176,12 +183,31 @@
 			go l.send(t.ctx, o)
 		}
 	}
+	for _, r := range t.core.TakeRequests() {
+		go t.advise(r)
+	}
 	waits, urgent := t.core.Dirty()
 	if !t.storing && waits && (urgent || now-t.lastStore >= storeEvery) {
 		t.storeProgress(now)
 	}
 }
 
+// advise asks for advice. The service answers one call of a machine at a time.
+func (t *tenure) advise(r AdviceRequest) {
+	select {
+	case t.advising <- struct{}{}:
+		defer func() { <-t.advising }()
+	case <-t.ctx.Done():
+		return
+	}
+	advice, err := t.env.Adviser.Advise(t.ctx, r)
+	t.post(t.ctx, adviceEvent{r, advice, err})
+}
+
+func (e adviceEvent) apply(t *tenure) {
+	t.core.Advised(e.request, e.advice, e.err, t.env.Clock())
+}
+
 func (t *tenure) storeProgress(now time.Duration) {
 	writes, acknowledged, err := t.core.TakeWrites(now)
 	if err != nil {
