Shrink small learned pressures

Cause: estimates can't be negative, so noise gave harmless pairs pressures of 0.1 to 0.5 and their tasks were slowed whenever a serving task's own load was high.

--- a/coordinator/harm.go
+++ b/coordinator/harm.go
@@ -42,6 +42,8 @@
 	priorPressure  = 0.5
 	priorDeviation = 1.5
 	pressureDrift  = 0.01
+	// harmlessPressure is the pressure below which an estimate is mostly noise.
+	harmlessPressure = 0.6
 	// saturated is the disturbance above which a tail says only that the
 	// pressure is at least as large as predicted.
 	saturated = 0.85
@@ -131,7 +133,13 @@
 // between is the pressure of a neighbour's image on a serving image, for a
 // neighbour that uses all of a runner's processors.
 func (h *harm) between(serving, filling interference.Kind) float64 {
-	return h.model.Pair(serving, filling, 0).Mean
+	mean := h.model.Pair(serving, filling, 0).Mean
+	if mean < harmlessPressure {
+		// Estimates can't be negative, so noise makes harmless pairs look worse
+		// than they are.
+		return mean * mean / harmlessPressure
+	}
+	return mean
 }
 
 func targetMS(s *jobs.Step) float64 { return float64(s.TailTarget) / float64(time.Millisecond) }
