--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -127,24 +127,29 @@
 	return out, nil
 }
 
-// progress returns the state that the coordinator has stored.
-func (g *Gateway) progress(ctx context.Context, id jobs.ID) (jobs.State, error) {
+// progress returns the state that the coordinator has stored, if it has.
+func (g *Gateway) progress(ctx context.Context, id jobs.ID) (state jobs.State, stored bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	key := ProgressKey(id)
 	res, err := g.Store.Read(ctx, rowstore.Range{Table: key.Table, Part: key.Part, From: key.Key, To: key.Key + "\x00"})
 	if err != nil {
-		return 0, fmt.Errorf("%w: %v", ErrNotAccepted, err)
+		return 0, false, fmt.Errorf("%w: %v", ErrNotAccepted, err)
 	}
 	if len(res.Rows) == 0 {
-		return jobs.Queued, nil
+		return jobs.Queued, false, nil
 	}
-	state, _, err := jobs.DecodeState(res.Rows[0].Value)
-	return state, err
+	state, _, err = jobs.DecodeState(res.Rows[0].Value)
+	return state, err == nil, err
 }
 
-// Status returns a job's state and whether the job exists.
+// Status returns a job's state and whether the job exists. A final state is
+// final: most queries are about jobs that have ended and cost one reading.
 func (g *Gateway) Status(ctx context.Context, id jobs.ID) (jobs.State, bool, error) {
+	state, stored, err := g.progress(ctx, id)
+	if err != nil || stored && state.Terminal() {
+		return state, err == nil, err
+	}
 	found, err := g.rows(ctx, id)
 	if err != nil || found.accepted == nil {
 		return 0, false, err
@@ -152,8 +157,7 @@
 	if found.cancel {
 		return jobs.Cancelled, true, nil
 	}
-	state, err := g.progress(ctx, id)
-	return state, err == nil, err
+	return state, true, nil
 }
 
 // Cancel records that a job is to end and reports whether the job exists.
@@ -165,7 +169,7 @@
 	if found.cancel {
 		return true, nil
 	}
-	state, err := g.progress(ctx, id)
+	state, _, err := g.progress(ctx, id)
 	if err != nil {
 		return false, err
 	}
--- a/gateway/keys.go
+++ b/gateway/keys.go
@@ -24,7 +24,7 @@
 
 // parts is the number of parts that jobs are spread over. A part commits one
 // transaction at a time.
-const parts = 4
+const parts = 2
 
 // Parts returns the names of the parts of the jobs' tables.
 func Parts() []string {
