--- a/coordinator/runner.go
+++ b/coordinator/runner.go
@@ -7,6 +7,7 @@
 
 	"bergamotstile/interference"
 	"bergamotstile/jobs"
+	"bergamotstile/structs"
 )
 
 // runner is a process that runs tasks, as the coordinator sees it.
@@ -25,7 +26,7 @@
 	// leaves is when a draining runner may be gone.
 	leaves time.Duration
 	runs   map[*run]struct{}
-	held   jobs.Resources
+	held   structs.Resources
 	// firm, serving and filling are thousandths of a processor asked for by
 	// plain tasks, by tasks that serve and by tasks that fill.
 	firm, serving, filling int64
--- a/coordinator/schedule.go
+++ b/coordinator/schedule.go
@@ -11,6 +11,7 @@
 
 	"bergamotstile/interference"
 	"bergamotstile/jobs"
+	"bergamotstile/structs"
 )
 
 // Estimates that placement uses.
@@ -199,7 +200,7 @@
 
 // fullFor are the least resources for which a round has found no runner. It
 // saves looking again for each of many equal tasks.
-type fullFor map[demand]jobs.Resources
+type fullFor map[demand]structs.Resources
 
 func (w *work) demand(now time.Duration) demand {
 	d := demand{service: w.job.queue.Service, fills: w.step.Fills, waited: now-w.since >= harmWait, starved: w.starved}
--- a/coordinator/types.go
+++ b/coordinator/types.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"bergamotstile/jobs"
+	"bergamotstile/structs"
 )
 
 // RunnerInfo is what a runner says of itself in the registry.
@@ -18,7 +19,7 @@
 	Zone     string
 	Rack     string
 	Labels   []string
-	Capacity jobs.Resources
+	Capacity structs.Resources
 	Draining bool
 	// Remaining is the least time that is left to a draining runner.
 	Remaining time.Duration
--- /dev/null
+++ b/jobs/seed_test.go
@@ -0,0 +1,7 @@
+package jobs
+
+import "bergamotstile/proptest"
+
+func init() {
+	proptest.Fix()
+}
--- a/jobs/spec.go
+++ b/jobs/spec.go
@@ -6,6 +6,8 @@
 	"errors"
 	"fmt"
 	"time"
+
+	"bergamotstile/structs"
 )
 
 // Limits of a job. A job beyond them could neither be stored in one row nor be
@@ -35,34 +37,12 @@
 	return true
 }
 
-// Resources are what a task asks for or a runner has.
-type Resources struct {
-	CPUMilli int64 `cbor:"1,keyasint,omitempty"`
-	MemoryMB int64 `cbor:"2,keyasint,omitempty"`
-	GPUs     int64 `cbor:"3,keyasint,omitempty"`
-}
-
-// Add returns the sum of r and o.
-func (r Resources) Add(o Resources) Resources {
-	return Resources{r.CPUMilli + o.CPUMilli, r.MemoryMB + o.MemoryMB, r.GPUs + o.GPUs}
-}
-
-// Sub returns r without o.
-func (r Resources) Sub(o Resources) Resources {
-	return Resources{r.CPUMilli - o.CPUMilli, r.MemoryMB - o.MemoryMB, r.GPUs - o.GPUs}
-}
-
-// Fits reports whether r is at most o in every dimension.
-func (r Resources) Fits(o Resources) bool {
-	return r.CPUMilli <= o.CPUMilli && r.MemoryMB <= o.MemoryMB && r.GPUs <= o.GPUs
-}
-
 // Step is a set of equal tasks.
 type Step struct {
-	Count    int           `cbor:"1,keyasint"`
-	Ask      Resources     `cbor:"2,keyasint"`
-	Estimate time.Duration `cbor:"3,keyasint,omitempty"` // rough run time of one task
-	After    []int         `cbor:"4,keyasint,omitempty"` // earlier steps that must be done
+	Count    int               `cbor:"1,keyasint"`
+	Ask      structs.Resources `cbor:"2,keyasint"`
+	Estimate time.Duration     `cbor:"3,keyasint,omitempty"` // rough run time of one task
+	After    []int             `cbor:"4,keyasint,omitempty"` // earlier steps that must be done
 	// Checkpoints is set if the tasks can resume from a saved state.
 	Checkpoints bool `cbor:"5,keyasint,omitempty"`
 	// Gang is set if the tasks work only while all of them run.
@@ -91,7 +71,7 @@
 
 // Reserved is the capacity that one task holds. Filling tasks hold no
 // processors.
-func (s *Step) Reserved() Resources {
+func (s *Step) Reserved() structs.Resources {
 	r := s.Ask
 	if s.Fills {
 		r.CPUMilli = 0
@@ -144,7 +124,7 @@
 	if s.Count < 1 || s.Count > MaxTasks {
 		return invalid("steps[%d].count is %d", index, s.Count)
 	}
-	if s.Ask.CPUMilli < 0 || s.Ask.MemoryMB < 0 || s.Ask.GPUs < 0 || s.Estimate < 0 {
+	if s.Ask.CPUMilli < 0 || s.Ask.MemoryMB < 0 || s.Ask.Accelerators < 0 || s.Estimate < 0 {
 		return invalid("steps[%d] asks for less than nothing", index)
 	}
 	if s.MaxPerRunner < 0 || s.MaxUnavailable < 0 || s.TailTarget < 0 {
