--- a/coordinator/harm.go
+++ b/coordinator/harm.go
@@ -71,10 +71,14 @@
 	// at full pace; after that leastPace is enough.
 	harmWait  = 500 * time.Millisecond
 	leastPace = 50 // percent
-	// A serving task that stays over its target for suspectAll has every image
-	// beside it slowed, whatever the model says.
-	suspectAll = 1000 * time.Millisecond
-	stopAll    = 1600 * time.Millisecond
+	// A serving task that stays over its target for suspectAll of the time that
+	// harm is allowed has every image beside it slowed, whatever the model says,
+	// and from stopAll on all but stopped. The rest covers the age of readings and
+	// the time that orders take.
+	suspectAll = 0.25
+	stopAll    = 0.4
+	// defaultHarmTime is used if the platform names none.
+	defaultHarmTime = 4 * time.Second
 	// suspectPace is the share of its pace that an image keeps meanwhile.
 	suspectPace = 0.2
 )
@@ -231,7 +235,7 @@
 		}
 		if len(paces) > 0 {
 			c.spare(r, x, paces)
-			x.slowAll(paces, now)
+			x.slowAll(paces, c.limits, now)
 		}
 	}
 	for kind := range r.fills {
@@ -305,12 +309,12 @@
 
 // slowAll slows every image beside a serving task that has been over its target
 // for long.
-func (x *run) slowAll(paces map[interference.Kind]float64, now time.Duration) {
-	if x.over == 0 || now-x.over < suspectAll {
+func (x *run) slowAll(paces map[interference.Kind]float64, limits Limits, now time.Duration) {
+	if x.over == 0 || now-x.over < limits.harm(suspectAll) {
 		return
 	}
 	most := suspectPace
-	if now-x.over >= stopAll {
+	if now-x.over >= limits.harm(stopAll) {
 		most = 0
 	}
 	for kind := range paces {
@@ -320,8 +324,17 @@
 
 // troubled reports whether a serving task of the runner has been over its
 // target for long, so that no filling task may join it.
-func (r *runner) troubled(now time.Duration) bool {
-	return r.overSince > 0 && now-r.overSince >= suspectAll
+func (c *Core) troubled(r *runner, now time.Duration) bool {
+	return r.overSince > 0 && now-r.overSince >= c.limits.harm(suspectAll)
+}
+
+// harm is a share of the time for which harm is allowed.
+func (l Limits) harm(share float64) time.Duration {
+	allowed := l.HarmTime
+	if allowed <= 0 {
+		allowed = defaultHarmTime
+	}
+	return time.Duration(share * float64(allowed))
 }
 
 // fill returns the pace of an image on the runner.
--- a/coordinator/schedule.go
+++ b/coordinator/schedule.go
@@ -366,7 +366,7 @@
 func (c *Core) fillCost(w *work, r *runner, factor float64, idle int64, now time.Duration) float64 {
 	ask := max(1, w.step.Ask.CPUMilli)
 	share := min(100, idle*100/ask)
-	if share < fillShare || r.troubled(now) && !w.starved {
+	if share < fillShare || c.troubled(r, now) && !w.starved {
 		return -1
 	}
 	pace, harm := c.safePace(r, w.kind, ask)
--- a/coordinator/types.go
+++ b/coordinator/types.go
@@ -150,8 +150,6 @@
 type Limits struct {
 	// FarFactor is how much longer a task takes away from its data.
 	FarFactor float64
-	// GangWait is how long the members of a gang wait for the others.
-	GangWait time.Duration
 	// HarmTime is how long a serving task may be over its target because of
 	// tasks that fill.
 	HarmTime time.Duration
--- a/coordinator/watch.go
+++ b/coordinator/watch.go
@@ -104,7 +104,7 @@
 func (c *Core) hasBetter(x *run, now time.Duration) bool {
 	ask := max(1, x.step.Ask.CPUMilli)
 	for _, r := range c.runners {
-		if r == x.runner || r.Service != x.runner.Service || !r.usable() || r.health.avoided(now) || r.troubled(now) {
+		if r == x.runner || r.Service != x.runner.Service || !r.usable() || r.health.avoided(now) || c.troubled(r, now) {
 			continue
 		}
 		if r.idle() < ask || !r.held.Add(x.step.Reserved()).Fits(r.Capacity) {
