--- a/coordinator/harm.go
+++ b/coordinator/harm.go
@@ -61,8 +61,8 @@
 	// paceStep is the least change of pace that is ordered, in percent.
 	paceStep = 5
 	// A pace is raised by at most raiseStep and half of itself each raisePause.
-	raiseStep  = 20 // percent
-	raisePause = 350 * time.Millisecond
+	raiseStep  = 50 // percent
+	raisePause = 150 * time.Millisecond
 	// A serving task counts as over its target from overAt of it until its
 	// tail is below overUntil of it.
 	overAt    = 0.95
