Leave a runner alone for a moment that has no room

From the code: a start that was refused for want of room was given again with the next round, some 300 times a second.

--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -72,8 +72,7 @@
 	step     *jobs.Step
 	kind     interference.Kind // of the step's image
 	pending  []int             // tasks to start
-	notUntil time.Duration
-	since    time.Duration // when a task was first pending
+	since    time.Duration     // when a task was first pending
 	onRunner map[*runner]int
 	listed   bool // in Core.waiting
 	advice   advised
--- a/coordinator/core_test.go
+++ b/coordinator/core_test.go
@@ -498,3 +498,20 @@
 		t.Errorf("state %v, want completed", j.State)
 	}
 }
+
+// A runner that has no room, or takes no orders, must not be asked again with
+// every round: each refused start is a call for nothing.
+func TestRefusingRunnerIsLeftAloneForAWhile(t *testing.T) {
+	for _, outcome := range []Outcome{RefusedRoom, RefusedOther} {
+		w := newWorld(t, machine("a", 4000))
+		w.accept(firstID, false, plain(1, 1000))
+		w.answer(starts(w.schedule())[0], outcome, false)
+		if n := len(starts(w.schedule())); n != 0 {
+			t.Errorf("%v: started again at once", outcome)
+		}
+		w.now += 2 * time.Second
+		if n := len(starts(w.schedule())); n != 1 {
+			t.Errorf("%v: %d starts after a pause, want 1", outcome, n)
+		}
+	}
+}
--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -355,7 +355,8 @@
 		return
 	}
 	c.detach(x)
-	if a.Outcome == RefusedOther {
+	if a.Outcome == RefusedOther || a.Outcome == RefusedRoom {
+		// Asking again at once would get the same answer.
 		x.runner.health.refused(now)
 	}
 	if w := x.job.work[[2]int{x.task.Occurrence, x.task.Step}]; w != nil && a.Outcome == RefusedTicket {
--- a/coordinator/schedule.go
+++ b/coordinator/schedule.go
@@ -60,7 +60,7 @@
 	clear(c.full)
 	strays := c.strays()
 	for _, w := range c.waiting {
-		if w.job.inherited && len(c.unresolved) > 0 || w.notUntil > now || strays[w.job.ID] {
+		if w.job.inherited && len(c.unresolved) > 0 || strays[w.job.ID] {
 			continue
 		}
 		if w.growth() > 0 && !c.reserves.allow(w) {
