--- a/coordinator/schedule.go
+++ b/coordinator/schedule.go
@@ -42,7 +42,7 @@
 )
 
 // Schedule gives start orders for tasks whose turn has come. Wall is the time
-// of day, store the store's clock.
+// of day.
 func (c *Core) Schedule(now, wall time.Duration) {
 	c.openTimed(wall)
 	if len(c.unresolved) > 0 && now > c.resolveBy {
@@ -78,8 +78,8 @@
 	c.dropEmpty()
 }
 
-// strays returns the jobs that have a run which is being stopped because it was
-// not known when it was seen. Their tasks must not start beside it.
+// strays returns the jobs of runs that are being stopped because they were not
+// known when they were seen, and of ends that wait for their job.
 func (c *Core) strays() map[jobs.ID]bool {
 	var found map[jobs.ID]bool
 	for _, r := range c.runners {
