--- a/leadership/leadership.go
+++ b/leadership/leadership.go
@@ -40,8 +40,8 @@
 
 // record is the stored lease.
 type record struct {
-	Holder   string `cbor:"1,keyasint"` // machine that holds it
-	Process  string `cbor:"2,keyasint"` // process on that machine
+	Holder   string `cbor:"1,keyasint"` // instance that holds it
+	Process  string `cbor:"2,keyasint"` // process of that instance
 	Epoch    uint64 `cbor:"3,keyasint"`
 	Renewal  uint64 `cbor:"4,keyasint"`
 	Released bool   `cbor:"5,keyasint,omitempty"`
@@ -71,7 +71,7 @@
 // Candidate takes the lease when nobody holds it.
 type Candidate struct {
 	Store rowstore.Store
-	// Holder names the machine, Process the process.
+	// Holder names the instance, Process its process.
 	Holder, Process string
 	// Lead does the holder's work until ctx ends. A returned error gives up
 	// the lease.
@@ -155,7 +155,7 @@
 	case seen.Released:
 		return claim{reason: "released"}, true
 	case seen.Holder == c.Holder:
-		// An earlier process of this machine, or a write of this one whose
+		// An earlier process of this instance, or a write of this one whose
 		// answer was lost. Neither acts any more.
 		return claim{reason: "held by this machine before"}, true
 	case c.Clock()-seen.patient >= Duration+c.Delay:
