--- /dev/null
+++ b/coordinator/placement_test.go
@@ -0,0 +1,90 @@
+package coordinator
+
+import (
+	"testing"
+	"time"
+
+	"bergamotstile/jobs"
+)
+
+// A runner must not be given more than it has, counting orders without answer.
+func TestCapacityIsHeldFromTheOrder(t *testing.T) {
+	w := newWorld(t, machine("a", 4000))
+	w.accept(firstID, false, plain(9, 1000))
+	if n := len(starts(w.schedule())); n != 4 {
+		t.Errorf("%d starts on 4 processors", n)
+	}
+	if n := len(starts(w.schedule())); n != 0 {
+		t.Errorf("%d more starts while nothing has ended", n)
+	}
+}
+
+// A task whose next failure ends its job goes to a runner that has done
+// something lately: with some runners failing all they start, a second unproven
+// one failed the job.
+func TestLastAttemptGoesToAProvenRunner(t *testing.T) {
+	w := newWorld(t, machine("a", 8000), machine("b", 4000), machine("c", 2000))
+	w.accept(firstID, false, plain(1, 1000))
+	o := starts(w.schedule())[0]
+	w.answer(o, Accepted, false)
+	proven := map[string]string{"a": "c", "b": "c", "c": "b"}[o.Runner]
+	other := jobs.New(secondID, renders, jobs.Spec{Steps: []jobs.Step{plain(1, 10)}}, 0, 1)
+	w.core.Accept(other, false, 0)
+	x := &run{job: w.core.jobs[secondID], runner: w.core.runners[proven]}
+	w.core.noteHealth(x, EndedDone, w.now)
+	w.core.Cancel(secondID, w.now)
+	w.report(Report{Runner: o.Runner, Incarnation: 1, Ended: []RunEnd{{Number: 1, Task: o.Task, Run: 1, How: EndedFailed}}})
+	again := starts(w.schedule())
+	if len(again) != 1 || again[0].Runner != proven {
+		t.Errorf("orders %+v, want a start on %s", again, proven)
+	}
+}
+
+// A queue whose policy allows only some runners must ask first, start only where
+// it has a ticket that holds, and ask again when that has run out.
+func TestAdvisedQueueStartsOnlyWithTickets(t *testing.T) {
+	w := newWorld(t, machine("a", 4000), machine("b", 4000))
+	advisedQueue := renders
+	advisedQueue.Advised = true
+	w.core.Configure([]jobs.Queue{advisedQueue})
+	w.accept(firstID, false, plain(2, 3000))
+	if n := len(starts(w.schedule())); n != 0 {
+		t.Fatalf("%d starts without advice", n)
+	}
+	requests := w.core.TakeRequests()
+	if len(requests) != 1 || len(requests[0].Runners) != 2 {
+		t.Fatalf("requests %+v, want one about both runners", requests)
+	}
+	if w.schedule(); len(w.core.TakeRequests()) != 0 {
+		t.Error("asked again before the answer")
+	}
+	w.core.Advised(requests[0], Advice{Tickets: map[string]string{"b": "t1"}, Valid: time.Second}, nil, w.now)
+	orders := starts(w.schedule())
+	if len(orders) != 1 || orders[0].Runner != "b" || orders[0].Ticket != "t1" {
+		t.Fatalf("orders %+v, want one on b with its ticket", orders)
+	}
+	w.answer(orders[0], RefusedTicket, false)
+	if n := len(starts(w.schedule())); n != 0 {
+		t.Error("started with a ticket that was refused")
+	}
+	if n := len(w.core.TakeRequests()); n != 1 {
+		t.Errorf("%d requests after a refused ticket, want 1", n)
+	}
+}
+
+// A runner that has no room, or takes no orders, must not be asked again with
+// every round: each refused start is a call for nothing.
+func TestRefusingRunnerIsLeftAloneForAWhile(t *testing.T) {
+	for _, outcome := range []Outcome{RefusedRoom, RefusedOther} {
+		w := newWorld(t, machine("a", 4000))
+		w.accept(firstID, false, plain(1, 1000))
+		w.answer(starts(w.schedule())[0], outcome, false)
+		if n := len(starts(w.schedule())); n != 0 {
+			t.Errorf("%v: started again at once", outcome)
+		}
+		w.now += 2 * time.Second
+		if n := len(starts(w.schedule())); n != 1 {
+			t.Errorf("%v: %d starts after a pause, want 1", outcome, n)
+		}
+	}
+}
