Place serving tasks by how open they leave a runner, pace on-time jobs first

Placement now counts the room that filling tasks would lose (openness: the part of filling images that all serving images of a runner tolerate, learned or assumed).

--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -29,7 +29,9 @@
 	number  int
 	runner  *runner
 	step    *jobs.Step
+	work    *work             // nil if the step is not open
 	kind    interference.Kind // of the step's image
+	stand   standing          // as of the runner's last report, if it fills
 	phase   phase
 	settled *atomic.Bool // ends the repetition of its last order
 	began   time.Duration
@@ -76,10 +78,8 @@
 	onRunner map[*runner]int
 	listed   bool // in Core.waiting
 	advice   advised
-	// slack is what is left of the job's time after the estimated rest of its
-	// chain, as of the present round.
-	slack time.Duration
-	rest  time.Duration // estimated rest of the chain
+	stand    standing      // as of the present round
+	rest     time.Duration // estimated rest of the chain
 	// starved is set if the job needs something running at once.
 	starved bool
 	// lastChance is set while a task is placed whose next failure would be the
@@ -240,6 +240,9 @@
 		w := &work{job: j, number: o.Number, index: i, step: &j.Spec.Steps[i], onRunner: map[*runner]int{},
 			kind: c.harm.model.Kind(j.Spec.Steps[i].Image), rest: chainFrom(&j.Spec, i),
 			advice: advised{tickets: map[string]ticket{}}}
+		if w.step.Fills {
+			c.harm.fills[w.kind] = struct{}{}
+		}
 		j.work[key] = w
 		for index := range o.Steps[i].Tasks {
 			id := jobs.TaskID{Job: j.ID, Occurrence: o.Number, Step: i, Index: index}
--- a/coordinator/order.go
+++ b/coordinator/order.go
@@ -16,7 +16,7 @@
 	hopeless = 3
 )
 
-// rank groups waiting steps of one priority.
+// rank groups the steps of one priority.
 type rank uint8
 
 const (
@@ -26,34 +26,83 @@
 	worthless
 )
 
-func (w *work) rank() rank {
+// standing decides which of two steps or runs is served first: by priority,
+// then those that can still meet their objective, the small ones first, then by
+// slack. Long-running tasks that have not run yet come after work that ends:
+// they hold what they get.
+type standing struct {
+	priority int
+	growth   int // 1 for long-running tasks that have not run yet
+	rank     rank
+	// effort is the estimated work left in a job that can still be on time: when
+	// not all can, the most are if small ones go first. Late jobs go by slack, so
+	// that large ones are not put off for good.
+	effort int64
+	slack  time.Duration
+	job    jobs.ID
+}
+
+func (s standing) compare(o standing) int {
 	switch {
-	case w.starved:
-		return starved
-	case w.slack >= 0 || w.step.LongRunning:
-		return onTime
-	case w.slack >= -(hopeless-1)*w.job.allowed:
-		return late
+	case s.priority != o.priority:
+		return cmp.Compare(s.priority, o.priority)
+	case s.growth != o.growth:
+		return cmp.Compare(s.growth, o.growth)
+	case s.rank != o.rank:
+		return cmp.Compare(s.rank, o.rank)
+	case s.effort != o.effort:
+		return cmp.Compare(s.effort, o.effort)
+	case s.slack != o.slack:
+		return cmp.Compare(s.slack, o.slack)
 	}
-	return worthless
+	return cmp.Compare(s.job, o.job)
+}
+
+// class groups those that share what is too little for all.
+type class struct {
+	priority int
+	rank     rank
+}
+
+func (s standing) class() class { return class{s.priority, max(onTime, s.rank)} }
+
+// before reports whether the class is served first.
+func (c class) before(o class) bool {
+	return c.priority < o.priority || c.priority == o.priority && c.rank < o.rank
 }
 
-// growth is 1 for long-running tasks that have not run yet, otherwise 0.
-func (w *work) growth() int {
+// standing works out where a step stands with the given slack.
+func (w *work) standing(slack time.Duration) standing {
+	s := standing{priority: w.job.queue.Priority, slack: slack, job: w.job.ID}
 	if w.step.LongRunning && !w.job.begun {
-		return 1
+		s.growth = 1
 	}
-	return 0
+	switch {
+	case w.starved:
+		s.rank = starved
+	case slack >= 0 || w.step.LongRunning:
+		s.rank = onTime
+	case slack >= -(hopeless-1)*w.job.allowed:
+		s.rank = late
+	default:
+		s.rank = worthless
+	}
+	if s.rank == onTime && !w.step.LongRunning {
+		s.effort = w.job.left
+	}
+	return s
 }
 
-// effort is the estimated work left in a job that can still be on time: when
-// not all can, the most are if small ones go first. Late jobs go by slack, so
-// that large ones are not put off for good.
-func (w *work) effort() int64 {
-	if w.rank() != onTime || w.step.LongRunning {
-		return 0
+// slack is what is left of the job's time after the estimated rest of its chain.
+func (w *work) slack(store time.Duration) time.Duration { return w.job.objective - store - w.rest }
+
+// standing works out where a run stands now. What it has done counts.
+func (c *Core) standing(x *run) standing {
+	if x.work == nil {
+		return standing{rank: worthless, job: x.task.Job}
 	}
-	return w.job.left
+	done := x.step.Estimate * time.Duration(x.percent) / fullPace
+	return x.work.standing(x.work.slack(c.now+c.storeOffset) + done)
 }
 
 // starved reports whether nothing of a step's job has run for a while although
@@ -64,21 +113,6 @@
 		c.reserves.of(w.job.queue.Service).mostlyFree()
 }
 
-// order says which of two waiting steps is served first: by priority, then
-// those that can still meet their objective, the small ones first, then by
-// slack. Long-running tasks that have not run yet come after work that ends:
-// they hold what they get.
-func order(a, b *work) int {
-	return cmp.Or(
-		cmp.Compare(a.job.queue.Priority, b.job.queue.Priority),
-		cmp.Compare(a.growth(), b.growth()),
-		cmp.Compare(a.rank(), b.rank()),
-		cmp.Compare(a.effort(), b.effort()),
-		cmp.Compare(a.slack, b.slack),
-		cmp.Compare(a.job.ID, b.job.ID),
-	)
-}
-
 // chainFrom is the estimated run time of the longest chain of steps that begins
 // with a step.
 func chainFrom(s *jobs.Spec, first int) time.Duration {
--- /dev/null
+++ b/coordinator/pace.go
@@ -0,0 +1,363 @@
+package coordinator
+
+import (
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"bergamotstile/interference"
+)
+
+// Bounds of the pace control.
+const (
+	fullPace = 100 // percent
+	minPace  = 1
+	// unknownPace is that of a run which a predecessor paced.
+	unknownPace = -1
+	// headroom is kept below the target's disturbance, for changes of the
+	// serving task's own load before the next reading.
+	headroom = 0.17
+	// calmPressure is the pressure that filling tasks may always cause.
+	calmPressure = 0.06
+	// plannedLoad is the disturbance by a serving task's own load that
+	// placement reckons with, beside headroom.
+	plannedLoad = 0.2
+	// smallPart is the part of all pressure on a task below which an image is
+	// not slowed for it.
+	smallPart = 0.15
+	// paceStep is the least change of pace that is ordered, in percent.
+	paceStep = 5
+	// A pace is raised by at most raiseStep and half of itself each raisePause.
+	raiseStep  = 50 // percent
+	raisePause = 150 * time.Millisecond
+	// A serving task counts as over its target from overAt of it until its
+	// tail is below overUntil of it.
+	overAt    = 0.95
+	overUntil = 0.7
+	// harmWait is how long a filling task waits for a runner where it can work
+	// at full pace; after that leastPace is enough.
+	harmWait  = 500 * time.Millisecond
+	leastPace = 50 // percent
+	// A serving task that stays over its target for suspectAll of the time that
+	// harm is allowed has every image beside it slowed, whatever the model says,
+	// and from stopAll on all but stopped. The rest covers the age of readings and
+	// the time that orders take.
+	suspectAll = 0.25
+	stopAll    = 0.4
+	// defaultHarmTime is used if the platform names none.
+	defaultHarmTime = 4 * time.Second
+	// suspectPace is the share of its pace that an image keeps meanwhile.
+	suspectPace = 0.2
+	// usualUse is the share of what a serving task asks for that it uses most of
+	// the time, in percent; filling tasks that go first may use the rest.
+	usualUse = 40
+)
+
+// fillState is the pace of the filling tasks of one image on a runner.
+type fillState struct {
+	pace    int // percent
+	changed time.Duration
+}
+
+// controlPace learns from the runner's last report and sets the paces of its
+// filling tasks.
+func (c *Core) controlPace(r *runner, now time.Duration) {
+	beside := c.harm.neighbours(r)
+	r.overSince = 0
+	paces := make(map[interference.Kind]float64, len(r.filled))
+	for kind := range r.filled {
+		paces[kind] = 1
+	}
+	for x := range r.runs {
+		if x.step.TailTarget <= 0 || x.phase != running || x.load <= 0 || x.percent < fullPace {
+			continue
+		}
+		c.harm.measure(x, beside)
+		x.noteTail(now)
+		if x.over > 0 && (r.overSince == 0 || x.over < r.overSince) {
+			r.overSince = x.over
+		}
+		if len(paces) > 0 {
+			c.spare(r, x, paces)
+			x.slowAll(paces, c.limits, now)
+		}
+	}
+	for kind := range r.fills {
+		if r.filled[kind] == 0 {
+			delete(r.fills, kind)
+		}
+	}
+	for kind, pace := range paces {
+		r.fill(kind).set(int(pace*fullPace), now)
+	}
+	r.pressed = nil
+	for _, x := range r.fillers {
+		x.stand = c.standing(x)
+	}
+	slices.SortFunc(r.fillers, func(a, b *run) int { return a.stand.compare(b.stand) })
+	c.orderPaces(r)
+}
+
+// set lowers the pace at once and raises it step by step: a single reading is
+// rough. Small changes aren't worth an order.
+func (s *fillState) set(pace int, now time.Duration) {
+	pace = min(fullPace, max(minPace, pace))
+	if pace > s.pace {
+		if now-s.changed < raisePause {
+			return
+		}
+		pace = min(pace, s.pace+raiseStep+s.pace/2)
+	}
+	small := pace >= s.pace-paceStep && pace <= s.pace+paceStep
+	if pace == s.pace || small && pace != fullPace && pace >= paceStep {
+		return
+	}
+	s.pace, s.changed = pace, now
+}
+
+// spare lowers the paces so that a serving task stays below its target, given
+// the disturbance by its own load. The images that press most are slowed.
+func (c *Core) spare(r *runner, x *run, paces map[interference.Kind]float64) {
+	allowed := max(calmPressure, c.harm.disturbance(x.step, targetMS(x.step))-headroom-max(0, x.own))
+	var total, large float64
+	for kind := range paces {
+		total += c.pressureOf(r, x.kind, kind)
+	}
+	if total <= allowed {
+		return
+	}
+	for kind := range paces {
+		if part := c.pressureOf(r, x.kind, kind); part > smallPart*total {
+			large += part
+		}
+	}
+	keep := max(0, 1-(total-allowed)/max(large, 1e-9))
+	for kind := range paces {
+		if c.pressureOf(r, x.kind, kind) > smallPart*total {
+			paces[kind] = min(paces[kind], keep)
+		}
+	}
+}
+
+// pressureOf is the pressure of an image's tasks on the runner at full pace.
+func (c *Core) pressureOf(r *runner, serving, filling interference.Kind) float64 {
+	share := float64(r.filled[filling]) / float64(max(1, r.Capacity.CPUMilli))
+	return share * c.harm.between(serving, filling)
+}
+
+// noteTail records since when a serving task has been over its target.
+func (x *run) noteTail(now time.Duration) {
+	tail, target := float64(x.load), targetMS(x.step)
+	if tail < overUntil*target {
+		x.over = 0
+	} else if x.over == 0 && tail > overAt*target {
+		x.over = now
+	}
+}
+
+// slowAll slows every image beside a serving task that has been over its target
+// for long.
+func (x *run) slowAll(paces map[interference.Kind]float64, limits Limits, now time.Duration) {
+	if x.over == 0 || now-x.over < limits.harm(suspectAll) {
+		return
+	}
+	most := suspectPace
+	if now-x.over >= limits.harm(stopAll) {
+		most = 0
+	}
+	for kind := range paces {
+		paces[kind] = min(paces[kind], most)
+	}
+}
+
+// troubled reports whether a serving task of the runner has been over its
+// target for long, so that no filling task may join it.
+func (c *Core) troubled(r *runner, now time.Duration) bool {
+	return r.overSince > 0 && now-r.overSince >= c.limits.harm(suspectAll)
+}
+
+// harm is a share of the time for which harm is allowed.
+func (l Limits) harm(share float64) time.Duration {
+	allowed := l.HarmTime
+	if allowed <= 0 {
+		allowed = defaultHarmTime
+	}
+	return time.Duration(share * float64(allowed))
+}
+
+// fill returns the pace of an image on the runner.
+func (r *runner) fill(kind interference.Kind) *fillState {
+	s := r.fills[kind]
+	if s == nil {
+		s = &fillState{pace: fullPace}
+		r.fills[kind] = s
+	}
+	return s
+}
+
+// paceOf is the pace of all filling tasks of the image there together.
+func (r *runner) paceOf(kind interference.Kind) int {
+	if s := r.fills[kind]; s != nil {
+		return s.pace
+	}
+	return fullPace
+}
+
+// orderPaces divides what each image may use, and what serving tasks leave
+// free, among the filling tasks of a runner: first to jobs that can still be on
+// time. If all were slowed alike, late jobs would make others late.
+func (c *Core) orderPaces(r *runner) {
+	free := r.Capacity.CPUMilli - r.firm - r.serving*usualUse/100
+	allowed := make(map[interference.Kind]int64, len(r.filled))
+	for kind, asked := range r.filled {
+		if pace := r.paceOf(kind); pace > minPace {
+			allowed[kind] = asked * int64(pace) / fullPace
+		}
+	}
+	for rest := r.fillers; len(rest) > 0; {
+		equals := rest
+		for i, x := range rest {
+			if x.stand.class() != rest[0].stand.class() {
+				equals = rest[:i]
+				break
+			}
+		}
+		rest = rest[len(equals):]
+		free -= c.share(equals, allowed, free)
+	}
+}
+
+// share divides what is allowed among tasks of one class in proportion to what
+// they ask for, and returns what they use.
+func (c *Core) share(equals []*run, allowed map[interference.Kind]int64, free int64) (used int64) {
+	asked := make(map[interference.Kind]int64, len(allowed))
+	for _, x := range equals {
+		asked[x.kind] += x.step.Ask.CPUMilli
+	}
+	var wanted int64
+	for kind, ask := range asked {
+		wanted += min(ask, allowed[kind])
+	}
+	for kind, ask := range asked {
+		use := min(ask, allowed[kind])
+		if wanted > free {
+			use = use * max(0, free) / wanted
+		}
+		allowed[kind] -= use
+		used += use
+		asked[kind] = use * fullPace / max(1, ask) // now the pace
+	}
+	for _, x := range equals {
+		pace := max(minPace, int(asked[x.kind]))
+		if x.phase == running && x.worthPacing(pace) {
+			c.orderPace(x, pace)
+		}
+	}
+	return used
+}
+
+// worthPacing reports whether a change of pace is worth an order.
+func (x *run) worthPacing(pace int) bool {
+	if pace == x.pace {
+		return false
+	}
+	ends := pace == fullPace || pace == minPace
+	return ends || x.pace < 0 || pace > x.pace+paceStep || pace < x.pace-paceStep
+}
+
+func (c *Core) orderPace(x *run, percent int) {
+	c.counters("paces", 1)
+	c.log.WithFields(logrus.Fields{"task": x.task, "run": x.number, "runner": x.runner.ID, "pace": percent, "before": x.pace}).Info("pace ordered")
+	if x.pace > stuckPace || percent > stuckPace {
+		x.paced = c.now
+	}
+	x.pace = percent
+	x.settled.Store(true)
+	x.settled = new(atomic.Bool)
+	c.orders = append(c.orders, Order{Kind: Pace, Runner: x.runner.ID, Address: x.runner.Address, Task: x.task, Run: x.number, Percent: percent, Settled: x.settled})
+}
+
+// pressed is a serving image on a runner with the pressure that it bears.
+type pressed struct {
+	kind    interference.Kind
+	tasks   int
+	limit   float64
+	present float64 // of all filling tasks at their paces
+}
+
+// pressedOn returns the serving images of a runner. The result is kept until
+// the runner's tasks or readings change.
+func (c *Core) pressedOn(r *runner) []pressed {
+	if r.pressed != nil || len(r.served) == 0 {
+		return r.pressed
+	}
+	for kind, s := range r.served {
+		p := pressed{kind: kind, tasks: s.tasks}
+		p.limit = max(calmPressure, c.harm.disturbance(s.step, targetMS(s.step))-headroom-plannedLoad)
+		for other := range r.filled {
+			p.present += c.pressureOf(r, kind, other) * float64(r.paceOf(other)) / fullPace
+		}
+		r.pressed = append(r.pressed, p)
+	}
+	return r.pressed
+}
+
+// prospect is what a further filling task would find on a runner.
+type prospect struct {
+	pace int   // percent
+	free int64 // thousandths of a processor
+	// harm is the pressure that it would add at full pace, summed over the
+	// serving tasks.
+	harm float64
+}
+
+// prospect works out what a filling task finds. Tasks of classes that are served
+// after it make room.
+func (c *Core) prospect(r *runner, kind interference.Kind, ask int64, stand standing) prospect {
+	var all, same int64
+	for _, x := range r.fillers {
+		if !stand.class().before(x.stand.class()) {
+			all += x.step.Ask.CPUMilli
+			if x.kind == kind {
+				same += x.step.Ask.CPUMilli
+			}
+		}
+	}
+	p := prospect{free: r.idle() + r.filling - all}
+	use, harm := c.safeUse(r, kind, ask)
+	p.harm = harm
+	p.pace = min(fullPace, int(max(0, use-same)*fullPace/ask))
+	return p
+}
+
+// safeUse is what the tasks of an image, with a further one, may use on the
+// runner so that every serving task is spared.
+func (c *Core) safeUse(r *runner, kind interference.Kind, ask int64) (use int64, harm float64) {
+	cpu := float64(max(1, r.Capacity.CPUMilli))
+	there := r.filled[kind]
+	share := float64(there+ask) / cpu
+	if pace := r.paceOf(kind); there > 0 && pace < fullPace {
+		share = float64(there) / cpu * float64(pace) / fullPace
+	}
+	for _, p := range c.pressedOn(r) {
+		between := c.harm.between(p.kind, kind)
+		if between <= 0 {
+			continue
+		}
+		others := p.present - float64(there)/cpu*between*float64(r.paceOf(kind))/fullPace
+		share = min(share, max(0, p.limit-others)/between)
+		harm += float64(ask) / cpu * between * float64(p.tasks)
+	}
+	return int64(share * cpu), harm
+}
+
+// limitPace sets the safe pace of an image before a task of it is started.
+func (c *Core) limitPace(r *runner, w *work, now time.Duration) {
+	ask := w.step.Ask.CPUMilli
+	use, _ := c.safeUse(r, w.kind, ask)
+	if pace := int(use * fullPace / max(1, r.filled[w.kind]+ask)); pace < r.paceOf(w.kind) {
+		*r.fill(w.kind) = fillState{pace: max(minPace, pace), changed: now}
+	}
+}
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -24,10 +24,10 @@
 	doubtPenalty = 3.0
 	// harmWeight weighs pressure on serving tasks against time lost.
 	harmWeight = 4.0
-	// mixPenalty is for each other image of serving tasks on a runner,
-	// newPenalty for one that has not got the image yet.
-	mixPenalty = 1.0
-	newPenalty = 0.4
+	// packWeight prefers full runners among those that lose alike.
+	packWeight = 0.01
+	// unknownOpenness marks a runner whose openness has to be worked out.
+	unknownOpenness = -1
 	// sampleSize bounds the runners that are compared for one task.
 	sampleSize = 64
 )
@@ -132,15 +132,11 @@
 	if r.health.doubtful(now) || w.lastChance && !r.health.proven(now) {
 		factor *= doubtPenalty
 	}
-	idle := r.idle()
 	if w.step.Fills {
-		return c.fillCost(w, r, factor, idle, now)
+		return c.fillCost(w, r, factor, now)
 	}
 	free := float64(r.Capacity.CPUMilli-r.held.CPUMilli) / float64(1+r.Capacity.CPUMilli)
-	if w.step.TailTarget > 0 {
-		return factor + c.mixCost(w, r) + free/4
-	}
-	return factor - free/4
+	return factor + c.lostRoom(w, r) + packWeight*free
 }
 
 // idle is what is expected to be left of the runner's processors.
@@ -148,30 +144,51 @@
 	return r.Capacity.CPUMilli - r.firm - r.serving*servingUse/100 - r.filling
 }
 
-// mixCost keeps serving tasks of one image together and apart from others: a
-// runner with one image is open to every filling image that does not harm it.
-func (c *Core) mixCost(w *work, r *runner) float64 {
-	others := len(r.served)
-	if r.served[w.kind] != nil {
-		return mixPenalty * float64(others-1)
+// lostRoom is the room for filling tasks, as a share of the runner, that would be
+// lost to one of the step's tasks. Serving tasks close a runner to the filling
+// images that harm them, so they go where their image already is, else to an
+// empty runner, else beside images that have closed the runner to the same
+// images. Plain tasks go where little is lost.
+func (c *Core) lostRoom(w *work, r *runner) float64 {
+	room := r.Capacity.CPUMilli - r.firm - r.serving*servingUse/100
+	use := w.step.Ask.CPUMilli
+	before := c.openness(r)
+	after := before
+	if w.step.TailTarget > 0 {
+		use = use * servingUse / 100
+		if r.served[w.kind] == nil {
+			after = c.harm.openTo(append(slices.Sorted(maps.Keys(r.served)), w.kind))
+		}
 	}
-	return mixPenalty*float64(others) + newPenalty
+	lost := float64(max(0, room))*before - float64(max(0, room-use))*after
+	return lost / float64(1+r.Capacity.CPUMilli)
+}
+
+// openness is how far filling tasks can use the room on the runner, from 0 to 1.
+// It is kept until the runner's serving tasks change.
+func (c *Core) openness(r *runner) float64 {
+	if r.open < 0 {
+		r.open = c.harm.openTo(slices.Sorted(maps.Keys(r.served)))
+	}
+	return r.open
 }
 
 // fillCost is the cost for a filling task: how long it would take with the
 // idle processors at the pace that spares the tasks that serve, and the harm
 // that it would do them.
-func (c *Core) fillCost(w *work, r *runner, factor float64, idle int64, now time.Duration) float64 {
+func (c *Core) fillCost(w *work, r *runner, factor float64, now time.Duration) float64 {
+	if c.troubled(r, now) && !w.starved {
+		return -1
+	}
 	ask := max(1, w.step.Ask.CPUMilli)
-	share := min(100, idle*100/ask)
-	if share < fillShare || c.troubled(r, now) && !w.starved {
+	p := c.prospect(r, w.kind, ask, w.stand)
+	share := min(100, p.free*100/ask)
+	if share < fillShare {
 		return -1
 	}
-	pace, harm := c.safePace(r, w.kind, ask)
-	pace = min(pace, r.paceOf(w.kind))
-	pace = max(minPace, pace)
+	pace := max(minPace, p.pace)
 	if !w.starved && (pace < leastPace || pace < fullPace && now-w.since < harmWait) {
 		return -1
 	}
-	return factor*100/float64(share)*fullPace/float64(pace) + harmWeight*harm - float64(idle)/float64(1+r.Capacity.CPUMilli)/4
+	return factor*100/float64(share)*fullPace/float64(pace) + harmWeight*p.harm - float64(p.free)/float64(1+r.Capacity.CPUMilli)/4
 }
--- a/coordinator/placement_test.go
+++ b/coordinator/placement_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"bergamotstile/interference"
 	"bergamotstile/jobs"
 )
 
@@ -88,3 +89,57 @@
 		}
 	}
 }
+
+// Each serving image closes a runner to the filling images that harm it. On a
+// played day 800 idle processors were closed to 500 waiting tasks, since single
+// serving tasks and plain work were put on runners that had been open.
+func TestServingTasksKeepRunnersOpen(t *testing.T) {
+	place := func(w *world, id jobs.ID, s jobs.Step) string {
+		w.accept(id, false, s)
+		o := starts(w.schedule())[0]
+		w.answer(o, Accepted, false)
+		return o.Runner
+	}
+	w := newWorld(t, machine("a", 32_000))
+	place(w, "00000000000000a1", serving("shop"))
+	w.core.RunnerSeen(machine("b", 32_000), w.now)
+	w.report(Report{Runner: "b", Incarnation: 1})
+	apart := serving("search")
+	apart.MaxPerRunner = 1
+	if got := place(w, "00000000000000a2", apart); got != "b" {
+		t.Fatalf("a second image went to %s, want the empty runner", got)
+	}
+	w.core.runners["a"].Draining = true
+	place(w, "00000000000000a3", serving("map"))
+	w.core.runners["a"].Draining = false
+	if got := place(w, "00000000000000a4", serving("mail")); got != "b" {
+		t.Errorf("a fourth image closed runner %s, want b, which two images had closed", got)
+	}
+	if got := place(w, "00000000000000a5", plain(1, 4000)); got != "b" {
+		t.Errorf("plain work took room on %s that filling tasks can use", got)
+	}
+	if got := place(w, "00000000000000a6", serving("shop")); got != "a" {
+		t.Errorf("an image went to %s, want the runner that it has for itself", got)
+	}
+}
+
+// When images have to share a runner, those go together that tolerate the same
+// neighbours.
+func TestServingImagesThatTolerateTheSameShareARunner(t *testing.T) {
+	h := newHarm()
+	kind := h.model.Kind
+	for filling, slowdown := range map[string][3]float64{"render": {1, 1, 2.5}, "index": {1, 1, 2.5}, "train": {2.5, 2.5, 1}} {
+		h.fills[kind(filling)] = struct{}{}
+		for i, image := range []string{"shop", "search", "mail"} {
+			for range 40 {
+				h.model.Observe(interference.Measurement{Victim: kind(image), Slowdown: slowdown[i],
+					Neighbours: []interference.Pressure{{Kind: kind(filling), Share: 0.4}}})
+			}
+		}
+	}
+	alike := h.openTo([]interference.Kind{kind("shop"), kind("search")})
+	unlike := h.openTo([]interference.Kind{kind("shop"), kind("mail")})
+	if alike < 0.9 || unlike > 0.3 {
+		t.Errorf("a runner is open by %.2f to two images alike and by %.2f to two that differ", alike, unlike)
+	}
+}
--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -158,7 +158,8 @@
 	x.runner.hold(x)
 	j := x.job
 	j.runs[x.task] = append(j.runs[x.task], x)
-	if w := j.work[[2]int{x.task.Occurrence, x.task.Step}]; w != nil {
+	x.work = j.work[[2]int{x.task.Occurrence, x.task.Step}]
+	if w := x.work; w != nil {
 		w.unlist(x.task.Index)
 		w.onRunner[x.runner]++
 	}
@@ -180,8 +181,8 @@
 	} else {
 		j.runs[x.task] = rest
 	}
-	if w := j.work[[2]int{x.task.Occurrence, x.task.Step}]; w != nil {
-		w.onRunner[x.runner]--
+	if x.work != nil {
+		x.work.onRunner[x.runner]--
 	}
 }
 
--- a/coordinator/runner.go
+++ b/coordinator/runner.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -35,7 +36,9 @@
 	served  map[interference.Kind]*servedImage
 	filled  map[interference.Kind]int64
 	fills   map[interference.Kind]*fillState
+	fillers []*run    // its filling tasks in the order of their standing
 	pressed []pressed // see pressedOn
+	open    float64   // see openness; negative after a change
 	// overSince is since when one of its serving tasks has been over its
 	// target; zero if none is.
 	overSince time.Duration
@@ -51,6 +54,7 @@
 
 func newRunner() *runner {
 	return &runner{
+		open:   unknownOpenness,
 		runs:   map[*run]struct{}{},
 		served: map[interference.Kind]*servedImage{},
 		filled: map[interference.Kind]int64{},
@@ -149,6 +153,12 @@
 		if r.filled[x.kind] == 0 {
 			delete(r.filled, x.kind)
 		}
+		if sign > 0 {
+			at, _ := slices.BinarySearchFunc(r.fillers, x, func(a, b *run) int { return a.stand.compare(b.stand) })
+			r.fillers = slices.Insert(r.fillers, at, x)
+		} else {
+			r.fillers = slices.DeleteFunc(r.fillers, func(o *run) bool { return o == x })
+		}
 	case x.step.TailTarget > 0:
 		r.serving += cpu
 		r.countServing(x, int(sign))
@@ -173,6 +183,7 @@
 	if s.tasks == 0 {
 		delete(r.served, x.kind)
 	}
+	r.open = unknownOpenness
 }
 
 // usable reports whether the runner may be given new tasks.
--- a/coordinator/schedule.go
+++ b/coordinator/schedule.go
@@ -22,17 +22,17 @@
 	c.updateReserves(now)
 	store := now + c.storeOffset
 	for _, w := range c.waiting {
-		w.slack = w.job.objective - store - w.rest
 		w.starved = c.starved(w, now)
+		w.stand = w.standing(w.slack(store))
 	}
-	slices.SortFunc(c.waiting, order)
+	slices.SortFunc(c.waiting, func(a, b *work) int { return a.stand.compare(b.stand) })
 	clear(c.full)
 	strays := c.strays()
 	for _, w := range c.waiting {
 		if w.job.inherited && len(c.unresolved) > 0 || strays[w.job.ID] {
 			continue
 		}
-		if w.growth() > 0 && !c.reserves.allow(w) {
+		if w.stand.growth > 0 && !c.reserves.allow(w) {
 			continue
 		}
 		if w.since == 0 {
@@ -108,7 +108,7 @@
 	id := w.taskID(index)
 	t := w.job.Task(id)
 	t.LastRun = number
-	x := &run{job: w.job, task: id, number: number, runner: r, step: w.step, kind: w.kind, settled: new(atomic.Bool), began: now, pace: fullPace}
+	x := &run{job: w.job, task: id, number: number, runner: r, step: w.step, kind: w.kind, settled: new(atomic.Bool), began: now, pace: fullPace, stand: w.stand}
 	if w.step.Fills {
 		c.limitPace(r, w, now)
 	}
--- a/coordinator/watch.go
+++ b/coordinator/watch.go
@@ -107,10 +107,10 @@
 		if r == x.runner || r.Service != x.runner.Service || !r.usable() || r.health.avoided(now) || c.troubled(r, now) {
 			continue
 		}
-		if r.idle() < ask || !r.held.Add(x.step.Reserved()).Fits(r.Capacity) {
+		if !r.held.Add(x.step.Reserved()).Fits(r.Capacity) {
 			continue
 		}
-		if pace, _ := c.safePace(r, x.kind, ask); min(pace, r.paceOf(x.kind)) >= betterPace {
+		if p := c.prospect(r, x.kind, ask, x.stand); p.free >= ask && p.pace >= betterPace {
 			return true
 		}
 	}
