Estimate run times from measured progress

A run's work is now gauged from its progress and the processors it uses, so that slowing doesn't count; a step takes the mean of its tasks, a step not yet seen the stated time corrected by the queue's past (package durations).

Kept, since late work is told from work in time by it, and the states that operators see are true.

--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"bergamotstile/durations"
 	"bergamotstile/interference"
 	"bergamotstile/jobs"
 )
@@ -35,6 +36,7 @@
 	phase   phase
 	settled *atomic.Bool // ends the repetition of its last order
 	began   time.Duration
+	gauge   gauge
 	// confirmed is when the last order for the run was answered.
 	confirmed time.Duration
 	percent   int
@@ -62,6 +64,9 @@
 	runs      map[jobs.TaskID][]*run
 	begun     bool
 	left      int64 // estimated work left, in milliseconds of a processor
+	// estimates are the expected times of the steps' tasks; measured are those
+	// steps' that have been seen at work, else zero.
+	estimates, measured []time.Duration
 	// inherited jobs may have runs that a predecessor started.
 	inherited bool
 }
@@ -80,6 +85,7 @@
 	advice   advised
 	stand    standing      // as of the present round
 	rest     time.Duration // estimated rest of the chain
+	gauged   gauged
 	// starved is set if the job needs something running at once.
 	starved bool
 	// lastChance is set while a task is placed whose next failure would be the
@@ -115,6 +121,7 @@
 	now         time.Duration // of the report being processed
 	full        fullFor
 	reserves    reserves
+	durations   map[string]*durations.Estimator // by queue
 }
 
 // Counter counts decisions by name.
@@ -137,6 +144,7 @@
 		counters:   count,
 		harm:       newHarm(),
 		full:       fullFor{},
+		durations:  map[string]*durations.Estimator{},
 		reserves:   reserves{services: map[string]*reserve{}},
 	}
 }
@@ -185,9 +193,8 @@
 	j := &job{Job: accepted, work: map[[2]int]*work{}, runs: map[jobs.TaskID][]*run{}, inherited: inherited}
 	j.queue = c.queueOf(accepted)
 	j.begun = j.State == jobs.Running
-	j.allowed = j.queue.Target + time.Duration(j.queue.Stretch*float64(j.Spec.Chain()))
-	j.objective = j.Accepted + j.allowed
-	j.left = j.workLeft()
+	j.measured = make([]time.Duration, len(j.Spec.Steps))
+	c.reestimate(j)
 	c.jobs[j.ID] = j
 	if j.Spec.Repeats > 0 {
 		c.timed = append(c.timed, j)
@@ -196,25 +203,6 @@
 	c.log.WithFields(logrus.Fields{"job": j.ID, "queue": j.Queue.Name, "inherited": inherited}).Info("job taken on")
 }
 
-// workOf is the estimated work of one task of a step, in milliseconds of a
-// processor.
-func workOf(s *jobs.Step) int64 {
-	return s.Ask.CPUMilli * s.Estimate.Milliseconds() / 1000
-}
-
-// workLeft is the estimated work of the tasks that are not done.
-func (j *job) workLeft() int64 {
-	var sum int64
-	for i := range j.Spec.Steps {
-		tasks := j.Spec.Steps[i].Count
-		for _, o := range j.Current {
-			tasks = min(tasks, o.Steps[i].Left)
-		}
-		sum += int64(tasks) * workOf(&j.Spec.Steps[i])
-	}
-	return sum
-}
-
 // openDue opens the occurrences that are due at the time of day.
 func (c *Core) openDue(j *job, wall time.Duration) {
 	for number := range j.Occurrences() {
@@ -238,7 +226,7 @@
 			continue
 		}
 		w := &work{job: j, number: o.Number, index: i, step: &j.Spec.Steps[i], onRunner: map[*runner]int{},
-			kind: c.harm.model.Kind(j.Spec.Steps[i].Image), rest: chainFrom(&j.Spec, i),
+			kind: c.harm.model.Kind(j.Spec.Steps[i].Image), rest: j.chainFrom(i),
 			advice: advised{tickets: map[string]ticket{}}}
 		if w.step.Fills {
 			c.harm.fills[w.kind] = struct{}{}
--- a/coordinator/order.go
+++ b/coordinator/order.go
@@ -101,7 +101,7 @@
 	if x.work == nil {
 		return standing{rank: worthless, job: x.task.Job}
 	}
-	done := x.step.Estimate * time.Duration(x.percent) / fullPace
+	done := x.job.estimates[x.task.Step] * time.Duration(x.percent) / fullPace
 	return x.work.standing(x.work.slack(c.now+c.storeOffset) + done)
 }
 
@@ -112,20 +112,3 @@
 	return !w.step.LongRunning && w.since > 0 && now-w.since > starveTime && len(w.job.runs) == 0 &&
 		c.reserves.of(w.job.queue.Service).mostlyFree()
 }
-
-// chainFrom is the estimated run time of the longest chain of steps that begins
-// with a step.
-func chainFrom(s *jobs.Spec, first int) time.Duration {
-	ends := make([]time.Duration, len(s.Steps))
-	ends[first] = s.Steps[first].Estimate
-	longest := ends[first]
-	for i := first + 1; i < len(s.Steps); i++ {
-		for _, before := range s.Steps[i].After {
-			if ends[before] > 0 {
-				ends[i] = max(ends[i], ends[before]+s.Steps[i].Estimate)
-			}
-		}
-		longest = max(longest, ends[i])
-	}
-	return longest
-}
--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -106,6 +106,7 @@
 		x.confirmed = rep.Sent
 		x.settled.Store(true)
 	}
+	c.gaugeRun(x, s, now)
 	x.observe(s, now)
 	return x
 }
@@ -250,7 +251,7 @@
 		return
 	}
 	if t := j.Task(e.Task); t != nil && !t.Done {
-		j.left -= workOf(step)
+		j.left -= j.workOf(e.Task.Step)
 	}
 	finished := j.MarkDone(e.Task)
 	c.touch(j, false)
--- a/coordinator/watch.go
+++ b/coordinator/watch.go
@@ -128,7 +128,7 @@
 	if x.step.LongRunning || x.step.Gang || x.pace < stallPace || x.moved == 0 {
 		return false
 	}
-	return now-max(x.moved, x.began) > max(stallTime, x.step.Estimate/2)
+	return now-max(x.moved, x.began) > max(stallTime, x.job.estimates[x.task.Step]/2)
 }
 
 // mustLeave reports whether a task would not end before its runner leaves.
@@ -138,7 +138,7 @@
 	}
 	left := x.runner.leaves - leaveMargin - now
 	spent := now - x.began
-	need := x.step.Estimate - spent
+	need := x.job.estimates[x.task.Step] - spent
 	if x.percent > 0 {
 		need = spent * time.Duration(100-x.percent) / time.Duration(x.percent)
 	}
