Log the first error of a series of retries, and its end with the count

A line for each would flood the log while the store is away.

logging.Outage logs the first failure and the regained dependency with the number of failures. The reason of a lease that is taken back says instance, as the rest does.

--- a/coordinator/journal.go
+++ b/coordinator/journal.go
@@ -9,8 +9,11 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"bergamotstile/gateway"
 	"bergamotstile/jobs"
+	"bergamotstile/logging"
 	"bergamotstile/rowstore"
 )
 
@@ -40,10 +43,12 @@
 	mu       sync.Mutex
 	fences   map[string]uint64 // part: version of its epoch row
 	versions map[rowstore.Key]uint64
+	outage   logging.Outage
 }
 
-func newJournal(store rowstore.Store, epoch uint64) *journal {
-	return &journal{store: store, epoch: epoch, fences: map[string]uint64{}, versions: map[rowstore.Key]uint64{}}
+func newJournal(store rowstore.Store, epoch uint64, log logrus.FieldLogger) *journal {
+	return &journal{store: store, epoch: epoch, fences: map[string]uint64{}, versions: map[rowstore.Key]uint64{},
+		outage: logging.Outage{Log: log, Lost: "progress not stored", Regained: "progress stored again"}}
 }
 
 // fence takes a part over and returns the version from which on no predecessor
@@ -157,6 +162,7 @@
 func (n *journal) put(ctx context.Context, part string, puts []rowstore.Put) error {
 	for {
 		err := n.attempt(ctx, part, puts)
+		n.outage.Note(err)
 		if err == nil || errors.Is(err, ErrDeposed) || ctx.Err() != nil {
 			return err
 		}
--- a/coordinator/journal_test.go
+++ b/coordinator/journal_test.go
@@ -28,7 +28,7 @@
 
 func fencedJournal(t *testing.T, store rowstore.Store, epoch uint64) *journal {
 	t.Helper()
-	n := newJournal(store, epoch)
+	n := newJournal(store, epoch, silentLog())
 	if _, err := n.fence(context.Background(), gateway.PartOf(firstID)); err != nil {
 		t.Fatal(err)
 	}
@@ -96,7 +96,7 @@
 	if err := old.storeAll(context.Background(), []Write{progressOf(t, firstID, 1)}); !errors.Is(err, ErrDeposed) {
 		t.Errorf("error %v, want deposed", err)
 	}
-	late := newJournal(store, 1)
+	late := newJournal(store, 1, silentLog())
 	if _, err := late.fence(context.Background(), gateway.PartOf(firstID)); !errors.Is(err, ErrDeposed) {
 		t.Errorf("fence of an old epoch: %v, want deposed", err)
 	}
--- a/coordinator/takeover.go
+++ b/coordinator/takeover.go
@@ -11,6 +11,7 @@
 
 	"bergamotstile/gateway"
 	"bergamotstile/jobs"
+	"bergamotstile/logging"
 	"bergamotstile/rowstore"
 )
 
@@ -213,6 +214,7 @@
 // follow passes the changes of a table on. Where the history is gone, all rows
 // are read again.
 func (t *tenure) follow(ctx context.Context, table string, after uint64, reread func(context.Context) (rowstore.Result, error), take func(rows []rowstore.Row, whole bool) bool) {
+	outage := logging.Outage{Log: t.env.Log.WithField("table", table), Lost: "changes not read", Regained: "changes read again"}
 	for ctx.Err() == nil {
 		res, err := t.env.Store.Changes(ctx, table, after, feedWait)
 		whole := errors.Is(err, rowstore.ErrHistoryGone)
@@ -220,6 +222,7 @@
 			t.env.Count("history_gone", 1)
 			res, err = reread(ctx)
 		}
+		outage.Note(err)
 		if err != nil {
 			t.env.Count("feed_retry", 1)
 			pause(ctx, feedRetry)
--- a/coordinator/tenure.go
+++ b/coordinator/tenure.go
@@ -89,7 +89,7 @@
 	t := &tenure{
 		env: env, term: term,
 		core:     New(env.Limits, env.Log, env.Count),
-		journal:  newJournal(env.Store, term.Epoch),
+		journal:  newJournal(env.Store, term.Epoch, env.Log),
 		links:    map[string]*link{},
 		events:   make(chan event, eventBuffer),
 		failed:   make(chan error, 1),
--- a/coordinator/world_test.go
+++ b/coordinator/world_test.go
@@ -28,9 +28,7 @@
 
 func newWorld(t *testing.T, runners ...RunnerInfo) *world {
 	t.Helper()
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	w := &world{t: t, core: New(Limits{FarFactor: 2}, log, nil), now: time.Second}
+	w := &world{t: t, core: New(Limits{FarFactor: 2}, silentLog(), nil), now: time.Second}
 	w.core.Configure([]jobs.Queue{renders})
 	for _, r := range runners {
 		w.core.RunnerSeen(r, w.now)
@@ -39,6 +37,12 @@
 	return w
 }
 
+func silentLog() *logrus.Logger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
+
 func machine(id string, cpu int64) RunnerInfo {
 	return RunnerInfo{ID: id, Service: testService, Rack: "r1", Capacity: structs.Resources{CPUMilli: cpu, MemoryMB: 100_000}}
 }
--- a/leadership/leadership.go
+++ b/leadership/leadership.go
@@ -157,7 +157,7 @@
 	case seen.Holder == c.Holder:
 		// An earlier process of this instance, or a write of this one whose
 		// answer was lost. Neither acts any more.
-		return claim{reason: "held by this machine before"}, true
+		return claim{reason: "held by this instance before"}, true
 	case c.Clock()-seen.patient >= Duration+c.Delay:
 		return claim{reason: "not renewed", gone: seen.since + Grace}, true
 	}
