Soak entry instances as processes under random faults

Package soak starts 'serve' processes against stand-ins of the store and the runners that speak the platform's protocol (platform/hosted/hostedtest), with a proxy on each way, and checks what clients and runners see.

--- a/harness/process.go
+++ b/harness/process.go
@@ -73,6 +73,11 @@
 	p.signal(syscall.SIGTERM)
 }
 
+// Reload tells the process that its settings may have changed.
+func (p *Process) Reload() {
+	p.signal(syscall.SIGHUP)
+}
+
 // Freeze stops the process until Resume.
 func (p *Process) Freeze() {
 	p.signal(syscall.SIGSTOP)
--- /dev/null
+++ b/soak/deployment_test.go
@@ -0,0 +1,229 @@
+package soak_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"bergamotstile/harness"
+	"bergamotstile/platform/hosted/hostedtest"
+	"bergamotstile/standin"
+)
+
+const (
+	service       = "paths"
+	host          = "soak.example"
+	prefix        = "/jobs/"
+	runnerMilli   = 8000 // processors of a runner, in thousandths
+	attempts      = 4
+	runnerClock   = 0.98 // rate of every other runner's clock, the slowest allowed
+	configVersion = 1
+)
+
+// instance is an entry instance with its way to the store.
+type instance struct {
+	name, settings, front, ready string
+	toStore                      *standin.Proxy
+
+	mu      sync.Mutex // held by the fault that has its process
+	process *harness.Process
+}
+
+// runner is a stand-in of a runner with the way to it.
+type runner struct {
+	*hostedtest.Runner
+	server *http.Server
+	proxy  *standin.Proxy
+}
+
+// deployment is a running deployment. Entry instances are processes of their
+// own; the platform is served by the test.
+type deployment struct {
+	dir       string
+	store     *hostedtest.Store
+	server    *http.Server
+	recorder  *hostedtest.Recorder
+	runners   []*runner
+	instances []*instance
+}
+
+// listen serves a handler on a free port of loopback.
+func listen(h http.Handler) (*http.Server, string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, "", err
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
+	go func() { _ = s.Serve(l) }() // ends with Close
+	return s, l.Addr().String(), nil
+}
+
+// freeAddress returns an address that nothing listens on.
+func freeAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String(), nil
+}
+
+func deploy(dir string, seed uint64, instances, runners int) (*deployment, error) {
+	d := &deployment{dir: dir, store: hostedtest.NewStore(seed), recorder: hostedtest.NewRecorder(runnerMilli, attempts)}
+	server, address, err := listen(d.store)
+	if err != nil {
+		return d, err
+	}
+	d.server = server
+	for i := range runners {
+		if err := d.addRunner(i); err != nil {
+			return d, err
+		}
+	}
+	d.configure(configVersion)
+	for i := range instances {
+		if err := d.addInstance(i, address); err != nil {
+			return d, err
+		}
+	}
+	return d, d.awaitReady(10 * time.Second)
+}
+
+func (d *deployment) addRunner(i int) error {
+	rate := 1.0
+	if i%2 == 1 {
+		rate = runnerClock
+	}
+	r := &runner{Runner: hostedtest.NewRunner(fmt.Sprint("runner-", i), d.recorder, rate)}
+	d.runners = append(d.runners, r)
+	server, address, err := listen(r.Runner)
+	if err != nil {
+		return err
+	}
+	r.server = server
+	if r.proxy, err = standin.StartProxy("127.0.0.1:0", address); err != nil {
+		return err
+	}
+	d.register(r, "ready")
+	return nil
+}
+
+// register writes a runner's entry. It is removed if state is empty.
+func (d *deployment) register(r *runner, state string) {
+	if state == "" {
+		d.store.Put("servers", r.ID, nil)
+		return
+	}
+	entry := map[string]any{"service": service, "address": r.proxy.Address(), "zone": "east", "state": state, "remaining-ms": 4000,
+		"capacity": map[string]any{"cpu": runnerMilli, "mem-mb": 64_000}, "labels": []string{"a", "r-1"}}
+	value, _ := json.Marshal(entry) // plain values can't fail
+	d.store.Put("servers", r.ID, value)
+}
+
+// configure puts a version of the configuration in force.
+func (d *deployment) configure(version int) {
+	config := map[string]any{
+		"version": version,
+		"routes": []map[string]any{{"name": "renders", "host": host, "prefix": prefix, "service": service, "timeout-ms": 3000,
+			"target-latency-ms": 1000, "priority": 0, "attempts": attempts, "stretch": 2}},
+		"services": []map[string]any{{"name": service, "enforces-capacity": false}},
+		"limits":   map[string]any{"max-body-bytes": 100_000},
+	}
+	value, _ := json.Marshal(config) // plain values can't fail
+	d.store.Put("op", "config", value)
+}
+
+const settingsText = `node = %q
+zone = "east"
+ip = "127.0.0.1"
+[listen]
+front = %q
+readiness = %q
+[limits]
+cpu-share = 0.5
+cores = 1
+[bounds]
+grace-s = 3
+hold-max-ms = 10000
+early_ms = 250
+status_s = 120
+far-factor = 2
+harm-ms = 4000
+[platform]
+address = %q
+`
+
+func (d *deployment) addInstance(i int, store string) error {
+	in := &instance{name: fmt.Sprint("entry-", i), settings: filepath.Join(d.dir, fmt.Sprintf("entry-%d.toml", i))}
+	d.instances = append(d.instances, in)
+	var err error
+	if in.toStore, err = standin.StartProxy("127.0.0.1:0", store); err != nil {
+		return err
+	}
+	if in.front, err = freeAddress(); err != nil {
+		return err
+	}
+	if in.ready, err = freeAddress(); err != nil {
+		return err
+	}
+	text := fmt.Sprintf(settingsText, in.name, in.front, in.ready, in.toStore.Address())
+	if err := os.WriteFile(in.settings, []byte(text), 0o600); err != nil {
+		return err
+	}
+	return d.start(in)
+}
+
+func (d *deployment) start(in *instance) (err error) {
+	in.process, err = harness.Start(d.dir, in.name, "serve", "--settings", in.settings)
+	return err
+}
+
+func (d *deployment) awaitReady(limit time.Duration) error {
+	deadline := time.Now().Add(limit)
+	for _, in := range d.instances {
+		for {
+			res, err := http.Get("http://" + in.ready + "/api/ready")
+			if err == nil {
+				_ = res.Body.Close()
+				if res.StatusCode == http.StatusOK {
+					break
+				}
+			}
+			if time.Now().After(deadline) {
+				return fmt.Errorf("%s is not ready: %w", in.name, err)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+// close ends what the deployment started.
+func (d *deployment) close() {
+	for _, in := range d.instances {
+		if in.process != nil {
+			in.process.Resume()
+			in.process.Kill()
+		}
+		if in.toStore != nil {
+			in.toStore.Close()
+		}
+	}
+	for _, r := range d.runners {
+		r.Close()
+		if r.proxy != nil {
+			r.proxy.Close()
+		}
+		if r.server != nil {
+			_ = r.server.Close()
+		}
+	}
+	if d.server != nil {
+		_ = d.server.Close()
+	}
+}
