Say in the log what a waiting step waits for

Cause: of a late job the log showed its starts and its end, not why it waited.

A step that has waited for 1 s, and then each 5 s, gives a line with the number of runners by what keeps its next task from them; the same checks decide on placement (obstacle). Waits for a predecessor's runners, for runs that have to end and for room kept for plain work name their cause. explain shows lines that were cut instead of passing them over in silence.

--- a/command/explain.go
+++ b/command/explain.go
@@ -62,33 +62,50 @@
 }
 
 // linesAbout reads the lines of a log that name the job or one of its tasks.
-// Lines that are no JSON objects are passed over; a prefix before one is not.
+// Lines without a JSON object are passed over; a prefix before one is not. What
+// is left of a line that was cut is shown as it is.
 func linesAbout(in io.Reader, source, job string) ([]logLine, error) {
 	var out []logLine
 	scanner := bufio.NewScanner(in)
 	scanner.Buffer(nil, maxLogLine)
+	last := "" // time of the last line that has one
 	for scanner.Scan() {
 		text := scanner.Text()
+		last = timeOf(text, last)
 		begin := strings.IndexByte(text, '{')
 		if begin < 0 || !strings.Contains(text, job) {
 			continue
 		}
+		from := source
+		if prefix := strings.TrimSpace(text[:begin]); prefix != "" {
+			from = prefix
+		}
 		var fields map[string]any
 		if err := json.Unmarshal([]byte(text[begin:]), &fields); err != nil {
+			out = append(out, logLine{source: from, time: last, part: "line cut", text: text[begin:]})
 			continue
 		}
-		if !concerns(fields, job) {
-			continue
-		}
-		if prefix := strings.TrimSpace(text[:begin]); prefix != "" {
-			out = append(out, newLogLine(prefix, fields))
-			continue
+		if concerns(fields, job) {
+			out = append(out, newLogLine(from, fields))
 		}
-		out = append(out, newLogLine(source, fields))
 	}
 	return out, scanner.Err()
 }
 
+// timeOf returns the time in a line, or before if it has none.
+func timeOf(text, before string) string {
+	const field = `"time":"`
+	begin := strings.Index(text, field)
+	if begin < 0 {
+		return before
+	}
+	value, _, whole := strings.Cut(text[begin+len(field):], `"`)
+	if !whole {
+		return before
+	}
+	return value
+}
+
 func concerns(fields map[string]any, job string) bool {
 	task, _ := fields["task"].(string)
 	return fields["job"] == job || strings.HasPrefix(task, job+".")
--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -86,6 +86,7 @@
 	stand    standing      // as of the present round
 	rest     time.Duration // estimated rest of the chain
 	gauged   gauged
+	wait     telling
 	// starved is set if the job needs something running at once.
 	starved bool
 	// lastChance is set while a task is placed whose next failure would be the
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -105,16 +105,28 @@
 
 // eligible reports whether the step's task may be started on the runner.
 func (c *Core) eligible(w *work, r *runner, now time.Duration) bool {
-	if !r.usable() || r.health.avoided(now) || r.Service != w.job.queue.Service {
-		return false
-	}
-	if w.step.Label != "" && !slices.Contains(r.Labels, w.step.Label) {
-		return false
-	}
-	if w.step.MaxPerRunner > 0 && w.onRunner[r] >= w.step.MaxPerRunner {
-		return false
+	return c.obstacle(w, r, now) == noObstacle
+}
+
+// obstacle returns why the step's task may not be started on the runner.
+func (c *Core) obstacle(w *work, r *runner, now time.Duration) obstacle {
+	switch {
+	case r.Service != w.job.queue.Service:
+		return otherService
+	case !r.usable():
+		return notUsable
+	case r.health.avoided(now):
+		return avoided
+	case w.step.Label != "" && !slices.Contains(r.Labels, w.step.Label):
+		return noLabel
+	case w.step.MaxPerRunner > 0 && w.onRunner[r] >= w.step.MaxPerRunner:
+		return spreadReached
+	case !r.fits(w):
+		return noRoom
+	case !w.permitted(r, now):
+		return noTicket
 	}
-	return r.fits(w) && w.permitted(r, now)
+	return noObstacle
 }
 
 // fits reports whether the runner has room for one of the step's tasks.
@@ -177,18 +189,27 @@
 // idle processors at the pace that spares the tasks that serve, and the harm
 // that it would do them.
 func (c *Core) fillCost(w *work, r *runner, factor float64, now time.Duration) float64 {
-	if c.troubled(r, now) && !w.starved {
-		return -1
-	}
 	ask := max(1, w.step.Ask.CPUMilli)
 	p := c.prospect(r, w.kind, ask, w.stand)
-	share := min(100, p.free*100/ask)
-	if share < fillShare {
+	if c.fillObstacle(w, r, p, now) != noObstacle {
 		return -1
 	}
+	share := min(100, p.free*100/ask)
 	pace := max(minPace, p.pace)
-	if !w.starved && (pace < leastPace || pace < fullPace && now-w.since < harmWait) {
-		return -1
-	}
 	return factor*100/float64(share)*fullPace/float64(pace) + harmWeight*p.harm - float64(p.free)/float64(1+r.Capacity.CPUMilli)/4
 }
+
+// fillObstacle returns why a filling task should wait rather than start there.
+func (c *Core) fillObstacle(w *work, r *runner, p prospect, now time.Duration) obstacle {
+	switch {
+	case p.free*100/max(1, w.step.Ask.CPUMilli) < fillShare:
+		return noProcessors
+	case w.starved:
+		return noObstacle
+	case c.troubled(r, now):
+		return troubledTasks
+	case p.pace < leastPace, p.pace < fullPace && now-w.since < harmWait:
+		return harmsTasks
+	}
+	return noObstacle
+}
--- a/coordinator/schedule.go
+++ b/coordinator/schedule.go
@@ -29,10 +29,16 @@
 	clear(c.full)
 	strays := c.strays()
 	for _, w := range c.waiting {
-		if w.job.inherited && len(c.unresolved) > 0 || strays[w.job.ID] {
+		if w.job.inherited && len(c.unresolved) > 0 {
+			c.tellWait(w, "runners of the predecessor are not resolved", now)
+			continue
+		}
+		if strays[w.job.ID] {
+			c.tellWait(w, "a run of the job that was not known has to end", now)
 			continue
 		}
 		if w.stand.growth > 0 && !c.reserves.allow(w) {
+			c.tellWait(w, "room is kept for work that ends", now)
 			continue
 		}
 		if w.since == 0 {
@@ -82,11 +88,13 @@
 	for _, index := range slices.Clone(w.pending) {
 		w.lastChance = w.job.queue.Attempts > 1 && w.job.Failures(w.taskID(index)) >= w.job.queue.Attempts-1
 		if c.full.covers(w, now) {
+			c.tellNoRunner(w, now)
 			return
 		}
 		r := c.pick(w, now, nil)
 		if r == nil {
 			c.full.note(w, now)
+			c.tellNoRunner(w, now)
 			c.ask(w, now)
 			return
 		}
@@ -113,6 +121,7 @@
 		c.limitPace(r, w, now)
 	}
 	c.attach(x)
+	w.wait = telling{}
 	saved := t.Saved
 	if !w.step.Checkpoints {
 		saved = ""
