Divide nothing when a full runner's filling tasks are all but stopped

Where serving and plain tasks ask for more than a runner has and every filling image is at its least pace, the share of what is left was nothing divided by nothing.

Test that fails first: TestPacesOnAFullRunner.

--- a/coordinator/pace.go
+++ b/coordinator/pace.go
@@ -236,6 +236,7 @@
 	for _, x := range equals {
 		asked[x.kind] += x.step.Ask.CPUMilli
 	}
+	free = max(0, free)
 	var wanted int64
 	for kind, ask := range asked {
 		wanted += min(ask, allowed[kind])
@@ -243,7 +244,7 @@
 	for kind, ask := range asked {
 		use := min(ask, allowed[kind])
 		if wanted > free {
-			use = use * max(0, free) / wanted
+			use = use * free / wanted
 		}
 		allowed[kind] -= use
 		used += use
--- a/coordinator/pace_test.go
+++ b/coordinator/pace_test.go
@@ -130,3 +130,19 @@
 		t.Errorf("neighbours are taken to press by %.2f, the rest of 0.7 for the task's own load", pressure)
 	}
 }
+
+// A runner whose serving and plain tasks leave nothing, with an image that is all
+// but stopped: dividing what is left ended the process on a played day.
+func TestPacesOnAFullRunner(t *testing.T) {
+	w, _ := harmWorld(t)
+	w.accept(secondID, false, filling(1, "render"))
+	fill := starts(w.schedule())[0]
+	w.answer(fill, Accepted, false)
+	r := w.core.runners["a"]
+	r.fill(w.core.harm.model.Kind("render")).pace = minPace
+	r.firm = r.Capacity.CPUMilli
+	w.core.orderPaces(r)
+	if x := r.find(fill.Task, fill.Run); x.pace != minPace {
+		t.Errorf("pace %d with no processors left", x.pace)
+	}
+}
