Look again only at runners that changed since work found none

Work that found no runner leaves a mark; until 200 ms later only runners that have changed are looked at for its like.

Test that fails first: TestWaitingWorkLooksAtChangedRunners.

--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -121,6 +121,7 @@
 	harm        harm
 	now         time.Duration // of the report being processed
 	full        fullFor
+	changes     uint64 // number of changes of runners
 	reserves    reserves
 	durations   map[string]*durations.Estimator // by queue
 }
--- a/coordinator/gang.go
+++ b/coordinator/gang.go
@@ -44,7 +44,7 @@
 	var places []*runner
 	reserved := w.step.Reserved()
 	for range w.step.Count {
-		r := c.pick(w, now, rack)
+		r := c.pick(w, now, rack, 0)
 		if r == nil {
 			break
 		}
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -38,33 +38,67 @@
 	kind    interference.Kind
 	fills   bool
 	waited  bool
-	starved bool
+	rank    rank
 }
 
-// fullFor are the least resources for which a round has found no runner. It
-// saves looking again for each of many equal tasks.
-type fullFor map[demand]structs.Resources
-
 func (w *work) demand(now time.Duration) demand {
-	d := demand{service: w.job.queue.Service, fills: w.step.Fills, waited: now-w.since >= harmWait, starved: w.starved}
+	d := demand{service: w.job.queue.Service, fills: w.step.Fills, waited: now-w.since >= harmWait}
 	if w.step.Fills {
-		d.kind = w.kind
+		d.kind, d.rank = w.kind, w.stand.rank
 	}
 	return d
 }
 
-// covers reports whether the step's tasks can't be placed in this round.
-func (f fullFor) covers(w *work, now time.Duration) bool {
-	least, ok := f[w.demand(now)]
-	return ok && least.Fits(w.step.Ask)
+// refreshTime is after how long every runner is looked at again for work that
+// found none: some obstacles end with time.
+const refreshTime = 200 * time.Millisecond
+
+// fullMark records that no runner had room for work that asks for least.
+type fullMark struct {
+	least structs.Resources
+	seen  uint64 // of Core.changes
+	whole time.Duration
+}
+
+// fullFor are the marks of work that found no runner. They save looking at all
+// runners again for each of many equal tasks, and in the next rounds at those
+// that haven't changed: with hundreds of runners and a backlog that took most of
+// the coordinator's processor time.
+type fullFor map[demand]fullMark
+
+// since returns the changes of runners after which it is worth looking at one
+// for the step's next task.
+func (f fullFor) since(w *work, now time.Duration) uint64 {
+	m, ok := f[w.demand(now)]
+	if !ok || !w.plainDemand() || !m.least.Fits(w.step.Ask) || now-m.whole >= refreshTime {
+		return 0
+	}
+	return m.seen
+}
+
+// plainDemand reports whether the step finds the same runners full as others of
+// its demand.
+func (w *work) plainDemand() bool {
+	return w.step.Label == "" && w.step.MaxPerRunner == 0 && !w.job.queue.Advised
 }
 
-// note records that no runner was found. Steps with conditions of their own say
-// nothing about others.
-func (f fullFor) note(w *work, now time.Duration) {
-	if w.step.Label == "" && w.step.MaxPerRunner == 0 && !w.job.queue.Advised {
-		f[w.demand(now)] = w.step.Ask
+// note records that no runner was found among those that changed after since.
+func (f fullFor) note(w *work, since, changes uint64, now time.Duration) {
+	if !w.plainDemand() {
+		return
+	}
+	d := w.demand(now)
+	m := fullMark{least: w.step.Ask, seen: changes, whole: now}
+	if since > 0 {
+		m.least, m.whole = f[d].least, f[d].whole
 	}
+	f[d] = m
+}
+
+// changed notes that what a runner can take may have changed.
+func (c *Core) changed(r *runner) {
+	c.changes++
+	r.change = c.changes
 }
 
 // candidates returns the runners in the order of their IDs.
@@ -78,14 +112,15 @@
 // pick returns the runner on which the step's next task is expected to end
 // first, or nil if none may take it now. Of many that could, sampleSize are
 // compared, others each time. Rack, if set, confines the choice.
-func (c *Core) pick(w *work, now time.Duration, rack *string) *runner {
+// Only runners that changed after since are looked at.
+func (c *Core) pick(w *work, now time.Duration, rack *string, since uint64) *runner {
 	var best *runner
 	var bestCost float64
 	all := c.candidates()
 	tried := 0
 	for i := range all {
 		r := all[(c.cursor+i)%len(all)]
-		if rack != nil && r.Rack != *rack || !c.eligible(w, r, now) {
+		if r.change < since || rack != nil && r.Rack != *rack || !c.eligible(w, r, now) {
 			continue
 		}
 		cost := c.cost(w, r, now)
--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -51,6 +51,7 @@
 	}
 	c.dropMissing(r, listed, rep, now)
 	c.controlPace(r, now)
+	c.changed(r)
 }
 
 // early reports whether an end is of a job that is not known yet: after a
@@ -175,6 +176,7 @@
 func (c *Core) detach(x *run) {
 	x.settled.Store(true)
 	x.runner.release(x)
+	c.changed(x.runner)
 	j := x.job
 	rest := slices.DeleteFunc(j.runs[x.task], func(o *run) bool { return o == x })
 	if len(rest) == 0 {
--- a/coordinator/runner.go
+++ b/coordinator/runner.go
@@ -43,6 +43,7 @@
 	// target; zero if none is.
 	overSince time.Duration
 	health    health
+	change    uint64 // its last change, see Core.changes
 	// strays are the jobs of what the last report lists and is not known here:
 	// runs that are being stopped, which hold an unknown part of the runner, and
 	// ends that wait for their job.
@@ -76,6 +77,7 @@
 	if info.Draining {
 		r.leaves = now + info.Remaining
 	}
+	c.changed(r)
 	r.RunnerInfo = info
 	r.listed, r.unlisted = true, 0
 }
--- a/coordinator/schedule.go
+++ b/coordinator/schedule.go
@@ -26,7 +26,6 @@
 		w.stand = w.standing(w.slack(store))
 	}
 	slices.SortFunc(c.waiting, func(a, b *work) int { return a.stand.compare(b.stand) })
-	clear(c.full)
 	strays := c.strays()
 	for _, w := range c.waiting {
 		if w.job.inherited && len(c.unresolved) > 0 {
@@ -87,13 +86,10 @@
 func (c *Core) startTasks(w *work, now time.Duration) {
 	for _, index := range slices.Clone(w.pending) {
 		w.lastChance = w.job.queue.Attempts > 1 && w.job.Failures(w.taskID(index)) >= w.job.queue.Attempts-1
-		if c.full.covers(w, now) {
-			c.tellNoRunner(w, now)
-			return
-		}
-		r := c.pick(w, now, nil)
+		since := c.full.since(w, now)
+		r := c.pick(w, now, nil, since)
 		if r == nil {
-			c.full.note(w, now)
+			c.full.note(w, since, c.changes+1, now)
 			c.tellNoRunner(w, now)
 			c.ask(w, now)
 			return
--- a/coordinator/schedule_test.go
+++ b/coordinator/schedule_test.go
@@ -130,3 +130,30 @@
 		t.Errorf("state %v, want completed", j.State)
 	}
 }
+
+// Work that found no runner must look again only at runners that have changed,
+// but soon at all of them: on a deployment of 490 runners looking at each in every
+// round left the coordinator no time to stop the tasks of cancelled jobs.
+func TestWaitingWorkLooksAtChangedRunners(t *testing.T) {
+	w := newWorld(t, machine("a", 1000), machine("b", 1000))
+	w.accept(firstID, false, plain(3, 1000))
+	first := starts(w.schedule())
+	if len(first) != 2 {
+		t.Fatalf("%d starts, want 2", len(first))
+	}
+	waiting := w.core.jobs[firstID].work[[2]int{0, 0}]
+	if since := w.core.full.since(waiting, w.now); since == 0 || w.core.pick(waiting, w.now, nil, since) != nil {
+		t.Error("runners that have not changed are looked at again")
+	}
+	w.answer(first[0], Accepted, false)
+	w.report(Report{Runner: first[0].Runner, Incarnation: 1, Ended: []RunEnd{{Number: 1, Task: first[0].Task, Run: 1, How: EndedDone}}})
+	if n := len(starts(w.schedule())); n != 1 {
+		t.Errorf("%d starts once a runner has room, want 1", n)
+	}
+	w.accept(secondID, false, plain(1, 1000))
+	w.schedule()
+	waiting = w.core.jobs[secondID].work[[2]int{0, 0}]
+	if since := w.core.full.since(waiting, w.now+refreshTime); since != 0 {
+		t.Error("some obstacles end with time, and not all runners are looked at again")
+	}
+}
