Count slowed filling tasks by their pace, and order fewer paces

A task now counts by its pace, at least 30%; a pace changes by 15% of itself or more, and the log tells it when it passes 15%, 50% or 100%.

--- a/coordinator/pace.go
+++ b/coordinator/pace.go
@@ -27,8 +27,10 @@
 	// smallPart is the part of all pressure on a task below which an image is
 	// not slowed for it.
 	smallPart = 0.15
-	// paceStep is the least change of pace that is ordered, in percent.
-	paceStep = 5
+	// paceStep is the least change of pace that is ordered, in percent, and
+	// paceShare the least one as a part of the present pace.
+	paceStep  = 5
+	paceShare = 0.15
 	// A pace is raised by at most raiseStep and half of itself each raisePause.
 	raiseStep  = 50 // percent
 	raisePause = 150 * time.Millisecond
@@ -50,6 +52,9 @@
 	defaultHarmTime = 4 * time.Second
 	// suspectPace is the share of its pace that an image keeps meanwhile.
 	suspectPace = 0.2
+	// leastUse is the share of what it asks for that a slowed task counts for at
+	// least, in percent, since its pace may rise again.
+	leastUse = 30
 	// usualUse is the share of what a serving task asks for that it uses most of
 	// the time, in percent; filling tasks that go first may use the rest.
 	usualUse = 40
@@ -259,18 +264,35 @@
 	return used
 }
 
-// worthPacing reports whether a change of pace is worth an order.
+// worthPacing reports whether a change of pace is worth an order: each is a call
+// to a runner.
 func (x *run) worthPacing(pace int) bool {
-	if pace == x.pace {
-		return false
+	if pace == x.pace || x.pace < 0 {
+		return pace != x.pace
 	}
+	step := max(paceStep, int(paceShare*float64(x.pace)))
 	ends := pace == fullPace || pace == minPace
-	return ends || x.pace < 0 || pace > x.pace+paceStep || pace < x.pace-paceStep
+	return ends || pace > x.pace+step || pace < x.pace-step
+}
+
+// paceBand is the part of the range in which the log tells paces apart.
+func paceBand(pace int) int {
+	switch {
+	case pace >= fullPace:
+		return fullPace
+	case pace >= leastPace:
+		return leastPace
+	case pace > stuckPace:
+		return stuckPace
+	}
+	return minPace
 }
 
 func (c *Core) orderPace(x *run, percent int) {
 	c.counters("paces", 1)
-	c.log.WithFields(logrus.Fields{"task": x.task, "run": x.number, "runner": x.runner.ID, "pace": percent, "before": x.pace}).Info("pace ordered")
+	if paceBand(percent) != paceBand(x.pace) {
+		c.log.WithFields(logrus.Fields{"task": x.task, "run": x.number, "runner": x.runner.ID, "pace": percent, "before": x.pace}).Info("pace ordered")
+	}
 	if x.pace > stuckPace || percent > stuckPace {
 		x.paced = c.now
 	}
@@ -337,7 +359,7 @@
 	var all, same int64
 	for _, x := range r.fillers {
 		if !stand.class().before(x.stand.class()) {
-			all += x.step.Ask.CPUMilli
+			all += x.use()
 			if x.kind == kind {
 				same += x.step.Ask.CPUMilli
 			}
@@ -350,6 +372,15 @@
 	return p
 }
 
+// use is what a filling task is expected to use at its pace. Slowed tasks leave
+// room to others.
+func (x *run) use() int64 {
+	if x.pace < 0 {
+		return x.step.Ask.CPUMilli
+	}
+	return x.step.Ask.CPUMilli * int64(max(leastUse, x.pace)) / fullPace
+}
+
 // safeUse is what the tasks of an image, with a further one, may use on the
 // runner so that every serving task is spared.
 func (c *Core) safeUse(r *runner, kind interference.Kind, ask int64) (use int64, harm float64) {
