Tell no runner to forget ends after a call without an answer

Cause, from its logs: the runner had started anew while its answers were lost. The coordinator went on telling it to forget ends up to the number of before, while the new life counted from 1 and had carried out a start whose answer was lost as well. The forgotten end had been seen by nobody, and a successor started the task again. Ruled out: two coordinators (one term after the other on one instance), a lapsed lease.

Ends are now acknowledged only while every call since the last report was answered. What remains: one call that is carried out seconds late, across a new start.

The harness picked ports on 127.0.0.1 that others could take while a process was down; each instance has a loopback host of its own now.

--- a/coordinator/journal_test.go
+++ b/coordinator/journal_test.go
@@ -162,3 +162,28 @@
 		}
 	}
 }
+
+// A runner that has started anew numbers its ends from 1. After a call without an
+// answer it must not be told to forget ends up to the number of before: in the
+// soak (seed 106) one forgot an end that nobody had seen, and its task ran again.
+func TestDoubtedRunnerForgetsNothing(t *testing.T) {
+	l := newLink(&tenure{term: &leadership.Term{Epoch: 1}, env: Environment{Clock: func() time.Duration { return time.Second }}}, "r", "a", 0)
+	const incarnation = 5
+	l.acknowledge(Acknowledged{Incarnation: incarnation, Number: 7})
+	if got := l.request(incarnation).Acknowledged; got != 7 {
+		t.Fatalf("acknowledged %d before any doubt, want 7", got)
+	}
+	l.unanswered(time.Second)
+	if got := l.request(incarnation).Acknowledged; got != 0 {
+		t.Errorf("acknowledged %d after a call without an answer", got)
+	}
+	l.answered(time.Second, time.Second)
+	l.doubt()
+	if got := l.request(incarnation).Acknowledged; got != 0 {
+		t.Errorf("acknowledged %d after an order without an answer", got)
+	}
+	l.answered(time.Second, time.Second)
+	if got := l.request(incarnation).Acknowledged; got != 7 {
+		t.Errorf("acknowledged %d after a report, want 7", got)
+	}
+}
--- a/coordinator/link.go
+++ b/coordinator/link.go
@@ -65,6 +65,9 @@
 	address string
 	lease   lease
 	silent  bool
+	// doubted is set from a call without an answer to the next report: the runner
+	// may have started anew.
+	doubted bool
 	acks    Acknowledged
 }
 
@@ -97,12 +100,14 @@
 }
 
 // request prepares the next call. A silent runner's leases are not extended:
-// they must lapse for its tasks to be started elsewhere.
+// they must lapse for its tasks to be started elsewhere. Nor is a runner that may
+// have started anew told to forget ends: it numbers them from 1 again, and would
+// forget some that were never seen.
 func (l *link) request(incarnation int64) HoldRequest {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	h := HoldRequest{Runner: l.runner, Address: l.address, Epoch: l.t.term.Epoch}
-	if l.acks.Incarnation == incarnation {
+	if l.acks.Incarnation == incarnation && !l.doubted {
 		h.Acknowledged = l.acks.Number
 	}
 	if !l.silent && l.lease.reading > 0 {
@@ -117,17 +122,24 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.lease.reading, l.lease.received = clock, now
-	l.silent = false
+	l.silent, l.doubted = false, false
 }
 
 // unanswered records a failed call and reports whether all leases have lapsed.
 func (l *link) unanswered(now time.Duration) (lapsed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.silent = true
+	l.silent, l.doubted = true, true
 	return now > l.lease.lapsed
 }
 
+// doubt records an order without an answer.
+func (l *link) doubt() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.doubted = true
+}
+
 // orderTarget returns where an order goes and the deadline of its lease.
 func (l *link) orderTarget() (address string, deadline time.Duration) {
 	l.mu.Lock()
@@ -203,6 +215,7 @@
 			l.t.post(ctx, answerEvent{Answer{Order: o, Outcome: outcome, Repeated: repeated}})
 			return
 		}
+		l.doubt()
 		l.t.env.Count("order_retry", 1)
 		repeated = repeated || !errors.Is(err, ErrNotSent)
 		if o.Kind == Pace && attempt >= paceAttempts {
--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"bergamotstile/harness"
@@ -63,9 +64,18 @@
 	return s, l.Addr().String(), nil
 }
 
-// freeAddress returns an address that nothing listens on.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// hosts numbers the loopback hosts of entry instances. Each has its own, so that
+// nobody takes its ports while its process is down.
+var hosts atomic.Uint32
+
+func nextHost() string {
+	n := hosts.Add(1)
+	return fmt.Sprintf("127.91.%d.%d", n/200%250, 1+n%200)
+}
+
+// freeAddress returns an address of the host that nothing listens on.
+func freeAddress(host string) (string, error) {
+	l, err := net.Listen("tcp", host+":0")
 	if err != nil {
 		return "", err
 	}
@@ -165,10 +175,11 @@
 	if in.toStore, err = standin.StartProxy("127.0.0.1:0", store); err != nil {
 		return err
 	}
-	if in.front, err = freeAddress(); err != nil {
+	address := nextHost()
+	if in.front, err = freeAddress(address); err != nil {
 		return err
 	}
-	if in.ready, err = freeAddress(); err != nil {
+	if in.ready, err = freeAddress(address); err != nil {
 		return err
 	}
 	text := fmt.Sprintf(settingsText, in.name, in.front, in.ready, in.toStore.Address())
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -39,7 +39,9 @@
 var regressions = []struct {
 	seed  uint64
 	cause string
-}{}
+}{
+	{106, "a runner that had started anew was told to forget ends up to the number of before"},
+}
 
 func TestMain(m *testing.M) {
 	harness.RunProgram()
