Start at once the tasks that only this coordinator has seen end

A long-running task failed under a second coordinator, which could not reach one runner; a third began the same wait anew: 12 s and 15 s.

A runner's end after it has obeyed this coordinator is told to nobody else, except to a call of the predecessor that was waiting there (0.5 s). So a run that is listed here again 1 s after it was first listed is located: when it ends, its task, and the step that its end opens, need not wait. Ruled out first: taking any end seen here as located, since the predecessor's waiting call may bring it the same end.

Found beside it while working that out: a coordinator that can't renew its lease took a runner's leases as lapsed by its own grants, while a successor may extend them. Such a lapse now counts only while the lease is held.

--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -37,6 +37,10 @@
 	settled *atomic.Bool // ends the repetition of its last order
 	began   time.Duration
 	gauge   gauge
+	// adopted is when a predecessor's run was first listed here, zero for own
+	// ones; located is set once only this coordinator can see its end.
+	adopted time.Duration
+	located bool
 	// confirmed is when the last order for the run was answered.
 	confirmed time.Duration
 	percent   int
@@ -89,6 +93,10 @@
 	wait     telling
 	// starved is set if the job needs something running at once.
 	starved bool
+	// fresh is set if only this coordinator has seen the end that opened the step.
+	fresh bool
+	// located are pending tasks whose last run only this coordinator saw end.
+	located map[int]struct{}
 	// lastChance is set while a task is placed whose next failure would be the
 	// last.
 	lastChance bool
@@ -215,19 +223,20 @@
 			break
 		}
 		if o := j.Open(number); o != nil {
-			c.openSteps(j, o)
+			c.openSteps(j, o, false)
 		}
 	}
 }
 
-// openSteps lists the tasks of the steps whose turn has come.
-func (c *Core) openSteps(j *job, o *jobs.Occurrence) {
+// openSteps lists the tasks of the steps whose turn has come. They are fresh if
+// no predecessor can have opened them.
+func (c *Core) openSteps(j *job, o *jobs.Occurrence, fresh bool) {
 	for i := range o.Steps {
 		key := [2]int{o.Number, i}
 		if o.Steps[i].Left == 0 || j.work[key] != nil || !j.Ready(o, i) {
 			continue
 		}
-		w := &work{job: j, number: o.Number, index: i, step: &j.Spec.Steps[i], onRunner: map[*runner]int{},
+		w := &work{job: j, number: o.Number, index: i, step: &j.Spec.Steps[i], fresh: fresh, onRunner: map[*runner]int{},
 			kind: c.harm.model.Kind(j.Spec.Steps[i].Image), rest: j.chainFrom(i),
 			advice: advised{tickets: map[string]ticket{}}}
 		if w.step.Fills {
--- a/coordinator/journal_test.go
+++ b/coordinator/journal_test.go
@@ -128,6 +128,26 @@
 	}
 }
 
+// A coordinator that can't renew its lease may have a successor that keeps the
+// runs of a runner alive which it can't reach itself. It must not take them as
+// lapsed, and start their tasks elsewhere.
+func TestLapseIsNoProofWithoutTheLease(t *testing.T) {
+	now := 20 * time.Second
+	clock := func() time.Duration { return now }
+	l := newLink(&tenure{term: leadership.NewTerm(1, now, clock), env: Environment{Clock: clock}}, "a", "", time.Second)
+	silent := errors.New("no answer")
+	if !l.proved(silent, now) {
+		t.Error("leases that lapsed are no proof while the lease is held")
+	}
+	now += leadership.Valid
+	if l.proved(silent, now) {
+		t.Error("leases are taken as lapsed while a successor may extend them")
+	}
+	if !l.proved(ErrWrongRunner, now) {
+		t.Error("another runner at the address is no proof")
+	}
+}
+
 // replaced answers as another runner at the same address does.
 type replaced struct{}
 
--- a/coordinator/link.go
+++ b/coordinator/link.go
@@ -133,6 +133,14 @@
 	return now > l.lease.lapsed
 }
 
+// proved reports whether a failed call proves that nothing runs there any more:
+// another runner has the address, or every lease has lapsed. While another process
+// may hold the coordinator's lease, it may have extended those of the runs.
+func (l *link) proved(err error, now time.Duration) bool {
+	lapsed := l.unanswered(now)
+	return errors.Is(err, ErrWrongRunner) || lapsed && l.t.term.Exclusive()
+}
+
 // doubt records an order without an answer.
 func (l *link) doubt() {
 	l.mu.Lock()
@@ -166,8 +174,7 @@
 		if err != nil {
 			l.t.env.Count("hold_unanswered", 1)
 			l.t.post(ctx, silentEvent{l.runner})
-			// Another runner at the address proves that this one has ended.
-			if (l.unanswered(now) || errors.Is(err, ErrWrongRunner)) && !lapsed {
+			if l.proved(err, now) && !lapsed {
 				lapsed = true
 				l.t.post(ctx, lapsedEvent{l.runner})
 			}
--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -102,6 +102,7 @@
 	if x == nil {
 		return c.adopt(r, s, now)
 	}
+	x.located = x.located || rep.Sent-x.adopted >= locateTime
 	if x.phase == starting {
 		x.phase = running
 		x.confirmed = rep.Sent
@@ -142,7 +143,7 @@
 		return nil
 	}
 	x := &run{job: j, task: s.Task, number: s.Run, runner: r, step: &j.Spec.Steps[s.Task.Step], kind: c.harm.model.Kind(j.Spec.Steps[s.Task.Step].Image), phase: running,
-		settled: new(atomic.Bool), began: now, confirmed: now, pace: unknownPace}
+		settled: new(atomic.Bool), began: now, adopted: now, confirmed: now, pace: unknownPace}
 	c.attach(x)
 	x.observe(s, now)
 	t := j.Task(s.Task)
@@ -232,18 +233,22 @@
 	}
 	switch e.How {
 	case EndedDone:
-		c.done(j, e, x != nil, now)
+		c.done(j, e, x, now)
 	case EndedFailed:
 		c.failed(j, e, now)
 	default:
 		c.touch(j, false)
 	}
+	if x != nil && x.located {
+		x.work.noteLocated(e.Task.Index)
+	}
 	c.requeue(j, e.Task)
 }
 
-func (c *Core) done(j *job, e RunEnd, known bool, now time.Duration) {
+// done marks a task as done. Its run is nil if it is not known here.
+func (c *Core) done(j *job, e RunEnd, x *run, now time.Duration) {
 	step := &j.Spec.Steps[e.Task.Step]
-	if !known && len(j.runs[e.Task]) > 0 && !step.Speculative {
+	if x == nil && len(j.runs[e.Task]) > 0 && !step.Speculative {
 		// The run was written off and its task started elsewhere; that run
 		// decides.
 		return
@@ -271,7 +276,7 @@
 		return
 	}
 	if o := j.Current[e.Task.Occurrence]; finished && o != nil {
-		c.openSteps(j, o)
+		c.openSteps(j, o, x != nil && x.located)
 	}
 }
 
--- a/coordinator/schedule.go
+++ b/coordinator/schedule.go
@@ -28,7 +28,8 @@
 	slices.SortFunc(c.waiting, func(a, b *work) int { return a.stand.compare(b.stand) })
 	strays := c.strays()
 	for _, w := range c.waiting {
-		if w.job.inherited && len(c.unresolved) > 0 {
+		tasks := c.startable(w)
+		if len(tasks) == 0 {
 			c.tellWait(w, "runners of the predecessor are not resolved", now)
 			continue
 		}
@@ -47,7 +48,7 @@
 			c.startGang(w, now)
 			continue
 		}
-		c.startTasks(w, now)
+		c.startTasks(w, tasks, now)
 	}
 	c.dropEmpty()
 }
@@ -83,8 +84,8 @@
 	})
 }
 
-func (c *Core) startTasks(w *work, now time.Duration) {
-	for _, index := range slices.Clone(w.pending) {
+func (c *Core) startTasks(w *work, tasks []int, now time.Duration) {
+	for _, index := range tasks {
 		w.lastChance = w.job.queue.Attempts > 1 && w.job.Failures(w.taskID(index)) >= w.job.queue.Attempts-1
 		since := c.full.since(w, now)
 		r := c.pick(w, now, nil, since)
@@ -112,7 +113,8 @@
 	id := w.taskID(index)
 	t := w.job.Task(id)
 	t.LastRun = number
-	x := &run{job: w.job, task: id, number: number, runner: r, step: w.step, kind: w.kind, settled: new(atomic.Bool), began: now, pace: fullPace, stand: w.stand}
+	delete(w.located, index)
+	x := &run{located: true, job: w.job, task: id, number: number, runner: r, step: w.step, kind: w.kind, settled: new(atomic.Bool), began: now, pace: fullPace, stand: w.stand}
 	if w.step.Fills {
 		c.limitPace(r, w, now)
 	}
--- a/leadership/leadership.go
+++ b/leadership/leadership.go
@@ -63,6 +63,13 @@
 	clock           func() time.Duration
 }
 
+// NewTerm returns a tenure whose lease was renewed at a time of the clock.
+func NewTerm(epoch uint64, renewed time.Duration, clock func() time.Duration) *Term {
+	t := &Term{Epoch: epoch, clock: clock}
+	t.renewed.Store(int64(renewed))
+	return t
+}
+
 // Exclusive reports whether no other process can hold the lease now.
 func (t *Term) Exclusive() bool {
 	return t.clock()-time.Duration(t.renewed.Load()) < Valid
@@ -175,8 +182,8 @@
 	}
 	c.count("lease_taken")
 	c.Log.WithFields(logrus.Fields{"epoch": next.Epoch, "reason": why.reason, "predecessor": seen.Holder}).Info("lease taken")
-	term := &Term{Epoch: next.Epoch, PredecessorGone: why.gone, clock: c.Clock}
-	term.renewed.Store(int64(sent))
+	term := NewTerm(next.Epoch, sent, c.Clock)
+	term.PredecessorGone = why.gone
 	leading, cancel := context.WithCancelCause(ctx)
 	done := make(chan error, 1)
 	go func() { done <- c.Lead(leading, term) }()
