Read through placement and paces: one use for each map, one check of eligibility

Found by reading the diff as a newcomer. share used one map for what is asked and then for the paces; worthPacing returned a condition it had just tested; a mark of full runners held a number one higher than its comment said; hasBetter repeated the checks of eligible, without the label and the spread. jobs.Spec.Chain and the runner's zone were no longer used, and zone is a word of the platform's. Six tests began jobs in the same four lines (World.begin).

No decision changes but that a stuck task is no longer moved for the sake of a runner that lacks its label or has its spread.

--- a/coordinator/harm_test.go
+++ b/coordinator/harm_test.go
@@ -24,9 +24,7 @@
 // harmWorld has one runner with a serving task at work.
 func harmWorld(t *testing.T) (*world, Order) {
 	w := newWorld(t, machine("a", 32000))
-	w.accept(firstID, false, serving("shop"))
-	o := starts(w.schedule())[0]
-	w.answer(o, Accepted, false)
+	o := w.begin(firstID, serving("shop"))[0]
 	return w, o
 }
 
@@ -96,11 +94,7 @@
 // another runner is free of the victim.
 func TestHarmfulImageIsPlacedElsewhere(t *testing.T) {
 	w, victim := harmWorld(t)
-	w.accept(secondID, false, filling(2, "render"))
-	fills := starts(w.schedule())
-	for _, o := range fills {
-		w.answer(o, Accepted, false)
-	}
+	fills := w.begin(secondID, filling(2, "render"))
 	for range 40 {
 		w.tails(victim, fills, 200)
 	}
@@ -132,9 +126,7 @@
 // image away: jobs waited for good although runners had become free.
 func TestPaceIsForgottenWithItsTasks(t *testing.T) {
 	w, victim := harmWorld(t)
-	w.accept(secondID, false, filling(1, "render"))
-	fill := starts(w.schedule())[0]
-	w.answer(fill, Accepted, false)
+	fill := w.begin(secondID, filling(1, "render"))[0]
 	for range 6 {
 		w.tails(victim, []Order{fill}, 200)
 	}
@@ -153,9 +145,7 @@
 	w, victim := harmWorld(t)
 	render := filling(1, "render")
 	render.Checkpoints = true
-	w.accept(secondID, false, render)
-	fill := starts(w.schedule())[0]
-	w.answer(fill, Accepted, false)
+	fill := w.begin(secondID, render)[0]
 	for range 9 { // the pace has to fall first, then to stay low
 		w.tails(victim, []Order{fill}, 200)
 		w.core.Watch(w.now)
@@ -181,9 +171,7 @@
 // nothing running, also if its tasks would disturb whoever serves.
 func TestNoJobStarvesWhileMostRoomIsFree(t *testing.T) {
 	w, victim := harmWorld(t)
-	w.accept(secondID, false, filling(1, "render"))
-	fill := starts(w.schedule())[0]
-	w.answer(fill, Accepted, false)
+	fill := w.begin(secondID, filling(1, "render"))[0]
 	for range 8 {
 		w.tails(victim, []Order{fill}, 300)
 	}
--- a/coordinator/pace.go
+++ b/coordinator/pace.go
@@ -240,6 +240,7 @@
 	for kind, ask := range asked {
 		wanted += min(ask, allowed[kind])
 	}
+	paces := make(map[interference.Kind]int, len(asked))
 	for kind, ask := range asked {
 		use := min(ask, allowed[kind])
 		if wanted > free {
@@ -247,11 +248,10 @@
 		}
 		allowed[kind] -= use
 		used += use
-		asked[kind] = use * fullPace / max(1, ask) // now the pace
+		paces[kind] = max(minPace, int(use*fullPace/max(1, ask)))
 	}
 	for _, x := range equals {
-		pace := max(minPace, int(asked[x.kind]))
-		if x.phase == running && x.worthPacing(pace) {
+		if pace := paces[x.kind]; x.phase == running && x.worthPacing(pace) {
 			c.orderPace(x, pace)
 		}
 	}
@@ -261,12 +261,14 @@
 // worthPacing reports whether a change of pace is worth an order: each is a call
 // to a runner.
 func (x *run) worthPacing(pace int) bool {
-	if pace == x.pace || x.pace < 0 {
-		return pace != x.pace
-	}
 	step := max(paceStep, int(paceShare*float64(x.pace)))
-	ends := pace == fullPace || pace == minPace
-	return ends || pace > x.pace+step || pace < x.pace-step
+	switch {
+	case pace == x.pace:
+		return false
+	case x.pace == unknownPace, pace == fullPace, pace == minPace:
+		return true
+	}
+	return pace > x.pace+step || pace < x.pace-step
 }
 
 // paceBand is the part of the range in which the log tells paces apart.
--- a/coordinator/pace_test.go
+++ b/coordinator/pace_test.go
@@ -112,11 +112,7 @@
 // disturbance was taken for their own load.
 func TestLargeDisturbanceIsLaidToNeighbours(t *testing.T) {
 	w, victim := harmWorld(t)
-	w.accept(secondID, false, filling(2, "render"))
-	fills := starts(w.schedule())
-	for _, o := range fills {
-		w.answer(o, Accepted, false)
-	}
+	fills := w.begin(secondID, filling(2, "render"))
 	h := &w.core.harm
 	shop, render := h.model.Kind("shop"), h.model.Kind("render")
 	for range 60 { // so far they were harmless
@@ -135,9 +131,7 @@
 // but stopped: dividing what is left ended the process on a played day.
 func TestPacesOnAFullRunner(t *testing.T) {
 	w, _ := harmWorld(t)
-	w.accept(secondID, false, filling(1, "render"))
-	fill := starts(w.schedule())[0]
-	w.answer(fill, Accepted, false)
+	fill := w.begin(secondID, filling(1, "render"))[0]
 	r := w.core.runners["a"]
 	r.fill(w.core.harm.model.Kind("render")).pace = minPace
 	r.firm = r.Capacity.CPUMilli
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -56,8 +56,8 @@
 // fullMark records that no runner had room for work that asks for least.
 type fullMark struct {
 	least structs.Resources
-	seen  uint64 // of Core.changes
-	whole time.Duration
+	seen  uint64        // Core.changes at that time
+	whole time.Duration // when every runner was looked at last
 }
 
 // fullFor are the marks of work that found no runner. They save looking at all
@@ -66,8 +66,8 @@
 // the coordinator's processor time.
 type fullFor map[demand]fullMark
 
-// since returns the changes of runners after which it is worth looking at one
-// for the step's next task.
+// since returns the change of Core.changes after which a runner must have changed
+// to be worth a look for the step's next task. It is zero if all are.
 func (f fullFor) since(w *work, now time.Duration) uint64 {
 	m, ok := f[w.demand(now)]
 	if !ok || !w.plainDemand() || !m.least.Fits(w.step.Ask) || now-m.whole >= refreshTime {
@@ -88,7 +88,7 @@
 		return
 	}
 	d := w.demand(now)
-	m := fullMark{least: w.step.Ask, seen: changes, whole: now}
+	m := fullMark{w.step.Ask, changes, now}
 	if since > 0 {
 		m.least, m.whole = f[d].least, f[d].whole
 	}
@@ -111,8 +111,8 @@
 
 // pick returns the runner on which the step's next task is expected to end
 // first, or nil if none may take it now. Of many that could, sampleSize are
-// compared, others each time. Rack, if set, confines the choice.
-// Only runners that changed after since are looked at.
+// compared, others each time. Rack and since, if set, confine the choice: to a
+// rack, and to runners that have changed after since.
 func (c *Core) pick(w *work, now time.Duration, rack *string, since uint64) *runner {
 	var best *runner
 	var bestCost float64
@@ -120,7 +120,7 @@
 	tried := 0
 	for i := range all {
 		r := all[(c.cursor+i)%len(all)]
-		if r.change < since || rack != nil && r.Rack != *rack || !c.eligible(w, r, now) {
+		if since > 0 && r.change <= since || rack != nil && r.Rack != *rack || !c.eligible(w, r, now) {
 			continue
 		}
 		cost := c.cost(w, r, now)
@@ -224,12 +224,11 @@
 // idle processors at the pace that spares the tasks that serve, and the harm
 // that it would do them.
 func (c *Core) fillCost(w *work, r *runner, factor float64, now time.Duration) float64 {
-	ask := max(1, w.step.Ask.CPUMilli)
-	p := c.prospect(r, w.kind, ask, w.stand)
+	p := c.prospect(r, w.step, w.kind, w.stand)
 	if c.fillObstacle(w, r, p, now) != noObstacle {
 		return -1
 	}
-	share := min(100, p.free*100/ask)
+	share := min(100, p.free*100/max(1, w.step.Ask.CPUMilli))
 	pace := max(minPace, p.pace)
 	return factor*100/float64(share)*fullPace/float64(pace) + harmWeight*p.harm - float64(p.free)/float64(1+r.Capacity.CPUMilli)/4
 }
--- a/coordinator/prospect.go
+++ b/coordinator/prospect.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"bergamotstile/interference"
+	"bergamotstile/jobs"
 )
 
 // Bounds of what placement expects beside serving tasks.
@@ -67,9 +68,10 @@
 	harm float64
 }
 
-// prospect works out what a filling task finds. Tasks of classes that are served
+// prospect works out what a task of a filling step finds. Tasks of classes that are served
 // after it make room.
-func (c *Core) prospect(r *runner, kind interference.Kind, ask int64, stand standing) prospect {
+func (c *Core) prospect(r *runner, s *jobs.Step, kind interference.Kind, stand standing) prospect {
+	ask := max(1, s.Ask.CPUMilli)
 	var all, same int64
 	for _, x := range r.fillers {
 		if !stand.class().before(x.stand.class()) {
--- a/coordinator/schedule.go
+++ b/coordinator/schedule.go
@@ -90,7 +90,7 @@
 		since := c.full.since(w, now)
 		r := c.pick(w, now, nil, since)
 		if r == nil {
-			c.full.note(w, since, c.changes+1, now)
+			c.full.note(w, since, c.changes, now)
 			c.tellNoRunner(w, now)
 			c.ask(w, now)
 			return
--- a/coordinator/types.go
+++ b/coordinator/types.go
@@ -16,7 +16,6 @@
 	ID       string
 	Address  string
 	Service  string
-	Zone     string
 	Rack     string
 	Labels   []string
 	Capacity structs.Resources
--- a/coordinator/watch.go
+++ b/coordinator/watch.go
@@ -102,15 +102,14 @@
 
 // hasBetter reports whether another runner would run the task at betterPace.
 func (c *Core) hasBetter(x *run, now time.Duration) bool {
-	ask := max(1, x.step.Ask.CPUMilli)
+	if x.work == nil {
+		return false
+	}
 	for _, r := range c.runners {
-		if r == x.runner || r.Service != x.runner.Service || !r.usable() || r.health.avoided(now) || c.troubled(r, now) {
-			continue
-		}
-		if !r.held.Add(x.step.Reserved()).Fits(r.Capacity) {
+		if r == x.runner || !c.eligible(x.work, r, now) || c.troubled(r, now) {
 			continue
 		}
-		if p := c.prospect(r, x.kind, ask, x.stand); p.free >= ask && p.pace >= betterPace {
+		if p := c.prospect(r, x.step, x.kind, x.stand); p.free >= x.step.Ask.CPUMilli && p.pace >= betterPace {
 			return true
 		}
 	}
--- a/coordinator/world_test.go
+++ b/coordinator/world_test.go
@@ -78,6 +78,18 @@
 	w.core.Answered(Answer{Order: o, Outcome: outcome, Repeated: repeated}, w.now)
 }
 
+// begin accepts a job and returns the starts of its tasks, which the runners have
+// accepted.
+func (w *world) begin(id jobs.ID, steps ...jobs.Step) []Order {
+	w.t.Helper()
+	w.accept(id, false, steps...)
+	orders := starts(w.schedule())
+	for _, o := range orders {
+		w.answer(o, Accepted, false)
+	}
+	return orders
+}
+
 func starts(orders []Order) []Order { return ofKind(orders, Start) }
 
 func ofKind(orders []Order, kind OrderKind) []Order {
--- a/jobs/spec.go
+++ b/jobs/spec.go
@@ -138,21 +138,6 @@
 	return nil
 }
 
-// Chain returns the estimated run time of the longest chain of steps.
-func (s *Spec) Chain() time.Duration {
-	ends := make([]time.Duration, len(s.Steps))
-	var longest time.Duration
-	for i, step := range s.Steps {
-		var begin time.Duration
-		for _, before := range step.After {
-			begin = max(begin, ends[before])
-		}
-		ends[i] = begin + step.Estimate
-		longest = max(longest, ends[i])
-	}
-	return longest
-}
-
 // LongRunning reports whether a task of the job runs until it is cancelled.
 func (s *Spec) LongRunning() bool {
 	for _, step := range s.Steps {
