Keep the platform's words in platform/: the soak speaks through hostedtest

Found by reading the diff: package soak wrote the registry, the configuration, the settings file and job bodies with the platform's names.

--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -1,11 +1,9 @@
 package soak_test
 
 import (
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
-	"os"
 	"path/filepath"
 	"sync"
 	"sync/atomic"
@@ -16,10 +14,9 @@
 	"bergamotstile/standin"
 )
 
+var route = hostedtest.Route{Host: "soak.example", Prefix: "/jobs/", Service: "paths", Attempts: attempts}
+
 const (
-	service       = "paths"
-	host          = "soak.example"
-	prefix        = "/jobs/"
 	runnerMilli   = 8000 // processors of a runner, in thousandths
 	attempts      = 4
 	runnerClock   = 0.98 // rate of every other runner's clock, the slowest allowed
@@ -95,7 +92,7 @@
 			return d, err
 		}
 	}
-	d.configure(configVersion)
+	d.store.Configure(configVersion, route)
 	for i := range instances {
 		if err := d.addInstance(i, address); err != nil {
 			return d, err
@@ -119,55 +116,15 @@
 	if r.proxy, err = standin.StartProxy("127.0.0.1:0", address); err != nil {
 		return err
 	}
-	d.register(r, "ready")
+	d.register(r, false)
 	return nil
 }
 
-// register writes a runner's entry. It is removed if state is empty.
-func (d *deployment) register(r *runner, state string) {
-	if state == "" {
-		d.store.Put("servers", r.ID, nil)
-		return
-	}
-	entry := map[string]any{"service": service, "address": r.proxy.Address(), "zone": "east", "state": state, "remaining-ms": 4000,
-		"capacity": map[string]any{"cpu": runnerMilli, "mem-mb": 64_000}, "labels": []string{"a", "r-1"}}
-	value, _ := json.Marshal(entry) // plain values can't fail
-	d.store.Put("servers", r.ID, value)
+// register writes a runner's entry.
+func (d *deployment) register(r *runner, draining bool) {
+	d.store.Register(hostedtest.Entry{ID: r.ID, Service: route.Service, Address: r.proxy.Address(), CPUMilli: runnerMilli, Draining: draining})
 }
 
-// configure puts a version of the configuration in force.
-func (d *deployment) configure(version int) {
-	config := map[string]any{
-		"version": version,
-		"routes": []map[string]any{{"name": "renders", "host": host, "prefix": prefix, "service": service, "timeout-ms": 3000,
-			"target-latency-ms": 1000, "priority": 0, "attempts": attempts, "stretch": 2}},
-		"services": []map[string]any{{"name": service, "enforces-capacity": false}},
-		"limits":   map[string]any{"max-body-bytes": 100_000},
-	}
-	value, _ := json.Marshal(config) // plain values can't fail
-	d.store.Put("op", "config", value)
-}
-
-const settingsText = `node = %q
-zone = "east"
-ip = "127.0.0.1"
-[listen]
-front = %q
-readiness = %q
-[limits]
-cpu-share = 0.5
-cores = 1
-[bounds]
-grace-s = 3
-hold-max-ms = 10000
-early_ms = 250
-status_s = 120
-far-factor = 2
-harm-ms = 4000
-[platform]
-address = %q
-`
-
 func (d *deployment) addInstance(i int, store string) error {
 	in := &instance{name: fmt.Sprint("entry-", i), settings: filepath.Join(d.dir, fmt.Sprintf("entry-%d.toml", i))}
 	d.instances = append(d.instances, in)
@@ -182,8 +139,8 @@
 	if in.ready, err = freeAddress(address); err != nil {
 		return err
 	}
-	text := fmt.Sprintf(settingsText, in.name, in.front, in.ready, in.toStore.Address())
-	if err := os.WriteFile(in.settings, []byte(text), 0o600); err != nil {
+	settings := hostedtest.Settings{Instance: in.name, Front: in.front, Readiness: in.ready, Store: in.toStore.Address()}
+	if err := settings.Write(in.settings); err != nil {
 		return err
 	}
 	return d.start(in)
@@ -198,7 +155,7 @@
 	deadline := time.Now().Add(limit)
 	for _, in := range d.instances {
 		for {
-			res, err := http.Get("http://" + in.ready + "/api/ready")
+			res, err := http.Get("http://" + in.ready + hostedtest.ReadyPath)
 			if err == nil {
 				_ = res.Body.Close()
 				if res.StatusCode == http.StatusOK {
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -70,9 +70,8 @@
 	}
 }
 
-func (f *faults) killInstance(ctx context.Context) {
-	in, pause := f.instance(), f.duration(0, 2*time.Second)
-	f.log("kill %s for %v", in.name, pause)
+// kill ends an instance's process for a while.
+func (f *faults) kill(ctx context.Context, in *instance, pause time.Duration) {
 	f.background(func() {
 		in.mu.Lock()
 		defer in.mu.Unlock()
@@ -81,16 +80,17 @@
 	})
 }
 
+func (f *faults) killInstance(ctx context.Context) {
+	in, pause := f.instance(), f.duration(0, 2*time.Second)
+	f.log("kill %s for %v", in.name, pause)
+	f.kill(ctx, in, pause)
+}
+
 func (f *faults) killAll(ctx context.Context) {
 	pause := f.duration(0, 2*time.Second)
 	f.log("kill every instance for %v", pause)
 	for _, in := range f.d.instances {
-		f.background(func() {
-			in.mu.Lock()
-			defer in.mu.Unlock()
-			in.process.Kill()
-			f.restart(ctx, in, pause)
-		})
+		f.kill(ctx, in, pause)
 	}
 }
 
@@ -205,17 +205,17 @@
 	f.background(func() {
 		f.links[r.proxy].Lock()
 		defer f.links[r.proxy].Unlock()
-		f.d.register(r, "draining")
+		f.d.register(r, true)
 		sleep(ctx, lasts)
 		r.Crash()
-		f.d.register(r, "")
+		f.d.store.Unregister(r.ID)
 		sleep(ctx, time.Second)
-		f.d.register(r, "ready")
+		f.d.register(r, false)
 	})
 }
 
 func (f *faults) changeConfig(context.Context) {
 	f.version += 1 + f.random.IntN(3)
 	f.log("configuration %d", f.version)
-	f.d.configure(f.version)
+	f.d.store.Configure(f.version, route)
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -70,6 +70,7 @@
 	d, err := deploy(dir, seed, *size, *fleet)
 	defer d.close()
 	if err != nil {
+		keep(t, dir, seed, nil)
 		t.Fatal(err)
 	}
 	var mu sync.Mutex
@@ -117,7 +118,7 @@
 			if j.lasting && !j.cancelled {
 				c.cancel(j, random)
 			}
-			if !c.check(j, c.state(j, random)) {
+			if !c.check(j, random) {
 				still = append(still, j)
 			}
 		}
