Say which runners of a predecessor are waited for, and log fewer paces

The coordinator now names the awaited runners and the time left, after 1 s and then every 5 s.

No change of behaviour; tests of coordinator and platform/hosted pass.

--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -123,6 +123,7 @@
 	// unresolved are runners that may run tasks of a predecessor unseen.
 	unresolved map[string]struct{}
 	resolveBy  time.Duration
+	awaited    telling // spaces the lines about unresolved runners
 	// storeOffset is the store's clock less the local one.
 	storeOffset time.Duration
 	counters    Counter
@@ -182,19 +183,6 @@
 // SetStoreClock tells the core the store's clock.
 func (c *Core) SetStoreClock(local, store time.Duration) { c.storeOffset = store - local }
 
-// Inherit names the runners that may run a predecessor's tasks and the time at
-// which their leases have lapsed for certain.
-func (c *Core) Inherit(runners []string, lapsed time.Duration) {
-	for _, id := range runners {
-		c.unresolved[id] = struct{}{}
-	}
-	c.resolveBy = lapsed
-}
-
-// Unresolved returns the number of runners that may run a predecessor's tasks
-// unseen.
-func (c *Core) Unresolved() int { return len(c.unresolved) }
-
 // Accept adds a job. An inherited one may have runs of a predecessor.
 func (c *Core) Accept(accepted *jobs.Job, inherited bool, wall time.Duration) {
 	if _, known := c.jobs[accepted.ID]; known || accepted.State.Terminal() {
--- a/coordinator/pace.go
+++ b/coordinator/pace.go
@@ -271,22 +271,9 @@
 	return pace > x.pace+step || pace < x.pace-step
 }
 
-// paceBand is the part of the range in which the log tells paces apart.
-func paceBand(pace int) int {
-	switch {
-	case pace >= fullPace:
-		return fullPace
-	case pace >= leastPace:
-		return leastPace
-	case pace > stuckPace:
-		return stuckPace
-	}
-	return minPace
-}
-
 func (c *Core) orderPace(x *run, percent int) {
 	c.counters("paces", 1)
-	if paceBand(percent) != paceBand(x.pace) {
+	if (percent > stuckPace) != (x.pace > stuckPace || x.pace == unknownPace) {
 		c.log.WithFields(logrus.Fields{"task": x.task, "run": x.number, "runner": x.runner.ID, "pace": percent, "before": x.pace}).Info("pace ordered")
 	}
 	if x.pace > stuckPace || percent > stuckPace {
--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -24,12 +24,7 @@
 		c.sorted = nil
 	}
 	c.noteIncarnation(r, rep)
-	if _, ok := c.unresolved[rep.Runner]; ok {
-		delete(c.unresolved, rep.Runner)
-		if len(c.unresolved) == 0 {
-			c.log.Info("every runner of the predecessor is resolved")
-		}
-	}
+	c.resolve(rep.Runner)
 	r.reported, r.suspect = true, false
 	r.strays = nil
 	for i, end := range rep.Ended {
--- a/coordinator/runner.go
+++ b/coordinator/runner.go
@@ -116,7 +116,7 @@
 // RunnerLapsed records that every lease on a runner has lapsed: nothing runs
 // there any more.
 func (c *Core) RunnerLapsed(id string, now time.Duration) {
-	delete(c.unresolved, id)
+	c.resolve(id)
 	r := c.runners[id]
 	if r == nil {
 		return
--- a/coordinator/schedule.go
+++ b/coordinator/schedule.go
@@ -14,10 +14,7 @@
 // of day.
 func (c *Core) Schedule(now, wall time.Duration) {
 	c.openTimed(wall)
-	if len(c.unresolved) > 0 && now > c.resolveBy {
-		c.log.WithField("runners", len(c.unresolved)).Warn("leases of the predecessor have lapsed")
-		clear(c.unresolved)
-	}
+	c.lapseInherited(now)
 	c.dropEmpty()
 	c.updateReserves(now)
 	store := now + c.storeOffset
