Reproduce incident inc1: a lost runner's lease is waited for again after a takeover

A runner is lost with a long-running task, half of its lease passes, the coordinator is stopped as planned, and its successor starts. Once the lease has lapsed the task must run on the other runner.

--- /dev/null
+++ b/coordinator/handover_test.go
@@ -0,0 +1,116 @@
+package coordinator
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"bergamotstile/gateway"
+	"bergamotstile/jobs"
+	"bergamotstile/leadership"
+)
+
+// manualClock is a clock that only the test moves.
+type manualClock struct{ reading atomic.Int64 }
+
+func (c *manualClock) now() time.Duration      { return time.Duration(c.reading.Load()) }
+func (c *manualClock) advance(d time.Duration) { c.reading.Add(int64(d)) }
+func startClock(reading time.Duration) *manualClock {
+	c := &manualClock{}
+	c.advance(reading)
+	return c
+}
+
+// patience ends a test whose awaited state does not come.
+const patience = 5 * time.Second
+
+// lead runs a term whose lease never runs out. The returned function stops it as
+// a planned stop does.
+func lead(env Environment, epoch uint64) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = Lead(ctx, env, leadership.NewTerm(epoch, 24*time.Hour, env.Clock))
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
+// lastingJob submits a job with one long-running task.
+func lastingJob(t *testing.T, g *gateway.Gateway) jobs.TaskID {
+	t.Helper()
+	step := plain(1, 1000)
+	step.LongRunning = true
+	if err := g.Submit(context.Background(), renders, firstID, jobs.Spec{Text: "text", Steps: []jobs.Step{step}}); err != nil {
+		t.Fatal(err)
+	}
+	return task(firstID, 0, 0)
+}
+
+// awaitRunner returns the runner on which a task runs.
+func (f *fleet) awaitRunner(t *testing.T, id jobs.TaskID) string {
+	t.Helper()
+	for until := time.Now().Add(patience); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
+		f.mu.Lock()
+		for name, r := range f.runners {
+			if r.runs[id] != nil && !r.gone {
+				f.mu.Unlock()
+				return name
+			}
+		}
+		f.mu.Unlock()
+	}
+	t.Fatalf("task %v runs nowhere", id)
+	return ""
+}
+
+// remove takes a runner away for good, with all that it runs.
+func (f *fleet) remove(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r := f.runners[name]
+	r.gone = true
+	for id := range r.runs {
+		f.running[id]--
+	}
+	clear(r.runs)
+}
+
+// awaitEpoch waits until a runner has obeyed the coordinator of an epoch.
+func (f *fleet) awaitEpoch(t *testing.T, epoch uint64) {
+	t.Helper()
+	for until := time.Now().Add(patience); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
+		f.mu.Lock()
+		for _, r := range f.runners {
+			if r.epoch == epoch {
+				f.mu.Unlock()
+				return
+			}
+		}
+		f.mu.Unlock()
+	}
+	t.Fatalf("no runner obeys epoch %d", epoch)
+}
+
+// Guards against a long-running task of a lost runner that stands still for the
+// whole lease again after each takeover (incident inc1).
+func TestPlannedTakeoverDoesNotWaitAnewForLostRunner(t *testing.T) {
+	f := newFleet(2, 1)
+	f.runTime = time.Hour
+	store, env := deployment(t, f)
+	clock := startClock(time.Minute)
+	env.Clock, env.StoreClock = clock.now, clock.now
+	stop := lead(env, 1)
+	id := lastingJob(t, &gateway.Gateway{Store: store, Clock: clock.now})
+	f.remove(f.awaitRunner(t, id))
+	clock.advance(env.Lease / 2)
+	stop()
+	defer lead(env, 2)()
+	f.awaitEpoch(t, 2)
+	clock.advance(env.Lease/2 + time.Second) // the leases of the lost runner have lapsed
+	f.awaitRunner(t, id)
+}
--- a/coordinator/tenure_test.go
+++ b/coordinator/tenure_test.go
@@ -41,6 +41,7 @@
 	used     map[jobs.TaskID]int // highest run ended or stopped
 	ended    []RunEnd
 	next     int
+	gone     bool // answers no calls
 }
 
 type fakeRun struct {
@@ -86,6 +87,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	r := f.runners[h.Runner]
+	if r.gone {
+		return HoldResponse{}, errNoAnswer
+	}
 	f.advance(r)
 	if h.Epoch < r.epoch {
 		return HoldResponse{}, ErrFenced
@@ -108,6 +112,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	r := f.runners[o.Runner]
+	if r.gone {
+		return 0, errNoAnswer
+	}
 	f.advance(r)
 	if epoch < r.epoch {
 		return 0, ErrFenced
