--- /dev/null
+++ b/coordinator/notes.go
@@ -0,0 +1,75 @@
+package coordinator
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"bergamotstile/gateway"
+	"bergamotstile/rowstore"
+)
+
+const (
+	notesEvery = time.Second
+	// learnedEvery is how often what is known of interference is stored.
+	learnedEvery = 4 * time.Second
+)
+
+// Rows that a successor starts from.
+var (
+	rosterKey  = rowstore.Key{Table: "lease", Part: sharedPart, Key: "roster"}
+	learnedKey = rowstore.Key{Table: "lease", Part: sharedPart, Key: "interference"}
+)
+
+// writeNotes stores the numbers of pending jobs and the roster where they have
+// changed.
+func (t *tenure) writeNotes(now time.Duration) {
+	notes := map[rowstore.Key]string{rosterKey: strings.Join(t.core.Roster(), "\n")}
+	for queue, n := range t.core.Pending() {
+		notes[gateway.PendingKey(queue)] = strconv.Itoa(n)
+	}
+	t.addLearned(notes, now)
+	maps.DeleteFunc(notes, func(k rowstore.Key, v string) bool { return t.notes[k] == v })
+	if len(notes) == 0 {
+		return
+	}
+	select {
+	case t.noting <- struct{}{}:
+	default:
+		return
+	}
+	maps.Copy(t.notes, notes)
+	go func() {
+		defer func() { <-t.noting }()
+		t.putNotes(notes)
+	}()
+}
+
+// addLearned adds what is known of interference, now and then.
+func (t *tenure) addLearned(notes map[rowstore.Key]string, now time.Duration) {
+	if now < t.nextLearn {
+		return
+	}
+	t.nextLearn = now + learnedEvery
+	value, err := t.core.Learned()
+	if err != nil {
+		t.env.Log.WithError(err).Error("learned interference not stored")
+		return
+	}
+	notes[learnedKey] = string(value)
+}
+
+func (t *tenure) putNotes(notes map[rowstore.Key]string) {
+	var puts []rowstore.Put
+	for key, value := range notes {
+		puts = append(puts, rowstore.Put{Key: key, Value: []byte(value)})
+	}
+	for chunk := range slices.Chunk(puts, jobsPerTransaction) {
+		if err := t.journal.put(t.ctx, sharedPart, chunk); err != nil {
+			t.fail(err)
+			return
+		}
+	}
+}
--- a/coordinator/tenure.go
+++ b/coordinator/tenure.go
@@ -3,10 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"maps"
-	"slices"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -21,21 +17,9 @@
 const (
 	tickEvery = 100 * time.Millisecond
 	// storeEvery is the pause between writes of progress that is not urgent.
-	storeEvery = 60 * time.Millisecond
-	notesEvery = time.Second
-	sweepEvery = 10 * time.Second
-	// learnedEvery is how often what is known of interference is stored.
-	learnedEvery = 4 * time.Second
-	eventBuffer  = 1024
-	maxBatch     = 128 // events handled between two rounds of scheduling
-	sweepMargin  = 30 * time.Second
-	sweepJobs    = rowstore.MaxTransactionEntries/3 - 1
-)
-
-// Rows that a successor starts from.
-var (
-	rosterKey  = rowstore.Key{Table: "lease", Part: sharedPart, Key: "roster"}
-	learnedKey = rowstore.Key{Table: "lease", Part: sharedPart, Key: "interference"}
+	storeEvery  = 60 * time.Millisecond
+	eventBuffer = 1024
+	maxBatch    = 128 // events handled between two rounds of scheduling
 )
 
 // event is something that happened; apply is called by the loop.
@@ -325,79 +309,3 @@
 	t.links[info.ID] = l
 	go l.serve(ctx)
 }
-
-// writeNotes stores the numbers of pending jobs and the roster where they have
-// changed.
-func (t *tenure) writeNotes(now time.Duration) {
-	notes := map[rowstore.Key]string{rosterKey: strings.Join(t.core.Roster(), "\n")}
-	for queue, n := range t.core.Pending() {
-		notes[gateway.PendingKey(queue)] = strconv.Itoa(n)
-	}
-	t.addLearned(notes, now)
-	maps.DeleteFunc(notes, func(k rowstore.Key, v string) bool { return t.notes[k] == v })
-	if len(notes) == 0 {
-		return
-	}
-	select {
-	case t.noting <- struct{}{}:
-	default:
-		return
-	}
-	maps.Copy(t.notes, notes)
-	go func() {
-		defer func() { <-t.noting }()
-		t.putNotes(notes)
-	}()
-}
-
-// addLearned adds what is known of interference, now and then.
-func (t *tenure) addLearned(notes map[rowstore.Key]string, now time.Duration) {
-	if now < t.nextLearn {
-		return
-	}
-	t.nextLearn = now + learnedEvery
-	value, err := t.core.Learned()
-	if err != nil {
-		t.env.Log.WithError(err).Error("learned interference not stored")
-		return
-	}
-	notes[learnedKey] = string(value)
-}
-
-func (t *tenure) putNotes(notes map[rowstore.Key]string) {
-	var puts []rowstore.Put
-	for key, value := range notes {
-		puts = append(puts, rowstore.Put{Key: key, Value: []byte(value)})
-	}
-	for chunk := range slices.Chunk(puts, jobsPerTransaction) {
-		if err := t.journal.put(t.ctx, sharedPart, chunk); err != nil {
-			t.fail(err)
-			return
-		}
-	}
-}
-
-// sweep removes the rows of jobs that ended long ago.
-func (t *tenure) sweep() {
-	old := map[string][]jobs.ID{}
-	limit := t.env.StoreClock() - t.env.Retention - sweepMargin
-	for id, ended := range t.ended {
-		part := gateway.PartOf(id)
-		if ended < limit && len(old[part]) < sweepJobs {
-			old[part] = append(old[part], id)
-		}
-	}
-	for part, ids := range old {
-		for _, id := range ids {
-			delete(t.ended, id)
-			t.core.Forget(id)
-		}
-		go func() {
-			ctx, cancel := context.WithTimeout(t.ctx, journalTimeout)
-			defer cancel()
-			if err := t.journal.remove(ctx, part, ids); err != nil {
-				t.env.Log.WithError(err).WithField("jobs", len(ids)).Warn("rows of ended jobs not removed")
-			}
-		}()
-	}
-}
