Hand on when the leases on a silent runner expire

Cause: a wait that proves that nothing runs on a runner any more was begun anew by each successor. The predecessor had not reached three lost runners for 8 s and extended none of their leases, but nothing told its successor, which counted a whole lease from its own takeover: 17.57 s + 8.56 s = 26.13 s, when it ordered 77 starts at once.

Ruled out: no room (77 starts in one round went through), a late successor (it wrote progress from 17.58 s on).

Now the roster row holds when every lease on a silent runner has expired, on the store's clock. While it does, no lease there is extended and nothing is started; a runner that answers again is taken out of the row first. A planned stop stores the expiries of all runners; the successor drops those of runners that answered before it calls any. Writes of a deposed coordinator fail by its epoch, so a row that a successor has read stays true.

--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -120,8 +120,10 @@
 	urgent   bool
 	orders   []Order
 	requests []AdviceRequest
-	// unresolved are runners that may run tasks of a predecessor unseen.
-	unresolved map[string]struct{}
+	// unresolved are the runners that may run tasks of a predecessor unseen, and
+	// when their leases have lapsed for certain; resolveBy is when those of all
+	// others have.
+	unresolved map[string]time.Duration
 	resolveBy  time.Duration
 	awaited    telling // spaces the lines about unresolved runners
 	// storeOffset is the store's clock less the local one.
@@ -151,7 +153,7 @@
 		finished:   map[jobs.ID]struct{}{},
 		runners:    map[string]*runner{},
 		dirty:      map[*job]struct{}{},
-		unresolved: map[string]struct{}{},
+		unresolved: map[string]time.Duration{},
 		counters:   count,
 		harm:       newHarm(),
 		full:       fullFor{},
--- a/coordinator/core_test.go
+++ b/coordinator/core_test.go
@@ -33,7 +33,7 @@
 // must wait until it has, or until leases there have lapsed.
 func TestInheritedTasksWaitForUnseenRunners(t *testing.T) {
 	w := newWorld(t, machine("a", 4000))
-	w.core.Inherit([]string{"unseen"}, w.now+10*time.Second)
+	w.core.Inherit([]InheritedRunner{{"unseen", w.now + 10*time.Second}}, w.now+10*time.Second)
 	w.accept(firstID, true, plain(1, 1000))
 	w.accept(secondID, false, plain(1, 1000))
 	orders := starts(w.schedule())
--- a/coordinator/inherited.go
+++ b/coordinator/inherited.go
@@ -11,13 +11,28 @@
 // names.
 const maxAwaitedNamed = 6
 
-// Inherit names the runners that may run a predecessor's tasks and the time at
-// which their leases have lapsed for certain.
-func (c *Core) Inherit(runners []string, lapsed time.Duration) {
-	for _, id := range runners {
-		c.unresolved[id] = struct{}{}
+// InheritedRunner is a runner that may run a predecessor's tasks. Lapsed is when
+// their leases have lapsed for certain.
+type InheritedRunner struct {
+	ID     string
+	Lapsed time.Duration
+}
+
+// Inherit names the runners that may run a predecessor's tasks, and when its leases
+// have lapsed on any other.
+func (c *Core) Inherit(runners []InheritedRunner, others time.Duration) {
+	for _, r := range runners {
+		c.unresolved[r.ID] = r.Lapsed
+	}
+	c.resolveBy = others
+}
+
+// InheritedLapse returns when a predecessor's leases on a runner have lapsed.
+func (c *Core) InheritedLapse(id string) time.Duration {
+	if lapsed, ok := c.unresolved[id]; ok {
+		return lapsed
 	}
-	c.resolveBy = lapsed
+	return c.resolveBy
 }
 
 // Unresolved returns the number of runners that may run a predecessor's tasks
@@ -37,15 +52,15 @@
 
 // lapseInherited resolves the runners on which a predecessor's leases have lapsed.
 func (c *Core) lapseInherited(now time.Duration) {
-	if len(c.unresolved) == 0 {
-		return
+	for id, lapsed := range c.unresolved {
+		if now > lapsed {
+			c.log.WithField("runner", id).Warn("leases of the predecessor have lapsed")
+			c.resolve(id)
+		}
 	}
-	if now > c.resolveBy {
-		c.log.WithField("runners", len(c.unresolved)).Warn("leases of the predecessor have lapsed")
-		clear(c.unresolved)
-		return
+	if len(c.unresolved) > 0 {
+		c.tellAwaited(now)
 	}
-	c.tellAwaited(now)
 }
 
 // tellAwaited logs which runners of a predecessor are waited for.
@@ -55,11 +70,13 @@
 	}
 	c.awaited.told(now)
 	var named []string
-	for id := range c.unresolved {
+	var last time.Duration
+	for id, lapsed := range c.unresolved {
 		named = append(named, id)
+		last = max(last, lapsed)
 	}
 	slices.Sort(named)
 	named = named[:min(len(named), maxAwaitedNamed)]
-	c.log.WithFields(logrus.Fields{"runners": len(c.unresolved), "first": named, "left_ms": (c.resolveBy - now).Milliseconds()}).
+	c.log.WithFields(logrus.Fields{"runners": len(c.unresolved), "first": named, "left_ms": (last - now).Milliseconds()}).
 		Warn("waiting for runners of the predecessor")
 }
--- a/coordinator/link.go
+++ b/coordinator/link.go
@@ -10,6 +10,9 @@
 // Times of the calls to one runner.
 const (
 	holdWait = 500 * time.Millisecond
+	// recordedWait replaces holdWait until the store has dropped the runner's
+	// expiry, so that its leases are extended soon after.
+	recordedWait = 50 * time.Millisecond
 	// silentRetry is the pause between calls to a runner that does not answer.
 	silentRetry = 250 * time.Millisecond
 	// storeWait bounds the wait for reported ends to be stored before the next
@@ -65,6 +68,11 @@
 	address string
 	lease   lease
 	silent  bool
+	// silentSince is since when the runner has not answered, if it does not.
+	silentSince time.Duration
+	// recorded is set while the store may hold when the runner's leases expire:
+	// none is extended then.
+	recorded bool
 	// doubted is set from a call without an answer to the next report: the runner
 	// may have started anew.
 	doubted bool
@@ -110,25 +118,66 @@
 	if l.acks.Incarnation == incarnation && !l.doubted {
 		h.Acknowledged = l.acks.Number
 	}
-	if !l.silent && l.lease.reading > 0 {
+	switch {
+	case !l.answering():
+	case l.recorded:
+		h.Wait = recordedWait
+	default:
 		h.Deadline = l.lease.extend(l.t.env.Clock())
 		h.Wait = holdWait
 	}
 	return h
 }
 
-// answered records the runner's clock.
-func (l *link) answered(clock, now time.Duration) {
+// answering reports whether the last call was answered.
+func (l *link) answering() bool { return !l.silent && l.lease.reading > 0 }
+
+// recordExpiry returns when every lease on the runner has expired, for the store,
+// and whether the runner answers. From then on no lease is extended there until
+// withdrawExpiry. There is nothing to store for a runner that answers, unless the
+// coordinator is stopping.
+func (l *link) recordExpiry(now time.Duration, stopping bool) (expiry time.Duration, answering, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	answering = l.answering()
+	due := l.recorded || now-l.silentSince >= silenceRecorded
+	if !stopping && (answering || !due) {
+		return 0, answering, false
+	}
+	l.recorded = true
+	return l.lease.lapsed, answering, true
+}
+
+// withdrawExpiry records that the store does not hold an expiry for the runner.
+func (l *link) withdrawExpiry() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.recorded = false
+}
+
+// withdraws reports whether the store holds an expiry although the runner answers.
+func (l *link) withdraws() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.recorded && l.answering()
+}
+
+// answered records the runner's clock and reports whether leases can be extended.
+func (l *link) answered(clock, now time.Duration) (extends bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.lease.reading, l.lease.received = clock, now
 	l.silent, l.doubted = false, false
+	return !l.recorded
 }
 
 // unanswered records a failed call and reports whether all leases have lapsed.
 func (l *link) unanswered(now time.Duration) (lapsed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if !l.silent {
+		l.silentSince = now
+	}
 	l.silent, l.doubted = true, true
 	return now > l.lease.lapsed
 }
@@ -152,7 +201,7 @@
 func (l *link) orderTarget() (address string, deadline time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.silent {
+	if l.silent || l.recorded {
 		return l.address, l.lease.granted
 	}
 	return l.address, l.lease.extend(l.t.env.Clock())
@@ -183,7 +232,7 @@
 		}
 		lapsed = false
 		incarnation = res.Report.Incarnation
-		l.answered(res.Clock, now)
+		res.Report.Unleased = !l.answered(res.Clock, now)
 		res.Report.Sent = sent
 		l.t.post(ctx, reportEvent{res.Report})
 		if len(res.Report.Ended) > 0 {
--- a/coordinator/locate_test.go
+++ b/coordinator/locate_test.go
@@ -10,7 +10,7 @@
 func inheritedWorld(t *testing.T) *world {
 	t.Helper()
 	w := newWorld(t)
-	w.core.Inherit([]string{"a", "gone"}, w.now+time.Hour)
+	w.core.Inherit([]InheritedRunner{{"a", w.now + time.Hour}, {"gone", w.now + time.Hour}}, w.now+time.Hour)
 	lasting := plain(1, 1000)
 	lasting.LongRunning = true
 	w.accept(firstID, true, lasting)
--- a/coordinator/notes.go
+++ b/coordinator/notes.go
@@ -4,7 +4,6 @@
 	"maps"
 	"slices"
 	"strconv"
-	"strings"
 	"time"
 
 	"bergamotstile/gateway"
@@ -24,26 +23,26 @@
 )
 
 // writeNotes stores the numbers of pending jobs and the roster where they have
-// changed.
+// changed. One write is under way at a time.
 func (t *tenure) writeNotes(now time.Duration) {
-	notes := map[rowstore.Key]string{rosterKey: strings.Join(t.core.Roster(), "\n")}
-	for queue, n := range t.core.Pending() {
-		notes[gateway.PendingKey(queue)] = strconv.Itoa(n)
-	}
-	t.addLearned(notes, now)
-	maps.DeleteFunc(notes, func(k rowstore.Key, v string) bool { return t.notes[k] == v })
-	if len(notes) == 0 {
-		return
-	}
 	select {
 	case t.noting <- struct{}{}:
 	default:
 		return
 	}
+	notes := map[rowstore.Key]string{rosterKey: encodeRoster(t.roster(now, false))}
+	for queue, n := range t.core.Pending() {
+		notes[gateway.PendingKey(queue)] = strconv.Itoa(n)
+	}
+	t.addLearned(notes, now)
+	maps.DeleteFunc(notes, func(k rowstore.Key, v string) bool { return t.notes[k] == v })
 	maps.Copy(t.notes, notes)
+	stored := rosterEvent{t.expiries}
 	go func() {
 		defer func() { <-t.noting }()
-		t.putNotes(notes)
+		if t.putNotes(notes) {
+			t.post(t.ctx, stored)
+		}
 	}()
 }
 
@@ -61,7 +60,9 @@
 	notes[learnedKey] = string(value)
 }
 
-func (t *tenure) putNotes(notes map[rowstore.Key]string) {
+// putNotes stores rows and reports whether they are durable. It ends the term if
+// they can't be.
+func (t *tenure) putNotes(notes map[rowstore.Key]string) bool {
 	var puts []rowstore.Put
 	for key, value := range notes {
 		puts = append(puts, rowstore.Put{Key: key, Value: []byte(value)})
@@ -69,7 +70,8 @@
 	for chunk := range slices.Chunk(puts, jobsPerTransaction) {
 		if err := t.journal.put(t.ctx, sharedPart, chunk); err != nil {
 			t.fail(err)
-			return
+			return false
 		}
 	}
+	return true
 }
--- a/coordinator/platform.go
+++ b/coordinator/platform.go
@@ -68,6 +68,9 @@
 	Clock     func() time.Duration
 	// StoreClock is the store's clock, as far as it is known.
 	StoreClock func() time.Duration
-	Log        logrus.FieldLogger
-	Count      Counter
+	// StoreBounds returns the bounds of the store's clock at a local time, and
+	// whether anything is known of it.
+	StoreBounds func(local time.Duration) (earliest, latest time.Duration, known bool)
+	Log         logrus.FieldLogger
+	Count       Counter
 }
--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -25,7 +25,7 @@
 	}
 	c.noteIncarnation(r, rep)
 	c.resolve(rep.Runner)
-	r.reported, r.suspect = true, false
+	r.reported, r.suspect = true, rep.Unleased
 	r.strays = nil
 	for i, end := range rep.Ended {
 		if end.Number <= r.seen {
--- a/coordinator/runner.go
+++ b/coordinator/runner.go
@@ -22,7 +22,7 @@
 	reported    bool
 	incarnation int64
 	seen        int // highest end processed
-	// suspect is set while it does not answer.
+	// suspect is set while it does not answer, or its leases can't be extended.
 	suspect bool
 	// leaves is when a draining runner may be gone.
 	leaves time.Duration
--- a/coordinator/takeover.go
+++ b/coordinator/takeover.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"strings"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -151,27 +150,29 @@
 	if err != nil {
 		return err
 	}
-	var ids []string
+	var roster []rosterEntry
 	for _, row := range notes.Rows {
 		t.journal.loaded(row.Key, row.Version)
 		switch row.Key {
 		case rosterKey:
 			t.notes[row.Key] = string(row.Value)
-			ids = strings.Fields(string(row.Value))
+			roster = decodeRoster(string(row.Value))
 		case learnedKey:
 			if err := t.core.Learn(row.Value); err != nil {
 				t.env.Log.WithError(err).Warn("starting without what was learned")
 			}
 		}
 	}
+	acting := max(t.env.Clock(), t.term.PredecessorGone)
+	latest := acting + t.env.Lease*100/(100-clockDrift) + lapseMargin
+	inherited := t.inheritRoster(roster, latest)
 	for _, row := range registry {
-		if _, err := t.env.DecodeRunner(row); err == nil {
-			ids = append(ids, row.Key.Key)
+		if _, err := t.env.DecodeRunner(row); err == nil && !inRoster(roster, row.Key.Key) {
+			inherited = append(inherited, InheritedRunner{ID: row.Key.Key, Lapsed: latest})
 		}
 	}
-	acting := max(t.env.Clock(), t.term.PredecessorGone)
-	t.core.Inherit(ids, acting+t.env.Lease*100/(100-clockDrift)+lapseMargin)
-	return nil
+	t.core.Inherit(inherited, latest)
+	return t.dropAnswering(ctx, roster)
 }
 
 // followJobs passes on accepted and cancelled jobs. While another process may
--- a/coordinator/tenure.go
+++ b/coordinator/tenure.go
@@ -60,6 +60,7 @@
 	advising  chan struct{} // token of the one request for advice
 	noting    chan struct{} // token of the writer of notes
 	notes     map[rowstore.Key]string
+	expiries  map[string]recordedExpiry // that the store may hold, by runner
 	nextNotes time.Duration
 	nextLearn time.Duration
 	nextSweep time.Duration
@@ -81,6 +82,7 @@
 		noting:   make(chan struct{}, 1),
 		advising: make(chan struct{}, 1),
 		notes:    map[rowstore.Key]string{},
+		expiries: map[string]recordedExpiry{},
 		ended:    map[jobs.ID]time.Duration{},
 	}
 	begun := env.Clock()
@@ -117,6 +119,7 @@
 	for {
 		select {
 		case <-ctx.Done():
+			t.handOver()
 			return ctx.Err()
 		case err := <-t.failed:
 			return err
@@ -148,7 +151,7 @@
 	t.core.Configure(t.env.Queues())
 	t.core.Watch(now)
 	t.dropLinks()
-	if now >= t.nextNotes {
+	if now >= t.nextNotes || t.withdraws() {
 		t.nextNotes = now + notesEvery
 		t.writeNotes(now)
 	}
@@ -303,9 +306,21 @@
 		l.setAddress(info.Address)
 		return
 	}
-	l := newLink(t, info.ID, info.Address, t.core.resolveBy)
+	l := t.linkTo(info, now)
 	ctx, cancel := context.WithCancel(t.ctx)
 	l.stop = cancel
 	t.links[info.ID] = l
 	go l.serve(ctx)
 }
+
+// linkTo returns a link to a runner that has not been called yet.
+func (t *tenure) linkTo(info RunnerInfo, now time.Duration) *link {
+	lapsed := t.core.InheritedLapse(info.ID)
+	x, held := t.expiries[info.ID]
+	if held {
+		lapsed = x.local
+	}
+	l := newLink(t, info.ID, info.Address, lapsed)
+	l.recorded, l.silentSince = held, now
+	return l
+}
--- a/coordinator/tenure_test.go
+++ b/coordinator/tenure_test.go
@@ -184,11 +184,16 @@
 		Queues: func() []jobs.Queue {
 			return []jobs.Queue{renders}
 		},
-		Lease: 8 * time.Second, Retention: time.Minute, Clock: clock, StoreClock: clock,
+		Lease: 8 * time.Second, Retention: time.Minute, Clock: clock, StoreClock: clock, StoreBounds: sameClock,
 		Log: log, Count: func(string, int64) {},
 	}
 }
 
+// sameClock are the bounds of a store's clock that reads the same as the local one.
+func sameClock(local time.Duration) (earliest, latest time.Duration, known bool) {
+	return local, local, true
+}
+
 // terms runs candidates one after the other, each for a while.
 func terms(ctx context.Context, env Environment, store rowstore.Store, length time.Duration) {
 	for n := 0; ctx.Err() == nil; n++ {
--- a/coordinator/types.go
+++ b/coordinator/types.go
@@ -71,9 +71,11 @@
 	// Incarnation is the runner's start; another value means a new process.
 	Incarnation int64
 	// Sent is when the call left, on the local clock.
-	Sent    time.Duration
-	Running []RunStatus
-	Ended   []RunEnd
+	Sent time.Duration
+	// Unleased is set while no lease can be extended on the runner.
+	Unleased bool
+	Running  []RunStatus
+	Ended    []RunEnd
 }
 
 // OrderKind is what a runner is told to do.
