Give each coordinator of the roster test its own bounds of the clock

With the true clock in the middle of the same bounds for all, relying on the wrong bound went unnoticed: two mutations passed.

--- a/coordinator/roster_test.go
+++ b/coordinator/roster_test.go
@@ -32,8 +32,8 @@
 }
 
 // rosterWorld is one runner and the coordinators that take turns in calling it.
-// Local clock and store's clock differ by an offset that is known to within an
-// error.
+// Local clock and store's clock differ by an offset, of which each coordinator knows
+// bounds of its own.
 type rosterWorld struct {
 	t      *testing.T
 	random *rand.Rand
@@ -48,23 +48,27 @@
 	// leaseEnd is when the last lease ends that the runner was granted, on the
 	// local clock, if the runner's clock is as slow as it may be.
 	leaseEnd time.Duration
+	// below and above are how far the coordinator's bounds are from the store's
+	// clock.
+	below, above time.Duration
 }
 
 const (
 	rosterRunner = "r"
 	clockOffset  = 7 * time.Hour
-	clockError   = 300 * time.Millisecond
+	clockError   = time.Second
 )
 
 func (w *rosterWorld) clock() time.Duration { return w.now }
 
 func (w *rosterWorld) bounds(local time.Duration) (earliest, latest time.Duration, known bool) {
-	return local + clockOffset - clockError, local + clockOffset + clockError, true
+	return local + clockOffset - w.below, local + clockOffset + w.above, true
 }
 
 // takeOver makes a new coordinator, as takeover.go does.
 func (w *rosterWorld) takeOver() {
 	w.epoch++
+	w.below, w.above = time.Duration(w.random.Int64N(int64(clockError))), time.Duration(w.random.Int64N(int64(clockError)))
 	env := Environment{Store: rowstore.NewMemory(), Lease: 8 * time.Second, Clock: w.clock, StoreBounds: w.bounds, Log: silentLog()}
 	w.tenure = &tenure{env: env, core: New(Limits{}, silentLog(), nil), term: leadership.NewTerm(w.epoch, w.now, w.clock),
 		journal: newJournal(env.Store, w.epoch, silentLog()), links: map[string]*link{}, notes: map[rowstore.Key]string{}, expiries: map[string]recordedExpiry{}}
