Grant leases to a restarted runner on its new clock

What callers would see: the tasks of a runner that restarted under its ID and was lost later stand still for as long as its first process had run.

Cause: a deadline once granted was kept as the least for all later ones, also after the runner had started anew with a clock that starts anew. The deadlines lay far in the future (the runner cuts them to its bound) and so did the time at which the leases were taken as lapsed.

TestRunnerThatStartedAnewIsGrantedLeasesOnItsNewClock failed before: lease until 10m8s instead of 9 s, not lapsed 9 s after the last grant. The link keeps the incarnation now, so request needs no argument; TestDoubtedRunnerForgetsNothing gives it by an answer and checks the same.

--- a/coordinator/journal_test.go
+++ b/coordinator/journal_test.go
@@ -189,21 +189,39 @@
 func TestDoubtedRunnerForgetsNothing(t *testing.T) {
 	l := newLink(&tenure{term: &leadership.Term{Epoch: 1}, env: Environment{Clock: func() time.Duration { return time.Second }}}, "r", "a", 0)
 	const incarnation = 5
+	l.answered(incarnation, time.Second, time.Second)
 	l.acknowledge(Acknowledged{Incarnation: incarnation, Number: 7})
-	if got := l.request(incarnation).Acknowledged; got != 7 {
+	if got := l.request().Acknowledged; got != 7 {
 		t.Fatalf("acknowledged %d before any doubt, want 7", got)
 	}
 	l.unanswered(time.Second)
-	if got := l.request(incarnation).Acknowledged; got != 0 {
+	if got := l.request().Acknowledged; got != 0 {
 		t.Errorf("acknowledged %d after a call without an answer", got)
 	}
-	l.answered(time.Second, time.Second)
+	l.answered(incarnation, time.Second, time.Second)
 	l.doubt()
-	if got := l.request(incarnation).Acknowledged; got != 0 {
+	if got := l.request().Acknowledged; got != 0 {
 		t.Errorf("acknowledged %d after an order without an answer", got)
 	}
-	l.answered(time.Second, time.Second)
-	if got := l.request(incarnation).Acknowledged; got != 7 {
+	l.answered(incarnation, time.Second, time.Second)
+	if got := l.request().Acknowledged; got != 7 {
 		t.Errorf("acknowledged %d after a report, want 7", got)
 	}
 }
+
+// Guards against leases that seem to last for as long as a runner's earlier process
+// had run: its clock starts anew, and what was granted to that process is void.
+func TestRunnerThatStartedAnewIsGrantedLeasesOnItsNewClock(t *testing.T) {
+	now := time.Minute
+	l := newLink(&tenure{term: &leadership.Term{Epoch: 1}, env: Environment{Clock: func() time.Duration { return now }, Lease: 8 * time.Second}}, "r", "a", 0)
+	l.answered(1, 10*time.Minute, now)
+	l.request()
+	l.answered(2, time.Second, now)
+	if got := l.request().Deadline; got != 9*time.Second {
+		t.Errorf("lease until %v on the new clock, want 9 s", got)
+	}
+	now += 9 * time.Second
+	if !l.unanswered(now) {
+		t.Error("the leases have not lapsed 9 s after the last grant")
+	}
+}
--- a/coordinator/link.go
+++ b/coordinator/link.go
@@ -56,6 +56,13 @@
 	return l.granted
 }
 
+// startAnew voids what was granted to an earlier process of the runner: its runs
+// are gone, and the clock of the new one starts anew.
+func (l *lease) startAnew(now time.Duration) {
+	l.granted = 0
+	l.lapsed = now
+}
+
 // link is the connection to one runner. Its duty keeps the leases there alive
 // and reports what the runner lists.
 type link struct {
@@ -77,6 +84,8 @@
 	// may have started anew.
 	doubted bool
 	acks    Acknowledged
+	// incarnation is the runner's process that answered last, zero before.
+	incarnation int64
 }
 
 // newLink returns the link to a runner on which a predecessor's leases have
@@ -111,11 +120,11 @@
 // they must lapse for its tasks to be started elsewhere. Nor is a runner that may
 // have started anew told to forget ends: it numbers them from 1 again, and would
 // forget some that were never seen.
-func (l *link) request(incarnation int64) HoldRequest {
+func (l *link) request() HoldRequest {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	h := HoldRequest{Runner: l.runner, Address: l.address, Epoch: l.t.term.Epoch}
-	if l.acks.Incarnation == incarnation && !l.doubted {
+	if l.acks.Incarnation == l.incarnation && !l.doubted {
 		h.Acknowledged = l.acks.Number
 	}
 	switch {
@@ -162,10 +171,15 @@
 	return l.recorded && l.answering()
 }
 
-// answered records the runner's clock and reports whether leases can be extended.
-func (l *link) answered(clock, now time.Duration) (extends bool) {
+// answered records an answer of the runner's process with its clock, and reports
+// whether leases can be extended.
+func (l *link) answered(incarnation int64, clock, now time.Duration) (extends bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.incarnation != 0 && l.incarnation != incarnation {
+		l.lease.startAnew(now)
+	}
+	l.incarnation = incarnation
 	l.lease.reading, l.lease.received = clock, now
 	l.silent, l.doubted = false, false
 	return !l.recorded
@@ -209,10 +223,9 @@
 
 // serve calls the runner until ctx ends.
 func (l *link) serve(ctx context.Context) {
-	var incarnation int64
 	lapsed := false
 	for ctx.Err() == nil {
-		h := l.request(incarnation)
+		h := l.request()
 		sent := l.t.env.Clock()
 		res, err := l.t.env.Runners.Hold(ctx, h)
 		now := l.t.env.Clock()
@@ -231,8 +244,7 @@
 			continue
 		}
 		lapsed = false
-		incarnation = res.Report.Incarnation
-		res.Report.Unleased = !l.answered(res.Clock, now)
+		res.Report.Unleased = !l.answered(res.Report.Incarnation, res.Clock, now)
 		res.Report.Sent = sent
 		l.t.post(ctx, reportEvent{res.Report})
 		if len(res.Report.Ended) > 0 {
--- a/coordinator/roster_test.go
+++ b/coordinator/roster_test.go
@@ -94,12 +94,12 @@
 // call calls the runner, which may take the call and whose answer may get lost.
 func (w *rosterWorld) call() {
 	l := w.tenure.links[rosterRunner]
-	h := l.request(1)
+	h := l.request()
 	w.now += time.Duration(w.random.Int64N(int64(50 * time.Millisecond)))
 	if w.random.IntN(4) > 0 {
 		w.grant(h.Deadline)
 		if w.random.IntN(4) > 0 {
-			l.answered(w.now, w.now)
+			l.answered(1, w.now, w.now)
 			return
 		}
 	}
@@ -177,7 +177,7 @@
 func TestRunnerThatAnswersAgainIsLeasedOnceItsExpiryIsDropped(t *testing.T) {
 	clock := startClock(time.Minute)
 	l := newLink(&tenure{term: &leadership.Term{Epoch: 1}, env: Environment{Clock: clock.now, Lease: 8 * time.Second}}, "r", "a", 0)
-	l.answered(time.Second, clock.now())
+	l.answered(1, time.Second, clock.now())
 	l.unanswered(clock.now())
 	if _, _, ok := l.recordExpiry(clock.now(), false); ok {
 		t.Fatal("an expiry is stored at the first silence")
@@ -186,11 +186,11 @@
 	if _, _, ok := l.recordExpiry(clock.now(), false); !ok || l.withdraws() {
 		t.Fatal("no expiry of a silent runner, or one withdrawn at once")
 	}
-	if l.answered(9*time.Second, clock.now()) || l.request(1).Deadline != 0 || !l.withdraws() {
+	if l.answered(1, 9*time.Second, clock.now()) || l.request().Deadline != 0 || !l.withdraws() {
 		t.Fatal("leases are extended while the store holds their expiry")
 	}
 	l.withdrawExpiry()
-	if l.request(1).Deadline == 0 || l.withdraws() {
+	if l.request().Deadline == 0 || l.withdraws() {
 		t.Error("leases are not extended after the expiry was dropped")
 	}
 }
