Notice the lapse of a lost runner's leases while a call to it hangs

What callers would see: tasks of a lost runner start again up to 1.5 s later than they could, beyond what a long-running task may stand still (8.6 s of lease and the 1.2 s time-out of a call, where 9 s are allowed).

Cause: whether the leases had lapsed was asked only when a call to the runner had failed; a call to a machine without power hangs until its time-out. The loop now asks at each tick.

TestLapseIsNoticedWhileACallHangs failed before: the task ran nowhere for 5 s while the call hung. The three tests of proofs of the end check the same facts through the new methods, and one more: a plain failure is no proof.

--- a/coordinator/handover_test.go
+++ b/coordinator/handover_test.go
@@ -114,3 +114,40 @@
 	clock.advance(env.Lease/2 + time.Second) // the leases of the lost runner have lapsed
 	f.awaitRunner(t, id)
 }
+
+// hanging are runners of which one answers no call for as long as the caller waits,
+// but for the first one after it was lost.
+type hanging struct {
+	*fleet
+	lost  atomic.Value // string
+	calls atomic.Int32
+}
+
+func (h *hanging) Hold(ctx context.Context, r HoldRequest) (HoldResponse, error) {
+	if r.Runner == h.lost.Load() && h.calls.Add(1) > 1 {
+		<-ctx.Done()
+		return HoldResponse{}, ctx.Err()
+	}
+	return h.fleet.Hold(ctx, r)
+}
+
+// Guards against tasks of a lost runner that stand still beyond their leases, until
+// a call that hangs times out.
+func TestLapseIsNoticedWhileACallHangs(t *testing.T) {
+	f := newFleet(2, 1)
+	f.runTime = time.Hour
+	store, env := deployment(t, f)
+	runners := &hanging{fleet: f}
+	clock := startClock(time.Minute)
+	env.Clock, env.StoreClock, env.Runners = clock.now, clock.now, runners
+	defer lead(env, 1)()
+	id := lastingJob(t, &gateway.Gateway{Store: store, Clock: clock.now})
+	lost := f.awaitRunner(t, id)
+	runners.lost.Store(lost)
+	f.remove(lost)
+	for runners.calls.Load() < 2 {
+		time.Sleep(5 * time.Millisecond)
+	}
+	clock.advance(env.Lease + time.Second)
+	f.awaitRunner(t, id)
+}
--- a/coordinator/journal_test.go
+++ b/coordinator/journal_test.go
@@ -106,12 +106,13 @@
 // not lapsed before the time inherited. A takeover started tasks a second time
 // because it took such a runner's leases as lapsed at once.
 func TestUnseenRunnerLapsesWithThePredecessorsLease(t *testing.T) {
-	tn := &tenure{env: Environment{Lease: 8 * time.Second}}
+	tn := &tenure{env: Environment{Lease: 8 * time.Second}, term: leadership.NewTerm(1, time.Hour, func() time.Duration { return 0 })}
 	l := newLink(tn, "a", "", 20*time.Second)
-	if l.unanswered(15 * time.Second) {
+	l.unanswered(15 * time.Second)
+	if l.lapses(15 * time.Second) {
 		t.Error("lapsed before the predecessor's leases had")
 	}
-	if !l.unanswered(21 * time.Second) {
+	if !l.lapses(21 * time.Second) {
 		t.Error("not lapsed after the predecessor's leases had")
 	}
 }
@@ -134,18 +135,24 @@
 func TestLapseIsNoProofWithoutTheLease(t *testing.T) {
 	now := 20 * time.Second
 	clock := func() time.Duration { return now }
-	l := newLink(&tenure{term: leadership.NewTerm(1, now, clock), env: Environment{Clock: clock}}, "a", "", time.Second)
-	silent := errors.New("no answer")
-	if !l.proved(silent, now) {
+	silent := func() *link {
+		l := newLink(&tenure{term: leadership.NewTerm(1, 20*time.Second, clock), env: Environment{Clock: clock}}, "a", "", time.Second)
+		l.unanswered(now)
+		return l
+	}
+	if !silent().lapses(now) {
 		t.Error("leases that lapsed are no proof while the lease is held")
 	}
 	now += leadership.Valid
-	if l.proved(silent, now) {
+	if silent().lapses(now) {
 		t.Error("leases are taken as lapsed while a successor may extend them")
 	}
-	if !l.proved(ErrWrongRunner, now) {
+	if !silent().replaced(ErrWrongRunner) {
 		t.Error("another runner at the address is no proof")
 	}
+	if silent().replaced(errors.New("no answer")) {
+		t.Error("a call without an answer counts as another runner at the address")
+	}
 }
 
 // replaced answers as another runner at the same address does.
@@ -174,7 +181,7 @@
 	for {
 		select {
 		case e := <-tn.events:
-			if _, ok := e.(lapsedEvent); ok {
+			if _, ok := e.(goneEvent); ok {
 				return
 			}
 		case <-ctx.Done():
@@ -213,7 +220,8 @@
 // had run: its clock starts anew, and what was granted to that process is void.
 func TestRunnerThatStartedAnewIsGrantedLeasesOnItsNewClock(t *testing.T) {
 	now := time.Minute
-	l := newLink(&tenure{term: &leadership.Term{Epoch: 1}, env: Environment{Clock: func() time.Duration { return now }, Lease: 8 * time.Second}}, "r", "a", 0)
+	clock := func() time.Duration { return now }
+	l := newLink(&tenure{term: leadership.NewTerm(1, time.Hour, clock), env: Environment{Clock: clock, Lease: 8 * time.Second}}, "r", "a", 0)
 	l.answered(1, 10*time.Minute, now)
 	l.request()
 	l.answered(2, time.Second, now)
@@ -221,7 +229,8 @@
 		t.Errorf("lease until %v on the new clock, want 9 s", got)
 	}
 	now += 9 * time.Second
-	if !l.unanswered(now) {
+	l.unanswered(now)
+	if !l.lapses(now) {
 		t.Error("the leases have not lapsed 9 s after the last grant")
 	}
 }
--- a/coordinator/link.go
+++ b/coordinator/link.go
@@ -77,6 +77,8 @@
 	silent  bool
 	// silentSince is since when the runner has not answered, if it does not.
 	silentSince time.Duration
+	// gone is set once nothing runs there any more, as far as is known.
+	gone bool
 	// recorded is set while the store may hold when the runner's leases expire:
 	// none is extended then.
 	recorded bool
@@ -181,27 +183,42 @@
 	}
 	l.incarnation = incarnation
 	l.lease.reading, l.lease.received = clock, now
-	l.silent, l.doubted = false, false
+	l.silent, l.doubted, l.gone = false, false, false
 	return !l.recorded
 }
 
-// unanswered records a failed call and reports whether all leases have lapsed.
-func (l *link) unanswered(now time.Duration) (lapsed bool) {
+// unanswered records a failed call.
+func (l *link) unanswered(now time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.silent {
 		l.silentSince = now
 	}
 	l.silent, l.doubted = true, true
-	return now > l.lease.lapsed
 }
 
-// proved reports whether a failed call proves that nothing runs there any more:
-// another runner has the address, or every lease has lapsed. While another process
-// may hold the coordinator's lease, it may have extended those of the runs.
-func (l *link) proved(err error, now time.Duration) bool {
-	lapsed := l.unanswered(now)
-	return errors.Is(err, ErrWrongRunner) || lapsed && l.t.term.Exclusive()
+// lapses reports, once for each silence, that every lease on a silent runner has
+// lapsed. While another process may hold the coordinator's lease nothing is proved:
+// it may have extended those of the runs.
+func (l *link) lapses(now time.Duration) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.gone || !l.silent || now <= l.lease.lapsed || !l.t.term.Exclusive() {
+		return false
+	}
+	l.gone = true
+	return true
+}
+
+// replaced reports, once for each silence, that another runner has the address.
+func (l *link) replaced(err error) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.gone || !errors.Is(err, ErrWrongRunner) {
+		return false
+	}
+	l.gone = true
+	return true
 }
 
 // doubt records an order without an answer.
@@ -223,7 +240,6 @@
 
 // serve calls the runner until ctx ends.
 func (l *link) serve(ctx context.Context) {
-	lapsed := false
 	for ctx.Err() == nil {
 		h := l.request()
 		sent := l.t.env.Clock()
@@ -236,14 +252,13 @@
 		if err != nil {
 			l.t.env.Count("hold_unanswered", 1)
 			l.t.post(ctx, silentEvent{l.runner})
-			if l.proved(err, now) && !lapsed {
-				lapsed = true
-				l.t.post(ctx, lapsedEvent{l.runner})
+			l.unanswered(now)
+			if l.replaced(err) {
+				l.t.post(ctx, goneEvent{l.runner})
 			}
 			pause(ctx, silentRetry)
 			continue
 		}
-		lapsed = false
 		res.Report.Unleased = !l.answered(res.Report.Incarnation, res.Clock, now)
 		res.Report.Sent = sent
 		l.t.post(ctx, reportEvent{res.Report})
--- a/coordinator/tenure.go
+++ b/coordinator/tenure.go
@@ -28,7 +28,7 @@
 type (
 	reportEvent struct{ report Report }
 	silentEvent struct{ runner string }
-	lapsedEvent struct{ runner string }
+	goneEvent   struct{ runner string }
 	answerEvent struct{ answer Answer }
 	jobsEvent   struct{ rows []rowstore.Row }
 	storedEvent struct{ acknowledged map[string]Acknowledged }
@@ -149,6 +149,7 @@
 	now := t.env.Clock()
 	t.core.SetStoreClock(now, t.env.StoreClock())
 	t.core.Configure(t.env.Queues())
+	t.lapse(now)
 	t.core.Watch(now)
 	t.dropLinks()
 	if now >= t.nextNotes || t.withdraws() {
@@ -230,7 +231,17 @@
 func (e silentEvent) apply(t *tenure) { t.core.RunnerSilent(e.runner) }
 func (e answerEvent) apply(t *tenure) { t.core.Answered(e.answer, t.env.Clock()) }
 
-func (e lapsedEvent) apply(t *tenure) { t.core.RunnerLapsed(e.runner, t.env.Clock()) }
+func (e goneEvent) apply(t *tenure) { t.core.RunnerLapsed(e.runner, t.env.Clock()) }
+
+// lapse gives up what runs on silent runners once every lease there has lapsed,
+// whether or not a call to them is still waited for.
+func (t *tenure) lapse(now time.Duration) {
+	for id, l := range t.links {
+		if l.lapses(now) {
+			t.core.RunnerLapsed(id, now)
+		}
+	}
+}
 
 // dropLinks ends the duties of runners that are gone.
 func (t *tenure) dropLinks() {
