Take a predecessor's leases as lapsed only while holding the lease

What callers would see: a task runs twice. A coordinator that has lost its lease without knowing took the leases of runners it had not reached as lapsed by time, although its successor may have reached them and extended what runs there; it then started the tasks on runners that had not heard of the successor yet.

Cause: the same question was asked for runners that had answered before (TestLapseIsNoProofWithoutTheLease), but not for those that never had.

TestInheritedLeasesLapseOnlyForTheHolderOfTheLease failed before. The lapse has moved from Schedule to the loop's tick; TestInheritedTasksWaitForUnseenRunners calls it itself now, and checks besides that nothing starts before.

--- a/coordinator/core_test.go
+++ b/coordinator/core_test.go
@@ -40,7 +40,12 @@
 	if len(orders) != 1 || orders[0].Task.Job != secondID {
 		t.Fatalf("orders %v, want only the job accepted after the takeover", orders)
 	}
+	w.core.LapseInherited(w.now)
+	if n := len(starts(w.schedule())); n != 0 {
+		t.Errorf("%d starts before the leases lapsed", n)
+	}
 	w.now += 11 * time.Second
+	w.core.LapseInherited(w.now)
 	if n := len(starts(w.schedule())); n != 1 {
 		t.Errorf("%d starts after the leases lapsed", n)
 	}
--- a/coordinator/handover_test.go
+++ b/coordinator/handover_test.go
@@ -151,3 +151,23 @@
 	clock.advance(env.Lease + time.Second)
 	f.awaitRunner(t, id)
 }
+
+// Guards against tasks of a predecessor that are started a second time by a
+// coordinator which has been succeeded itself without knowing: the successor may
+// extend leases on runners that this one can't reach.
+func TestInheritedLeasesLapseOnlyForTheHolderOfTheLease(t *testing.T) {
+	clock := startClock(time.Minute)
+	tn := &tenure{core: New(Limits{}, silentLog(), nil), term: leadership.NewTerm(1, clock.now(), clock.now)}
+	tn.core.Inherit([]InheritedRunner{{"unseen", clock.now() + time.Second}}, clock.now())
+	clock.advance(leadership.Valid)
+	tn.lapse(clock.now())
+	tn.core.Schedule(clock.now(), 0)
+	if tn.core.Unresolved() != 1 {
+		t.Error("leases of the predecessor count as lapsed without the lease")
+	}
+	tn.term = leadership.NewTerm(1, clock.now(), clock.now)
+	tn.lapse(clock.now())
+	if tn.core.Unresolved() != 0 {
+		t.Error("leases of the predecessor have not lapsed for the holder of the lease")
+	}
+}
--- a/coordinator/inherited.go
+++ b/coordinator/inherited.go
@@ -50,8 +50,9 @@
 	}
 }
 
-// lapseInherited resolves the runners on which a predecessor's leases have lapsed.
-func (c *Core) lapseInherited(now time.Duration) {
+// LapseInherited resolves the runners on which a predecessor's leases have lapsed.
+// It must be called only while no successor can have extended them.
+func (c *Core) LapseInherited(now time.Duration) {
 	for id, lapsed := range c.unresolved {
 		if now > lapsed {
 			c.log.WithField("runner", id).Warn("leases of the predecessor have lapsed")
--- a/coordinator/schedule.go
+++ b/coordinator/schedule.go
@@ -14,7 +14,6 @@
 // of day.
 func (c *Core) Schedule(now, wall time.Duration) {
 	c.openTimed(wall)
-	c.lapseInherited(now)
 	c.dropEmpty()
 	c.updateReserves(now)
 	store := now + c.storeOffset
--- a/coordinator/tenure.go
+++ b/coordinator/tenure.go
@@ -236,6 +236,9 @@
 // lapse gives up what runs on silent runners once every lease there has lapsed,
 // whether or not a call to them is still waited for.
 func (t *tenure) lapse(now time.Duration) {
+	if t.term.Exclusive() {
+		t.core.LapseInherited(now)
+	}
 	for id, l := range t.links {
 		if l.lapses(now) {
 			t.core.RunnerLapsed(id, now)
