Begin no write of the roster before the event of the last one is applied

What callers would see: a task runs twice after a crash. The writer was free for the next roster before the event of the last one had been handled, which then let leases be extended on a runner whose expiry the newer roster had just stored.

TestEventOfAnEarlierRosterWithdrawsNoLaterExpiry fails without the guard: a lease is extended while the store holds the expiry 1m8.564s.

--- a/coordinator/notes.go
+++ b/coordinator/notes.go
@@ -23,13 +23,12 @@
 )
 
 // writeNotes stores the numbers of pending jobs and the roster where they have
-// changed. One write is under way at a time.
+// changed. One write is under way at a time, until its event has been applied.
 func (t *tenure) writeNotes(now time.Duration) {
-	select {
-	case t.noting <- struct{}{}:
-	default:
+	if t.noting {
 		return
 	}
+	t.noting = true
 	notes := map[rowstore.Key]string{rosterKey: encodeRoster(t.roster(now, false))}
 	for queue, n := range t.core.Pending() {
 		notes[gateway.PendingKey(queue)] = strconv.Itoa(n)
@@ -39,7 +38,6 @@
 	maps.Copy(t.notes, notes)
 	stored := rosterEvent{t.expiries}
 	go func() {
-		defer func() { <-t.noting }()
 		if t.putNotes(notes) {
 			t.post(t.ctx, stored)
 		}
--- /dev/null
+++ b/coordinator/recorded_test.go
@@ -0,0 +1,91 @@
+package coordinator
+
+import (
+	"testing"
+	"time"
+
+	"bergamotstile/leadership"
+	"bergamotstile/rowstore"
+)
+
+// recordedWorld is a coordinator over a store whose loop the test stands for.
+type recordedWorld struct {
+	t      *testing.T
+	clock  *manualClock
+	store  *rowstore.Memory
+	tenure *tenure
+}
+
+func newRecordedWorld(t *testing.T) *recordedWorld {
+	t.Helper()
+	clock := startClock(time.Minute)
+	store := rowstore.NewMemory()
+	env := Environment{Store: store, Lease: 8 * time.Second, Clock: clock.now, StoreClock: clock.now, StoreBounds: sameClock,
+		Log: silentLog(), Count: func(string, int64) {}}
+	tn := &tenure{env: env, core: New(Limits{}, silentLog(), nil), term: leadership.NewTerm(1, 24*time.Hour, clock.now),
+		journal: newJournal(store, 1, silentLog()), links: map[string]*link{}, notes: map[rowstore.Key]string{},
+		expiries: map[string]recordedExpiry{}, events: make(chan event, 16), failed: make(chan error, 1), ctx: t.Context()}
+	if _, err := tn.journal.fence(t.Context(), sharedPart); err != nil {
+		t.Fatal(err)
+	}
+	return &recordedWorld{t: t, clock: clock, store: store, tenure: tn}
+}
+
+// register adds the runner to the registry and returns the link to it.
+func (w *recordedWorld) register() *link {
+	info := RunnerInfo{ID: rosterRunner}
+	w.tenure.core.RunnerSeen(info, w.clock.now())
+	l := w.tenure.linkTo(info, w.clock.now())
+	l.stop = func() {}
+	w.tenure.links[rosterRunner] = l
+	return l
+}
+
+// silentRunner registers a runner that has been silent for a time.
+func (w *recordedWorld) silentRunner(since time.Duration) *link {
+	l := w.register()
+	l.answered(1, time.Hour, w.clock.now())
+	l.request()
+	l.unanswered(w.clock.now())
+	w.clock.advance(since)
+	return l
+}
+
+// awaitEvent waits for the event of a stored roster, which stays queued.
+func (w *recordedWorld) awaitEvent() {
+	w.t.Helper()
+	for until := time.Now().Add(patience); time.Now().Before(until); time.Sleep(time.Millisecond) {
+		if len(w.tenure.events) > 0 {
+			return
+		}
+	}
+	w.t.Fatal("no roster is stored")
+}
+
+// checkGrant fails the test if a lease was extended beyond an expiry that the store
+// holds.
+func (w *recordedWorld) checkGrant(deadline time.Duration) {
+	w.t.Helper()
+	for _, e := range storedRoster(w.t, w.store) {
+		if deadline > 0 && e.expiry > 0 {
+			w.t.Errorf("a lease is extended while the store holds the expiry %v", e.expiry)
+		}
+	}
+}
+
+// Guards against the event of an earlier roster that lets leases be extended on a
+// runner whose expiry a later one has stored.
+func TestEventOfAnEarlierRosterWithdrawsNoLaterExpiry(t *testing.T) {
+	w := newRecordedWorld(t)
+	l := w.silentRunner(silenceRecorded - tickEvery/2)
+	w.tenure.writeNotes(w.clock.now()) // not silent for long enough
+	w.awaitEvent()
+	w.clock.advance(tickEvery)
+	w.tenure.writeNotes(w.clock.now()) // the tick comes before the event
+	for until := time.Now().Add(patience / 25); time.Now().Before(until) && len(w.tenure.events) < 2; {
+		time.Sleep(time.Millisecond)
+	}
+	(<-w.tenure.events).apply(w.tenure)
+	l.answered(1, time.Hour+time.Second, w.clock.now())
+	w.checkGrant(l.request().Deadline)
+}
--- a/coordinator/roster.go
+++ b/coordinator/roster.go
@@ -190,7 +190,10 @@
 // rosterEvent follows a stored roster.
 type rosterEvent struct{ expiries map[string]recordedExpiry }
 
-func (e rosterEvent) apply(t *tenure) { t.withdrawn(e.expiries) }
+func (e rosterEvent) apply(t *tenure) {
+	t.noting = false
+	t.withdrawn(e.expiries)
+}
 
 // handOver stores the expiries of all runners for a successor. No lease is
 // extended from then on.
--- a/coordinator/tenure.go
+++ b/coordinator/tenure.go
@@ -58,7 +58,7 @@
 	storing   bool
 	lastStore time.Duration
 	advising  chan struct{} // token of the one request for advice
-	noting    chan struct{} // token of the writer of notes
+	noting    bool          // a write of notes is under way
 	notes     map[rowstore.Key]string
 	expiries  map[string]recordedExpiry // that the store may hold, by runner
 	nextNotes time.Duration
@@ -79,7 +79,6 @@
 		events:   make(chan event, eventBuffer),
 		failed:   make(chan error, 1),
 		ctx:      ctx,
-		noting:   make(chan struct{}, 1),
 		advising: make(chan struct{}, 1),
 		notes:    map[rowstore.Key]string{},
 		expiries: map[string]recordedExpiry{},
