Keep an expiry in mind until the store does not hold it any more

What callers would see: a task runs twice after a crash. The expiry of a runner that had left was forgotten when the write that removes it began. A runner that registered again meanwhile was leased; if the write was not carried out, a successor found an expiry in the past and took the new leases as lapsed at once.

TestRunnerThatComesBackIsNotLeasedBeforeItsExpiryIsRemoved failed before: a lease is extended while the store holds the expiry 1m8.564s. What the store may hold is now the union of the last roster and the one being written.

--- a/coordinator/notes.go
+++ b/coordinator/notes.go
@@ -29,14 +29,15 @@
 		return
 	}
 	t.noting = true
-	notes := map[rowstore.Key]string{rosterKey: encodeRoster(t.roster(now, false))}
+	roster, expiries := t.roster(now, false)
+	notes := map[rowstore.Key]string{rosterKey: encodeRoster(roster)}
 	for queue, n := range t.core.Pending() {
 		notes[gateway.PendingKey(queue)] = strconv.Itoa(n)
 	}
 	t.addLearned(notes, now)
 	maps.DeleteFunc(notes, func(k rowstore.Key, v string) bool { return t.notes[k] == v })
 	maps.Copy(t.notes, notes)
-	stored := rosterEvent{t.expiries}
+	stored := rosterEvent{expiries}
 	go func() {
 		if t.putNotes(notes) {
 			t.post(t.ctx, stored)
--- a/coordinator/recorded_test.go
+++ b/coordinator/recorded_test.go
@@ -89,3 +89,34 @@
 	l.answered(1, time.Hour+time.Second, w.clock.now())
 	w.checkGrant(l.request().Deadline)
 }
+
+// Guards against leases on a runner that comes back to the registry while the write
+// that removes its expiry is under way: the expiry has passed, so that a successor
+// would take the new leases as lapsed at once.
+func TestRunnerThatComesBackIsNotLeasedBeforeItsExpiryIsRemoved(t *testing.T) {
+	w := newRecordedWorld(t)
+	w.silentRunner(silenceRecorded)
+	w.tenure.writeNotes(w.clock.now())
+	w.awaitEvent()
+	(<-w.tenure.events).apply(w.tenure)
+	w.clock.advance(w.tenure.env.Lease + time.Second)
+	w.tenure.core.runners[rosterRunner].listed = false
+	w.tenure.core.RunnerLapsed(rosterRunner, w.clock.now())
+	w.tenure.dropLinks()
+	w.store.Fail = func(call string) error { // the next write is not carried out
+		if call == "commit" {
+			return rowstore.ErrRefused
+		}
+		return nil
+	}
+	w.tenure.writeNotes(w.clock.now())
+	again := w.register()
+	again.answered(1, time.Hour+10*time.Second, w.clock.now())
+	w.checkGrant(again.request().Deadline)
+	w.store.Fail = nil
+	w.awaitEvent()
+	(<-w.tenure.events).apply(w.tenure)
+	if again.request().Deadline == 0 {
+		t.Error("no lease is extended after the expiry was removed")
+	}
+}
--- a/coordinator/roster.go
+++ b/coordinator/roster.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -131,11 +132,10 @@
 	return t.journal.put(ctx, sharedPart, []rowstore.Put{{Key: rosterKey, Value: []byte(value)}})
 }
 
-// roster returns the entries to store now. All runners get an expiry if this
-// coordinator is about to stop.
-func (t *tenure) roster(now time.Duration, stopping bool) []rosterEntry {
-	recorded := map[string]recordedExpiry{}
-	var entries []rosterEntry
+// roster returns the entries to store now, and the expiries among them. All runners
+// get an expiry if this coordinator is about to stop.
+func (t *tenure) roster(now time.Duration, stopping bool) (entries []rosterEntry, recorded map[string]recordedExpiry) {
+	recorded = map[string]recordedExpiry{}
 	for _, id := range t.core.Roster() {
 		e := rosterEntry{id: id}
 		local, answering, ok := t.expiryOf(id, now, stopping)
@@ -150,8 +150,9 @@
 		}
 		entries = append(entries, e)
 	}
-	t.expiries = recorded
-	return entries
+	// The store may hold what was there before until the roster is stored.
+	maps.Copy(t.expiries, recorded)
+	return entries, recorded
 }
 
 // expiryOf returns when every lease on a runner has expired, if that is to be
@@ -169,6 +170,7 @@
 // withdrawn lets leases be extended on the runners whose expiries the store does
 // not hold any more.
 func (t *tenure) withdrawn(stored map[string]recordedExpiry) {
+	t.expiries = maps.Clone(stored)
 	for id, l := range t.links {
 		if _, held := stored[id]; !held {
 			l.withdrawExpiry()
@@ -200,12 +202,13 @@
 func (t *tenure) handOver() {
 	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
 	defer cancel()
-	value := encodeRoster(t.roster(t.env.Clock(), true))
+	entries, _ := t.roster(t.env.Clock(), true)
+	value := encodeRoster(entries)
 	if err := t.journal.put(ctx, sharedPart, []rowstore.Put{{Key: rosterKey, Value: []byte(value)}}); err != nil {
 		t.env.Log.WithError(err).Warn("leases of runners not handed over")
 		return
 	}
-	t.env.Log.WithField("runners", len(t.expiries)).Info("leases of runners handed over")
+	t.env.Log.WithField("runners", len(entries)).Info("leases of runners handed over")
 }
 
 func inRoster(entries []rosterEntry, id string) bool {
--- a/coordinator/roster_test.go
+++ b/coordinator/roster_test.go
@@ -124,8 +124,8 @@
 		w.grant(deadline)
 	case 4:
 		if !w.busy {
-			w.writing = encodeRoster(w.tenure.roster(w.now, false))
-			w.expiries, w.busy = w.tenure.expiries, true
+			entries, expiries := w.tenure.roster(w.now, false)
+			w.writing, w.expiries, w.busy = encodeRoster(entries), expiries, true
 		}
 	case 5:
 		if w.busy {
@@ -140,7 +140,8 @@
 	case 7:
 		if w.random.IntN(3) == 0 {
 			if w.random.IntN(2) == 0 {
-				w.durable = encodeRoster(w.tenure.roster(w.now, true))
+				entries, _ := w.tenure.roster(w.now, true)
+				w.durable = encodeRoster(entries)
 			}
 			w.takeOver()
 		}
