Ignore the report of a runner that has left

What callers would see: after each takeover the work of inherited jobs waits for a runner that nobody can reach. A report that was queued when a runner's link was dropped brought the runner back, unregistered and without a link, so that nothing took it out of the roster again.

TestReportAfterItsLinkWasDroppedLeavesNoRunnerBehind failed before: roster [r] without a registered runner.

--- a/coordinator/recorded_test.go
+++ b/coordinator/recorded_test.go
@@ -120,3 +120,21 @@
 		t.Error("no lease is extended after the expiry was removed")
 	}
 }
+
+// Guards against a runner without a link that stays in the roster for good: each
+// successor would wait a whole lease for it.
+func TestReportAfterItsLinkWasDroppedLeavesNoRunnerBehind(t *testing.T) {
+	w := newRecordedWorld(t)
+	w.register()
+	w.tenure.core.runners[rosterRunner].listed = false
+	w.tenure.core.RunnerSilent(rosterRunner)
+	w.tenure.core.Watch(w.clock.now())
+	w.tenure.dropLinks()
+	reportEvent{Report{Runner: rosterRunner, Incarnation: 1}}.apply(w.tenure) // was queued
+	w.clock.advance(time.Minute)
+	w.tenure.core.Watch(w.clock.now())
+	w.tenure.dropLinks()
+	if left := w.tenure.core.Roster(); len(left) > 0 {
+		t.Errorf("roster %v without a registered runner", left)
+	}
+}
--- a/coordinator/tenure.go
+++ b/coordinator/tenure.go
@@ -226,7 +226,13 @@
 	}
 }
 
-func (e reportEvent) apply(t *tenure) { t.core.Report(e.report, t.env.Clock()) }
+// apply ignores a report that was queued when its runner left.
+func (e reportEvent) apply(t *tenure) {
+	if t.links[e.report.Runner] != nil {
+		t.core.Report(e.report, t.env.Clock())
+	}
+}
+
 func (e silentEvent) apply(t *tenure) { t.core.RunnerSilent(e.runner) }
 func (e answerEvent) apply(t *tenure) { t.core.Answered(e.answer, t.env.Clock()) }
 
