Send no start to a runner while no lease can be granted there

What callers would see: at worst a task that runs twice. A start that was repeated to a silent runner carried the deadline granted before; a process that had started anew under the same ID reads it on its new clock, where it is far away, and holds the task for its longest lease, beyond the expiry that the store holds.

Such a start now waits until the runner has answered, without one of the places for orders under way, so that stops are not held up.

TestNoStartIsSentToASilentRunner failed before.

--- a/coordinator/link.go
+++ b/coordinator/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 )
@@ -130,16 +131,18 @@
 		h.Acknowledged = l.acks.Number
 	}
 	switch {
-	case !l.answering():
-	case l.recorded:
-		h.Wait = recordedWait
-	default:
+	case l.leases():
 		h.Deadline = l.lease.extend(l.t.env.Clock())
 		h.Wait = holdWait
+	case l.answering():
+		h.Wait = recordedWait
 	}
 	return h
 }
 
+// leases reports whether leases can be extended on the runner.
+func (l *link) leases() bool { return l.answering() && !l.recorded }
+
 // answering reports whether the last call was answered.
 func (l *link) answering() bool { return !l.silent && l.lease.reading > 0 }
 
@@ -184,7 +187,7 @@
 	l.incarnation = incarnation
 	l.lease.reading, l.lease.received = clock, now
 	l.silent, l.doubted, l.gone = false, false, false
-	return !l.recorded
+	return l.leases()
 }
 
 // unanswered records a failed call.
@@ -228,14 +231,19 @@
 	l.doubted = true
 }
 
-// orderTarget returns where an order goes and the deadline of its lease.
-func (l *link) orderTarget() (address string, deadline time.Duration) {
+// orderTarget returns where an order goes, and the deadline of its lease if it is
+// a start. A start waits while no lease can be granted: a process that has started
+// anew meanwhile would read an old deadline on its new clock.
+func (l *link) orderTarget(kind OrderKind) (address string, deadline time.Duration, ready bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.silent || l.recorded {
-		return l.address, l.lease.granted
+	if kind != Start {
+		return l.address, 0, true
+	}
+	if !l.leases() {
+		return l.address, 0, false
 	}
-	return l.address, l.lease.extend(l.t.env.Clock())
+	return l.address, l.lease.extend(l.t.env.Clock()), true
 }
 
 // serve calls the runner until ctx ends.
@@ -276,30 +284,27 @@
 	}
 }
 
+// errHeldBack means that an order is settled, or is a start that waits until a lease
+// can be granted.
+var errHeldBack = fmt.Errorf("%w: held back", ErrNotSent)
+
 // send repeats an order until it is answered or settled.
 func (l *link) send(ctx context.Context, o Order) {
-	select {
-	case l.orders <- struct{}{}:
-		defer func() { <-l.orders }()
-	case <-ctx.Done():
-		return
-	}
 	repeated := false
 	retry := firstOrderRetry
 	for attempt := 1; ctx.Err() == nil && !o.Settled.Load(); attempt++ {
-		address, deadline := l.orderTarget()
-		o.Address = address
-		outcome, err := l.t.env.Runners.Send(ctx, o, l.t.term.Epoch, deadline)
-		if errors.Is(err, ErrFenced) {
+		outcome, err := l.attempt(ctx, o)
+		switch {
+		case errors.Is(err, ErrFenced):
 			l.t.fail(ErrFenced)
 			return
-		}
-		if err == nil {
+		case err == nil:
 			l.t.post(ctx, answerEvent{Answer{Order: o, Outcome: outcome, Repeated: repeated}})
 			return
+		case !errors.Is(err, errHeldBack):
+			l.doubt()
+			l.t.env.Count("order_retry", 1)
 		}
-		l.doubt()
-		l.t.env.Count("order_retry", 1)
 		repeated = repeated || !errors.Is(err, ErrNotSent)
 		if o.Kind == Pace && attempt >= paceAttempts {
 			return
@@ -309,6 +314,22 @@
 	}
 }
 
+// attempt sends an order once.
+func (l *link) attempt(ctx context.Context, o Order) (Outcome, error) {
+	select {
+	case l.orders <- struct{}{}:
+		defer func() { <-l.orders }()
+	case <-ctx.Done():
+		return 0, ctx.Err()
+	}
+	address, deadline, ready := l.orderTarget(o.Kind)
+	if !ready || o.Settled.Load() {
+		return 0, errHeldBack
+	}
+	o.Address = address
+	return l.t.env.Runners.Send(ctx, o, l.t.term.Epoch, deadline)
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
--- a/coordinator/recorded_test.go
+++ b/coordinator/recorded_test.go
@@ -1,6 +1,8 @@
 package coordinator
 
 import (
+	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -138,3 +140,38 @@
 		t.Errorf("roster %v without a registered runner", left)
 	}
 }
+
+// sentStarts notes the starts that reach a runner.
+type sentStarts struct{ sent chan Order }
+
+func (s sentStarts) Hold(context.Context, HoldRequest) (HoldResponse, error) {
+	return HoldResponse{}, errNoAnswer
+}
+
+func (s sentStarts) Send(_ context.Context, o Order, _ uint64, _ time.Duration) (Outcome, error) {
+	s.sent <- o
+	return Accepted, nil
+}
+
+// Guards against a start that reaches a runner with an old deadline: a process that
+// has started anew with a new clock would hold it for longer than was granted.
+func TestNoStartIsSentToASilentRunner(t *testing.T) {
+	w := newRecordedWorld(t)
+	runners := sentStarts{make(chan Order, 1)}
+	w.tenure.env.Runners = runners
+	l := w.silentRunner(0)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go l.send(ctx, Order{Kind: Start, Runner: rosterRunner, Settled: new(atomic.Bool)})
+	select {
+	case <-runners.sent:
+		t.Fatal("a start is sent to a silent runner")
+	case <-time.After(3 * firstOrderRetry):
+	}
+	l.answered(1, time.Hour, w.clock.now())
+	select {
+	case <-runners.sent:
+	case <-time.After(patience):
+		t.Error("the start is not sent after the runner has answered")
+	}
+}
--- a/coordinator/roster_test.go
+++ b/coordinator/roster_test.go
@@ -120,7 +120,7 @@
 	case 0, 1, 2:
 		w.call()
 	case 3:
-		_, deadline := w.tenure.links[rosterRunner].orderTarget()
+		_, deadline, _ := w.tenure.links[rosterRunner].orderTarget(Start)
 		w.grant(deadline)
 	case 4:
 		if !w.busy {
