Extend no lease once others take the coordinator as gone

What callers would see: a task runs twice. A successor counts ten seconds from the last renewal, then the leases.

The link now asks at each call. TestNoLeaseIsExtendedAfterTheGraceOfTheTerm failed before: a lease is extended to 1h0m18s after the grace.

--- a/coordinator/journal_test.go
+++ b/coordinator/journal_test.go
@@ -173,7 +173,7 @@
 	defer cancel()
 	tn := &tenure{
 		env:    Environment{Lease: 8 * time.Second, Runners: replaced{}, Clock: func() time.Duration { return time.Second }, Count: func(string, int64) {}},
-		term:   &leadership.Term{Epoch: 1},
+		term:   leadership.NewTerm(1, time.Hour, func() time.Duration { return time.Second }),
 		events: make(chan event, 8),
 	}
 	l := newLink(tn, "a", "", time.Hour)
@@ -194,7 +194,7 @@
 // answer it must not be told to forget ends up to the number of before: in the
 // soak (seed 106) one forgot an end that nobody had seen, and its task ran again.
 func TestDoubtedRunnerForgetsNothing(t *testing.T) {
-	l := newLink(&tenure{term: &leadership.Term{Epoch: 1}, env: Environment{Clock: func() time.Duration { return time.Second }}}, "r", "a", 0)
+	l := newLink(&tenure{term: leadership.NewTerm(1, time.Hour, func() time.Duration { return time.Second }), env: Environment{Clock: func() time.Duration { return time.Second }}}, "r", "a", 0)
 	const incarnation = 5
 	l.answered(incarnation, time.Second, time.Second)
 	l.acknowledge(Acknowledged{Incarnation: incarnation, Number: 7})
--- a/coordinator/link.go
+++ b/coordinator/link.go
@@ -141,7 +141,7 @@
 }
 
 // leases reports whether leases can be extended on the runner.
-func (l *link) leases() bool { return l.answering() && !l.recorded }
+func (l *link) leases() bool { return l.answering() && !l.recorded && l.t.term.Acting() }
 
 // answering reports whether the last call was answered.
 func (l *link) answering() bool { return !l.silent && l.lease.reading > 0 }
--- a/coordinator/recorded_test.go
+++ b/coordinator/recorded_test.go
@@ -175,3 +175,20 @@
 		t.Error("the start is not sent after the runner has answered")
 	}
 }
+
+// Guards against leases that are extended after the time at which a successor takes
+// this coordinator as gone.
+func TestNoLeaseIsExtendedAfterTheGraceOfTheTerm(t *testing.T) {
+	w := newRecordedWorld(t)
+	w.tenure.term = leadership.NewTerm(1, w.clock.now(), w.clock.now)
+	l := w.register()
+	l.answered(1, time.Hour, w.clock.now())
+	w.clock.advance(leadership.Grace - time.Millisecond)
+	if l.request().Deadline == 0 {
+		t.Error("no lease is extended within the grace")
+	}
+	w.clock.advance(time.Millisecond)
+	if d := l.request().Deadline; d != 0 {
+		t.Errorf("a lease is extended to %v after the grace", d)
+	}
+}
--- a/coordinator/roster_test.go
+++ b/coordinator/roster_test.go
@@ -177,7 +177,7 @@
 // stays stored.
 func TestRunnerThatAnswersAgainIsLeasedOnceItsExpiryIsDropped(t *testing.T) {
 	clock := startClock(time.Minute)
-	l := newLink(&tenure{term: &leadership.Term{Epoch: 1}, env: Environment{Clock: clock.now, Lease: 8 * time.Second}}, "r", "a", 0)
+	l := newLink(&tenure{term: leadership.NewTerm(1, 24*time.Hour, clock.now), env: Environment{Clock: clock.now, Lease: 8 * time.Second}}, "r", "a", 0)
 	l.answered(1, time.Second, clock.now())
 	l.unanswered(clock.now())
 	if _, _, ok := l.recordExpiry(clock.now(), false); ok {
--- a/leadership/leadership.go
+++ b/leadership/leadership.go
@@ -75,6 +75,12 @@
 	return t.clock()-time.Duration(t.renewed.Load()) < Valid
 }
 
+// Acting reports whether the holder may still go on with what it knows. Others take
+// it as gone after that.
+func (t *Term) Acting() bool {
+	return t.clock()-time.Duration(t.renewed.Load()) < Grace
+}
+
 // Candidate takes the lease when nobody holds it.
 type Candidate struct {
 	Store rowstore.Store
