Record no expiry while the store is away

What callers would see: work on a sound runner is thrown away. A runner that is silent for a second while the store is away would keep its expiry recorded, and its leases would not be extended, until the store is back.

TestNoExpiryIsRecordedWhileTheStoreIsAway failed before. What is left: a runner that falls silent for a second just before the store does is not leased until the store is back; its runs end if that takes longer than the rest of their leases (docs/platform.md).

--- a/coordinator/link.go
+++ b/coordinator/link.go
@@ -154,7 +154,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	answering = l.answering()
-	due := l.recorded || now-l.silentSince >= silenceRecorded
+	// While the store is away the expiry could be neither stored nor removed.
+	due := l.recorded || now-l.silentSince >= silenceRecorded && l.t.term.Exclusive()
 	if !stopping && (answering || !due) {
 		return 0, answering, false
 	}
--- a/coordinator/recorded_test.go
+++ b/coordinator/recorded_test.go
@@ -192,3 +192,16 @@
 		t.Errorf("a lease is extended to %v after the grace", d)
 	}
 }
+
+// Guards against leases of a sound runner that end while the store is away, as
+// its expiry was stored or would be, and can't be removed.
+func TestNoExpiryIsRecordedWhileTheStoreIsAway(t *testing.T) {
+	w := newRecordedWorld(t)
+	w.tenure.term = leadership.NewTerm(1, w.clock.now(), w.clock.now)
+	l := w.silentRunner(leadership.Valid)
+	w.tenure.writeNotes(w.clock.now())
+	l.answered(1, time.Hour+time.Second, w.clock.now())
+	if l.request().Deadline == 0 {
+		t.Error("no lease is extended on a runner that answers again")
+	}
+}
