Hand over the ages of task lease grants when a shard is released

Cause: proof 4 (a worker off the list) waits task lease, start window, margin and call time-out, 23.5 s by default, since the last call that could grant a task lease. A new owner counted that wait from its takeover, since nothing told it when its predecessor had sent the last such call. So the wait began anew in full at each takeover, even if no owner had called the worker for hours.

What callers saw: a task of a lost worker, and the room held for it, stood still as long as the owners of its shard were restarted in turn at intervals below 23.5 s, and for 23.5 s after the last restart.

Change: an owner that releases a shard writes since_grant_ms to the shard row, the ages of its last grants to workers that have left the list. The successor counts on from them. Any takeover writes the row without them, so they reach the direct successor only, and a takeover after a crash waits in full as before.

Why it is safe: the wait still covers every call that could grant a lease. - The core is asked on its own goroutine after the manager has marked the shard as being released. From then on it sends no heartbeat or start, and while it is served it tells nothing. - Ages are rounded down and counted on from the successor's first reading of the release, which is later than their measurement. So the successor's time is never ahead; clocks of different speed are covered by the margin as before. - An owner's own grants, and a takeover without a release, replace what was handed over. A second core of the same epoch does not use it. - The worker must still be off the list in the successor's own view for task lease, start window and margin. The absence itself is not handed over. - A heartbeat delayed beyond its time-out (docs/proofs.md) can do what it could do without a change of owner. The field is optional, so rows of instances without it are read as before.

Ruled out: a shorter wait after a crash, since the predecessor may have granted leases until its own lease ended; trusting the successor's view alone, since the predecessor's list may be older and it renews leases by that list.

Tests: the world of the lifecycle tests gained planned stops of instances, views that begin with the process, and views with an old list; the property test draws them. ownership's tests of Release pass a Handover instead of a function that returns the quiet time, with the same checks.

An instance that has run for less than 21.5 s cannot use proof 4, whoever owned the shard before: its view knows the list only since its start.

--- a/entry/drain.go
+++ b/entry/drain.go
@@ -7,6 +7,7 @@
 
 	"bergamotstile/httpserver"
 	"bergamotstile/logging"
+	"bergamotstile/ownership"
 	"bergamotstile/peer"
 	"bergamotstile/structs"
 )
@@ -52,7 +53,7 @@
 		return
 	}
 	owned := i.ownedShards()
-	err := c.ownership.Release(ctx, func(shard structs.ShardID) time.Duration { return c.router.Quiet(shard) })
+	err := c.ownership.Release(ctx, func(shard structs.ShardID) ownership.Handover { return c.handover(ctx, shard) })
 	if err != nil {
 		logging.Part(i.log, "drain").WithError(err).Warn("shards were not released and are free after a lease")
 		return
@@ -60,6 +61,17 @@
 	i.announceReleased(ctx, owned)
 }
 
+// handoverTimeout bounds the wait for the core of one shard. It is well below a
+// lease, since a shard that is being released is not served.
+const handoverTimeout = 200 * time.Millisecond
+
+// handover collects what the successor of a shard has to know.
+func (c *core) handover(ctx context.Context, shard structs.ShardID) ownership.Handover {
+	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
+	defer cancel()
+	return ownership.Handover{Quiet: c.router.Quiet(shard), SinceGrant: c.lifecycle.SinceGrant(ctx, shard)}
+}
+
 // announceTimeout bounds the calls that tell peers of released shards.
 const announceTimeout = 300 * time.Millisecond
 
--- a/lifecycle/core.go
+++ b/lifecycle/core.go
@@ -42,11 +42,14 @@
 	ledger    *ledger
 	applier   applier
 	scan      scanner
-	planner   planner
-	storeDown bool // the last call to the object store failed
-	nextProbe time.Time
-	nextWalk  time.Time
-	out       []call
+	// lastGrants is what the lease tells of earlier owners. It is dropped after
+	// recovery, since this owner grants task leases from then on.
+	lastGrants map[string]time.Time
+	planner    planner
+	storeDown  bool // the last call to the object store failed
+	nextProbe  time.Time
+	nextWalk   time.Time
+	out        []call
 }
 
 // record is a work item with what is known beyond its row.
@@ -91,11 +94,12 @@
 func newCore(cfg Config, deps Dependencies, clock clockwork.Clock, lease ownership.Lease) *core {
 	return &core{
 		cfg: cfg, deps: deps, clock: clock, lease: lease,
-		items:     map[structs.WorkID]*record{},
-		queue:     map[structs.WorkID]*record{},
-		attention: map[structs.WorkID]*record{},
-		workers:   map[string]*worker{},
-		ledger:    newLedger(),
+		items:      map[structs.WorkID]*record{},
+		queue:      map[structs.WorkID]*record{},
+		attention:  map[structs.WorkID]*record{},
+		workers:    map[string]*worker{},
+		ledger:     newLedger(),
+		lastGrants: lease.LastGrants,
 	}
 }
 
--- a/lifecycle/manager.go
+++ b/lifecycle/manager.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"bergamotstile/logging"
+	"bergamotstile/ownership"
 	"bergamotstile/ring"
 	"bergamotstile/structs"
 )
@@ -22,6 +23,8 @@
 
 	mu     sync.Mutex
 	shards map[structs.ShardID]*driver
+	// epochs holds the epoch of the last core of each shard.
+	epochs map[structs.ShardID]uint64
 }
 
 // Intervals of the drivers.
@@ -38,7 +41,10 @@
 // NewManager returns a manager that does nothing until Serve runs.
 func NewManager(cfg Config, deps Dependencies, clock clockwork.Clock) *Manager {
 	deps.Log = logging.Part(deps.Log, "lifecycle")
-	return &Manager{cfg: cfg.withDefaults(), deps: deps, clock: clock, shards: map[structs.ShardID]*driver{}}
+	return &Manager{
+		cfg: cfg.withDefaults(), deps: deps, clock: clock,
+		shards: map[structs.ShardID]*driver{}, epochs: map[structs.ShardID]uint64{},
+	}
 }
 
 // Serve follows the leases of this instance until ctx ends.
@@ -78,12 +84,40 @@
 	if d != nil || !held {
 		return
 	}
-	d = newDriver(newCore(m.cfg, m.deps, m.clock, lease))
+	d = newDriver(m.coreFor(lease))
 	m.shards[shard] = d
 	m.deps.Log.WithFields(logrus.Fields{"shard": shard, "epoch": lease.Epoch}).Info("shard acquired")
 	go d.run(ctx)
 }
 
+// coreFor returns a new core. What the lease tells of earlier grants holds for
+// the first core of an epoch only, which may have granted more. The lock is
+// held.
+func (m *Manager) coreFor(lease ownership.Lease) *core {
+	if m.epochs[lease.Shard] == lease.Epoch {
+		lease.LastGrants = nil
+	}
+	m.epochs[lease.Shard] = lease.Epoch
+	return newCore(m.cfg, m.deps, m.clock, lease)
+}
+
+// SinceGrant returns the ages of the last calls that could grant task leases to
+// workers that left the list, for the handover of a shard that is no longer
+// served. Workers that it does not name may have had one just now.
+func (m *Manager) SinceGrant(ctx context.Context, shard structs.ShardID) map[string]time.Duration {
+	m.mu.Lock()
+	d := m.shards[shard]
+	m.mu.Unlock()
+	if d == nil {
+		return nil
+	}
+	ages, err := ask(ctx, d, func(reply func(map[string]time.Duration, error)) { reply(d.core.sinceGrant(), nil) })
+	if err != nil {
+		m.deps.Log.WithError(err).WithField("shard", shard).Warn("grants not handed over, so the successor waits in full")
+	}
+	return ages
+}
+
 func (m *Manager) stopAll() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/lifecycle/manager_test.go
+++ b/lifecycle/manager_test.go
@@ -28,6 +28,31 @@
 func (v fixedView) Workers(string) []structs.Member    { return v }
 func (v fixedView) WorkerGoneFor(string) time.Duration { return 0 }
 
+// lostLease is a shard that is no longer served.
+type lostLease struct{}
+
+func (lostLease) Held(structs.ShardID) (ownership.Lease, bool) { return ownership.Lease{}, false }
+func (lostLease) ServingUntil(structs.ShardID) time.Time       { return time.Time{} }
+func (lostLease) Fenced(structs.ShardID, uint64)               {}
+
+// Guards against a planned stop that hands over nothing, since the shard is not
+// served any more when its core is asked.
+func TestReleasedShardTellsItsGrants(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	m := NewManager(Config{Domain: "d"}, Dependencies{Leases: lostLease{}}, clock)
+	core := m.coreFor(ownership.Lease{Shard: testShard, Epoch: 1})
+	core.workerFor("lost")
+	listed := core.workerFor("listed")
+	listed.listed = true
+	clock.Advance(5 * time.Second)
+	m.shards[testShard] = newDriver(core)
+	go m.shards[testShard].run(t.Context())
+	ages := m.SinceGrant(t.Context(), testShard)
+	if len(ages) != 1 || ages["lost"] != 5*time.Second {
+		t.Fatalf("told %v", ages)
+	}
+}
+
 // Guards against a wiring of manager, core and applier in which a submitted
 // item never reaches its worker, or its outcome never reaches the table.
 func TestSubmittedWorkRunsAndFinishes(t *testing.T) {
--- a/lifecycle/properties_test.go
+++ b/lifecycle/properties_test.go
@@ -78,7 +78,10 @@
 			w.clock.Advance(time.Duration(rapid.IntRange(1, 300).Draw(t, "ms")) * time.Millisecond)
 		},
 		"long time":      func(t *rapid.T) { w.clock.Advance(time.Duration(rapid.IntRange(1, 25).Draw(t, "s")) * time.Second) },
-		"freeze":         func(t *rapid.T) { in := w.anyInstance(); in.frozen = !in.frozen },
+		"freeze":         func(t *rapid.T) { in := w.anyInstance(); in.frozen = !in.frozen || in.stopped },
+		"restart entry":  func(t *rapid.T) { in := w.anyInstance(); w.stopOrStart(in); w.stopOrStart(in) },
+		"stop entry":     func(t *rapid.T) { w.stopOrStart(w.anyInstance()) },
+		"stale list":     func(t *rapid.T) { w.toggleStale(w.anyInstance()) },
 		"offline":        func(t *rapid.T) { in := w.anyInstance(); in.offline = !in.offline },
 		"finish":         func(t *rapid.T) { w.endTask(workerapi.EndFinished) },
 		"fail":           func(t *rapid.T) { w.endTask(workerapi.EndFailed) },
@@ -192,6 +195,27 @@
 	w.goneAt[name] = time.Time{}
 }
 
+// stopOrStart stops an instance as planned, or starts a stopped one.
+func (w *world) stopOrStart(in *instance) {
+	switch {
+	case in.stopped:
+		w.start(in)
+	case !in.frozen:
+		w.table.fault = w.tableFault
+		w.stop(in)
+		w.table.fault = nil
+	}
+}
+
+// toggleStale lets an instance lose its way to the membership list or find it.
+func (w *world) toggleStale(in *instance) {
+	if in.list != nil {
+		in.list = nil
+		return
+	}
+	in.list = &staleList{goneAt: maps.Clone(w.goneAt), readAt: w.clock.Now()}
+}
+
 func (w *world) freezeOwner() {
 	if in := w.owner(); in != nil {
 		in.frozen = true
@@ -252,7 +276,10 @@
 	clear(w.goneAt)
 	w.objects.down, w.objects.losing = false, false
 	for _, in := range w.instances {
-		in.frozen, in.offline = false, false
+		if in.stopped {
+			w.start(in)
+		}
+		in.frozen, in.offline, in.list = false, false, nil
 	}
 	for len(w.table.delayed) > 0 {
 		w.table.deliverDelayed(0)
--- a/lifecycle/recovery.go
+++ b/lifecycle/recovery.go
@@ -115,6 +115,7 @@
 		return
 	}
 	c.ready = true
+	c.lastGrants = nil
 	c.planner.dirty = true
 	c.deps.Log.WithFields(logrus.Fields{"shard": c.lease.Shard, "items": len(c.items), "epoch": c.lease.Epoch}).Info("shard recovered")
 	for _, id := range sortedIDs(c.items) {
--- a/lifecycle/scenario_test.go
+++ b/lifecycle/scenario_test.go
@@ -261,6 +261,86 @@
 	})
 }
 
+// Guards against work of a lost worker that stands still as long as its shard's
+// owners are restarted in turn: each of them waited a whole task lease anew.
+func TestLostWorkersTaskResumesDuringRestarts(t *testing.T) {
+	scenario(t, func(w *world) {
+		id := w.submitSpec(structs.WorkSpec{Key: "k", Size: fullWorker, Idempotent: true})
+		w.pass(3*time.Second, 500*time.Millisecond)
+		lost := w.expect(id, structs.StateRunning, 1).Worker
+		w.cut[lost] = true
+		w.toggleListed(lost)
+		for range 6 {
+			in := w.owner()
+			if ages := in.core.sinceGrant(); len(ages) > 0 {
+				w.t.Fatalf("an owner that may still grant task leases hands over %v", ages)
+			}
+			w.stop(in)
+			w.pass(4*time.Second, 500*time.Millisecond)
+			w.start(in)
+			w.pass(11*time.Second, 500*time.Millisecond)
+		}
+		w.expect(id, structs.StateRunning, 2)
+	})
+}
+
+// Guards against a release that hands over the absence of a worker whose task
+// leases its owner renewed until then, since its list was out of date: the
+// worker's task would run in two places.
+func TestReleaseHandsOverNoAbsenceOfAWorkerWithALease(t *testing.T) {
+	scenario(t, func(w *world) {
+		id := w.submitSpec(structs.WorkSpec{Key: "k", Size: fullWorker, Idempotent: true})
+		w.pass(3*time.Second, 500*time.Millisecond)
+		placed := w.expect(id, structs.StateRunning, 1).Worker
+		in := w.owner()
+		w.toggleStale(in)
+		w.toggleListed(placed)
+		w.pass(40*time.Second, 500*time.Millisecond)
+		w.stop(in)
+		w.pass(19*time.Second, 500*time.Millisecond)
+		w.expect(id, structs.StateRunning, 1)
+		w.pass(9*time.Second, 500*time.Millisecond) // P2 is checked by the worker's record
+		w.expect(id, structs.StateRunning, 2)
+	})
+}
+
+// Guards against a second core of an epoch, or a second successor, that counts
+// from what a predecessor handed over although task leases were granted since.
+func TestGrantsAfterAHandoverCount(t *testing.T) {
+	for _, planned := range []bool{false, true} {
+		scenario(t, func(w *world) {
+			id := w.submitSpec(structs.WorkSpec{Key: "k", Size: fullWorker, Idempotent: true})
+			w.pass(3*time.Second, 500*time.Millisecond)
+			placed := w.expect(id, structs.StateRunning, 1).Worker
+			w.toggleListed(placed)
+			w.pass(10*time.Second, 500*time.Millisecond)
+			first := w.owner()
+			w.stop(first)
+			w.pass(4*time.Second, 500*time.Millisecond)
+			second := w.owner()
+			w.start(first)
+			w.toggleListed(placed)
+			w.pass(2*time.Second, 500*time.Millisecond)
+			w.toggleStale(second)
+			w.toggleListed(placed)
+			w.pass(30*time.Second, 500*time.Millisecond)
+			if planned {
+				w.stop(second)
+			} else {
+				second.core.stepDown()
+				second.list = nil
+			}
+			w.pass(10*time.Second, 500*time.Millisecond)
+			if (w.owner() == second) == planned {
+				w.t.Fatal("another instance owns the shard than expected")
+			}
+			w.expect(id, structs.StateRunning, 1)
+			w.pass(20*time.Second, 500*time.Millisecond) // P2 is checked by the worker's record
+			w.expect(id, structs.StateRunning, 2)
+		})
+	}
+}
+
 func canceled() context.Context {
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
--- a/lifecycle/workers.go
+++ b/lifecycle/workers.go
@@ -25,7 +25,7 @@
 	beating  bool
 	nextBeat time.Time
 	// lastGrant is when the last heartbeat or start was sent, which may have
-	// given task leases.
+	// given task leases, by this owner or by one before it.
 	lastGrant time.Time
 }
 
@@ -66,12 +66,41 @@
 func (c *core) workerFor(name string) *worker {
 	w := c.workers[name]
 	if w == nil {
-		w = &worker{member: structs.Member{Name: name}, nextBeat: c.clock.Now(), lastGrant: c.clock.Now()}
+		w = &worker{member: structs.Member{Name: name}, nextBeat: c.clock.Now(), lastGrant: c.firstGrant(name)}
 		c.workers[name] = w
 	}
 	return w
 }
 
+// firstGrant returns the latest time at which a predecessor may have granted
+// task leases to a worker: now, unless its release told otherwise.
+func (c *core) firstGrant(name string) time.Time {
+	if at, told := c.lastGrants[name]; told {
+		return at
+	}
+	return c.clock.Now()
+}
+
+// sinceGrant tells a successor the age of the last call that could grant a task
+// lease to each worker that left the list. An owner that may still send such
+// calls has nothing to tell.
+func (c *core) sinceGrant() map[string]time.Duration {
+	if c.serving() {
+		return nil
+	}
+	now := c.clock.Now()
+	ages := map[string]time.Duration{}
+	for name, at := range c.lastGrants {
+		ages[name] = now.Sub(at)
+	}
+	for name, w := range c.workers {
+		if !w.listed {
+			ages[name] = now.Sub(w.lastGrant)
+		}
+	}
+	return ages
+}
+
 func (c *core) reachable(w *worker) bool {
 	return w.bootID != "" && c.clock.Now().Sub(w.reportAt) <= reachableBeats*c.cfg.Heartbeat
 }
--- a/lifecycle/world_test.go
+++ b/lifecycle/world_test.go
@@ -44,7 +44,17 @@
 	results []func()
 	frozen  bool
 	offline bool // cannot reach the table
+	stopped bool // between two processes
 	writes  int
+	// startedAt is when the process read the list of workers first.
+	startedAt time.Time
+	list      *staleList // the last reading, if the list cannot be read now
+}
+
+// staleList is an old reading of the membership list.
+type staleList struct {
+	goneAt map[string]time.Time
+	readAt time.Time
 }
 
 var testShard = structs.ShardID{Domain: "d", Index: 0}
@@ -73,15 +83,47 @@
 
 func (w *world) addInstance(name string) {
 	in := &instance{name: name}
-	table := &tableLink{w, in}
+	w.boot(in)
+	w.instances = append(w.instances, in)
+}
+
+// boot gives the instance a process that knows nothing yet.
+func (w *world) boot(in *instance) {
+	table, name := &tableLink{w, in}, in.name
+	in.startedAt = w.clock.Now()
 	in.leases = ownership.NewManager(
 		ownership.Config{Self: structs.Member{Name: name, Address: name, Domain: "d"}},
 		ownership.Dependencies{Table: table, Members: w, Peers: w, NewWriteID: in.newWriteID}, w.clock)
 	in.manager = NewManager(Config{Domain: "d", Heartbeat: time.Second, CommitMax: 4}, Dependencies{
-		Table: table, Objects: w.objects, Workers: w.fleet, View: w, Leases: in.leases,
+		Table: table, Objects: w.objects, Workers: w.fleet, View: &viewLink{w: w, in: in}, Leases: in.leases,
 		Policy: w, Domains: func() []string { return []string{"d"} }, NewWriteID: in.newWriteID,
 	}, w.clock)
-	w.instances = append(w.instances, in)
+}
+
+// stop ends the instance's process as planned: it releases its shard, unless
+// the table does not take the release at once. Its calls may arrive later.
+func (w *world) stop(in *instance) {
+	once, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = in.leases.Release(once, func(structs.ShardID) ownership.Handover { return in.handover() })
+	if in.core != nil {
+		in.core.stepDown()
+		in.core = nil
+	}
+	in.stopped, in.frozen = true, true
+}
+
+func (in *instance) handover() ownership.Handover {
+	if in.core == nil {
+		return ownership.Handover{}
+	}
+	return ownership.Handover{SinceGrant: in.core.sinceGrant()}
+}
+
+// start replaces a stopped process by a new one.
+func (w *world) start(in *instance) {
+	in.stopped, in.frozen, in.list = false, false, nil
+	w.boot(in)
 }
 
 func (in *instance) newWriteID() string {
@@ -96,6 +138,9 @@
 func (w *world) Entries(string) []structs.Member {
 	var members []structs.Member
 	for _, in := range w.instances {
+		if in.stopped {
+			continue
+		}
 		members = append(members, structs.Member{Name: in.name, Address: in.name, Domain: "d"})
 	}
 	return members
@@ -103,10 +148,10 @@
 
 func (w *world) Listed(domain string) []structs.Member { return w.Entries(domain) }
 
-func (w *world) Workers(string) []structs.Member {
+func (w *world) workersWithout(goneAt map[string]time.Time) []structs.Member {
 	var members []structs.Member
 	for name, worker := range w.fleet.workers {
-		if w.goneAt[name].IsZero() {
+		if goneAt[name].IsZero() {
 			members = append(members, structs.Member{
 				Name: name, Address: name, Domain: "d", State: structs.MemberLive, Capacity: worker.capacity,
 			})
@@ -122,6 +167,34 @@
 	return w.clock.Now().Sub(w.goneAt[name])
 }
 
+// viewLink is one process's view of the workers: it knows of no time before
+// its first reading of the list, and none after its last.
+type viewLink struct {
+	w  *world
+	in *instance
+}
+
+func (v *viewLink) Workers(string) []structs.Member {
+	if v.in.list != nil {
+		return v.w.workersWithout(v.in.list.goneAt)
+	}
+	return v.w.workersWithout(v.w.goneAt)
+}
+
+func (v *viewLink) WorkerGoneFor(name string) time.Duration {
+	goneAt, readAt := v.w.goneAt[name], v.w.clock.Now()
+	if v.in.list != nil {
+		goneAt, readAt = v.in.list.goneAt[name], v.in.list.readAt
+	}
+	if goneAt.IsZero() {
+		return 0
+	}
+	if v.in.startedAt.After(goneAt) {
+		goneAt = v.in.startedAt
+	}
+	return max(readAt.Sub(goneAt), 0)
+}
+
 func (w *world) peer(address string) *instance {
 	i := slices.IndexFunc(w.instances, func(in *instance) bool { return in.name == address })
 	if w.instances[i].frozen {
@@ -200,7 +273,7 @@
 		in.core = nil
 	}
 	if in.core == nil && held {
-		in.core = newCore(in.manager.cfg, in.manager.deps, w.clock, lease)
+		in.core = in.manager.coreFor(lease)
 	}
 }
 
--- a/ownership/ownership_test.go
+++ b/ownership/ownership_test.go
@@ -131,8 +131,8 @@
 // that shut down are in flight, and against a release that takes a lease.
 func TestReleasePassesQuietTimeOn(t *testing.T) {
 	d, owner := startedDomain(t, 2)
-	quiet := func(structs.ShardID) time.Duration { return 1200 * time.Millisecond }
-	if err := d.managers[owner].Release(context.Background(), quiet); err != nil {
+	handover := func(structs.ShardID) Handover { return Handover{Quiet: 1200 * time.Millisecond} }
+	if err := d.managers[owner].Release(context.Background(), handover); err != nil {
 		t.Fatal(err)
 	}
 	released := d.clock.Now()
@@ -146,6 +146,39 @@
 	}
 }
 
+// Guards against a successor that believes the last grant of a task lease to be
+// older than it is, and against a handover that outlives the next takeover.
+func TestReleaseHandsOverTheLastGrants(t *testing.T) {
+	d, owner := startedDomain(t, 3)
+	const age = 12*time.Second + 1999*time.Microsecond
+	handover := func(structs.ShardID) Handover {
+		return Handover{SinceGrant: map[string]time.Duration{"worker": age}}
+	}
+	granted := d.clock.Now().Add(-age)
+	if err := d.managers[owner].Release(context.Background(), handover); err != nil {
+		t.Fatal(err)
+	}
+	d.run(10 * time.Second)
+	next := d.owner()
+	lease, held := d.managers[next].Held(shard)
+	if !held || next == owner {
+		t.Fatalf("owner after the release: %d, held %v", next, held)
+	}
+	const slack = 4 * time.Second // a lease until the next rank looks again, and a round
+	if at := lease.LastGrants["worker"]; at.Before(granted) || at.After(granted.Add(slack)) {
+		t.Fatalf("last grant handed over as %v after it was", at.Sub(granted))
+	}
+	third := 3 - owner - next
+	live := &domain{clock: d.clock, managers: d.managers[third : third+1]}
+	live.run(20 * time.Second)
+	if live.owner() < 0 {
+		t.Fatal("not taken after the owner died")
+	}
+	if lease, _ := live.managers[0].Held(shard); lease.Epoch != 3 || len(lease.LastGrants) > 0 {
+		t.Fatalf("the lease of epoch %d tells %v after a crash", lease.Epoch, lease.LastGrants)
+	}
+}
+
 // Guards against a shard that stays without an owner after a planned stop
 // until its next owner happens to look: keyed requests are refused meanwhile.
 func TestReleasedShardIsTakenAtOnce(t *testing.T) {
@@ -159,8 +192,8 @@
 	if err := d.clock.BlockUntilContext(ctx, 1); err != nil {
 		t.Fatal(err)
 	}
-	noQuiet := func(structs.ShardID) time.Duration { return 0 }
-	if err := d.managers[owner].Release(ctx, noQuiet); err != nil {
+	nothing := func(structs.ShardID) Handover { return Handover{} }
+	if err := d.managers[owner].Release(ctx, nothing); err != nil {
 		t.Fatal(err)
 	}
 	next.Released(shard)
--- a/ownership/release.go
+++ b/ownership/release.go
@@ -3,17 +3,16 @@
 import (
 	"context"
 	"fmt"
-	"time"
 
 	"bergamotstile/platform"
 	"bergamotstile/structs"
 )
 
-// Release gives up every shard at once and takes none any more. quiet returns
-// the longest remaining deadline in flight of a shard; it is asked after the
-// shard is no longer served. A shard that cannot be released before ctx ends
-// is free once its lease is over.
-func (m *Manager) Release(ctx context.Context, quiet func(structs.ShardID) time.Duration) error {
+// Release gives up every shard at once and takes none any more. handover
+// returns what a shard's successor has to know; it is asked after the shard is
+// no longer served. A shard that cannot be released before ctx ends is free
+// once its lease is over.
+func (m *Manager) Release(ctx context.Context, handover func(structs.ShardID) Handover) error {
 	m.mu.Lock()
 	m.draining = true
 	for _, s := range m.shards {
@@ -22,7 +21,7 @@
 	m.mu.Unlock()
 	var failed []structs.ShardID
 	for _, s := range m.shards {
-		if !m.releaseShard(ctx, s, quiet) {
+		if !m.releaseShard(ctx, s, handover) {
 			failed = append(failed, s.id)
 		}
 	}
@@ -33,10 +32,10 @@
 }
 
 // releaseShard writes the row without an owner and reports success.
-func (m *Manager) releaseShard(ctx context.Context, s *shardState, quiet func(structs.ShardID) time.Duration) bool {
+func (m *Manager) releaseShard(ctx context.Context, s *shardState, handover func(structs.ShardID) Handover) bool {
 	for {
 		s.step.Lock()
-		m.releaseStep(ctx, s, quiet)
+		m.releaseStep(ctx, s, handover)
 		s.step.Unlock()
 		m.mu.Lock()
 		done := !s.held && s.pending == nil
@@ -52,7 +51,7 @@
 	}
 }
 
-func (m *Manager) releaseStep(ctx context.Context, s *shardState, quiet func(structs.ShardID) time.Duration) {
+func (m *Manager) releaseStep(ctx context.Context, s *shardState, handover func(structs.ShardID) Handover) {
 	m.mu.Lock()
 	pending, held := s.pending, s.held
 	if held {
@@ -67,9 +66,10 @@
 	case pending != nil:
 		m.settle(ctx, s, pending)
 	case held:
-		row := before.row
+		h, row := handover(s.id), before.row
 		row.Owner, row.Address = "", ""
-		row.QuietMS = max(quiet(s.id), inherited).Milliseconds() + 1
+		row.QuietMS = max(h.Quiet, inherited).Milliseconds() + 1
+		row.SinceGrantMS = sinceGrantMS(h.SinceGrant)
 		m.send(ctx, s, m.newWrite(s, writeRelease, row, before, []platform.Condition{fence}))
 	}
 }
--- a/ownership/rows.go
+++ b/ownership/rows.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"time"
 
 	"bergamotstile/platform"
 	"bergamotstile/structs"
@@ -14,8 +15,10 @@
 	Address string `json:"address"`
 	Epoch   uint64 `json:"epoch"`
 	QuietMS int64  `json:"quiet_ms"`
-	Renewal uint64 `json:"renewal"`
-	WriteID string `json:"write_id"`
+	// SinceGrantMS is set by a release only.
+	SinceGrantMS map[string]int64 `json:"since_grant_ms,omitempty"`
+	Renewal      uint64           `json:"renewal"`
+	WriteID      string           `json:"write_id"`
 }
 
 // epochRow is the value of an epoch row, which only a takeover writes.
@@ -43,6 +46,25 @@
 	return value
 }
 
+// sinceGrantMS rounds down, so that no successor's wait ends early.
+func sinceGrantMS(ages map[string]time.Duration) map[string]int64 {
+	rounded := make(map[string]int64, len(ages))
+	for worker, age := range ages {
+		rounded[worker] = age.Milliseconds()
+	}
+	return rounded
+}
+
+// lastGrants returns the times of the last grants on this instance's clock, if
+// the row was first seen at seenAt.
+func (r shardRow) lastGrants(seenAt time.Time) map[string]time.Time {
+	grants := make(map[string]time.Time, len(r.SinceGrantMS))
+	for worker, ms := range r.SinceGrantMS {
+		grants[worker] = seenAt.Add(-time.Duration(ms) * time.Millisecond)
+	}
+	return grants
+}
+
 // reading is what one read showed of a shard's two rows.
 type reading struct {
 	row          shardRow
--- a/ownership/serve_test.go
+++ b/ownership/serve_test.go
@@ -28,7 +28,7 @@
 		first, second = d.managers[1], d.managers[0]
 		checkEvent(t, e, true, 1)
 	}
-	if err := first.Release(ctx, func(structs.ShardID) time.Duration { return 0 }); err != nil {
+	if err := first.Release(ctx, func(structs.ShardID) Handover { return Handover{} }); err != nil {
 		t.Fatal(err)
 	}
 	e := <-first.Events()
--- a/ownership/step.go
+++ b/ownership/step.go
@@ -258,7 +258,10 @@
 	case writeTake:
 		after.epochVersion = version
 		s.held, s.releasing = true, m.draining
-		s.lease = Lease{Shard: s.id, Epoch: w.row.Epoch, Fence: platform.Condition{Key: EpochKey(s.id), Version: version}}
+		s.lease = Lease{
+			Shard: s.id, Epoch: w.row.Epoch, Fence: platform.Condition{Key: EpochKey(s.id), Version: version},
+			LastGrants: w.before.row.lastGrants(s.seenAt),
+		}
 		s.validUntil, s.extendedUntil, s.dispatchAfter = until, time.Time{}, quietUntil
 		m.emit(s.lease, true)
 		m.log.WithFields(logrus.Fields{"shard": s.id, "epoch": w.row.Epoch}).Info("shard taken")
