Run the parts of the program through one function

Seven subcommands (serve, demo, bench and the four stand-ins) each repeated the check that their part is built in and the treatment of a stop on request: 28 lines of command/run.go. runPart now does both. The four stand-ins' option structures and their address checks stay: they have the same shape, but name other flags in another order of the help.

--- a/command/run.go
+++ b/command/run.go
@@ -30,10 +30,7 @@
 }
 
 func (c *ServeOptions) run(ctx context.Context, r Registry, out io.Writer) error {
-	if r.Serve == nil {
-		return notBuiltIn("serve")
-	}
-	return endOf(ctx, r.Serve(ctx, *c, out))
+	return runPart(ctx, "serve", r.Serve, *c, out)
 }
 
 // loadSettings tells a file that cannot be read from one that is refused.
@@ -52,6 +49,17 @@
 	return s, nil
 }
 
+// part is a function of the Registry that takes the options of its subcommand.
+type part[Options any] = func(ctx context.Context, o Options, out io.Writer) error
+
+// runPart runs a part until it ends, if it is built in.
+func runPart[Options any](ctx context.Context, name string, run part[Options], o Options, out io.Writer) error {
+	if run == nil {
+		return notBuiltIn(name)
+	}
+	return endOf(ctx, run(ctx, o, out))
+}
+
 // endOf treats a stop on request as success.
 func endOf(ctx context.Context, err error) error {
 	if ctx.Err() != nil && errors.Is(err, context.Canceled) {
@@ -68,10 +76,7 @@
 }
 
 func (c *DemoOptions) run(ctx context.Context, r Registry, out io.Writer) error {
-	if r.Demo == nil {
-		return notBuiltIn("demo")
-	}
-	return endOf(ctx, r.Demo(ctx, *c, out))
+	return runPart(ctx, "demo", r.Demo, *c, out)
 }
 
 // BenchOptions are the options of the policy bench.
@@ -82,10 +87,7 @@
 }
 
 func (c *BenchOptions) run(ctx context.Context, r Registry, out io.Writer) error {
-	if r.Bench == nil {
-		return notBuiltIn("bench")
-	}
-	return endOf(ctx, r.Bench(ctx, *c, out))
+	return runPart(ctx, "bench", r.Bench, *c, out)
 }
 
 type standinCommand struct {
@@ -110,10 +112,7 @@
 	if err := checkAddress("--listen", c.Listen); err != nil {
 		return err
 	}
-	if r.StandinPlatform == nil {
-		return notBuiltIn("standin platform")
-	}
-	return endOf(ctx, r.StandinPlatform(ctx, *c, out))
+	return runPart(ctx, "standin platform", r.StandinPlatform, *c, out)
 }
 
 // WorkerOptions are the options of a worker's stand-in.
@@ -134,10 +133,7 @@
 	if err := checkAddresses(map[string]string{"--listen": c.Listen, "--platform": c.Platform}); err != nil {
 		return err
 	}
-	if r.StandinWorker == nil {
-		return notBuiltIn("standin worker")
-	}
-	return endOf(ctx, r.StandinWorker(ctx, *c, out))
+	return runPart(ctx, "standin worker", r.StandinWorker, *c, out)
 }
 
 // RunnerOptions are the options of a runner's stand-in.
@@ -159,10 +155,7 @@
 	if err := checkAddresses(map[string]string{"--listen": c.Listen, "--platform": c.Platform}); err != nil {
 		return err
 	}
-	if r.StandinRunner == nil {
-		return notBuiltIn("standin runner")
-	}
-	return endOf(ctx, r.StandinRunner(ctx, *c, out))
+	return runPart(ctx, "standin runner", r.StandinRunner, *c, out)
 }
 
 // ProxyOptions are the options of the fault-injecting proxy.
@@ -176,8 +169,5 @@
 	if err := checkAddresses(map[string]string{"--listen": c.Listen, "--target": c.Target}); err != nil {
 		return err
 	}
-	if r.StandinProxy == nil {
-		return notBuiltIn("standin proxy")
-	}
-	return endOf(ctx, r.StandinProxy(ctx, *c, out))
+	return runPart(ctx, "standin proxy", r.StandinProxy, *c, out)
 }
