Keep ordinary and reserved lanes of requests in one map

lane and reservedLane of routing/slots.go repeated each other for two maps of the router, which dropUnusedLanes and allLanes then visited one after the other. Whether a lane is reserved is now part of its ID: one map, and laneOf makes a lane on first use.

go vet, staticcheck and the tests of routing, entry and scenario pass.

--- a/routing/routing.go
+++ b/routing/routing.go
@@ -92,9 +92,8 @@
 	stopOnce sync.Once
 	stopped  chan struct{} // closed when Serve ends for good
 
-	mu       sync.Mutex
-	lanes    map[laneID]*lane
-	reserved map[laneID]*lane
+	mu    sync.Mutex
+	lanes map[laneID]*lane
 }
 
 // New returns a router. Serve must run beside it.
@@ -117,7 +116,6 @@
 		forwards: newForwardCounts(c.Settings.MaxForwards),
 		stopped:  make(chan struct{}),
 		lanes:    map[laneID]*lane{},
-		reserved: map[laneID]*lane{},
 	}
 }
 
--- a/routing/slots.go
+++ b/routing/slots.go
@@ -1,6 +1,8 @@
 package routing
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -8,20 +10,19 @@
 	"bergamotstile/structs"
 )
 
-// laneID names the runners of one service in one shard.
+// laneID names the runners of one service in one shard. A reserved lane holds
+// the few connections that an instance may use without owning the shard.
 type laneID struct {
-	shard   structs.ShardID
-	service string
+	shard    structs.ShardID
+	service  string
+	reserved bool
 }
 
-// lane is the queue and the slots of a shard's runners of one service. A
-// reserved lane holds the few connections that an instance may use without
-// owning the shard.
+// lane is the queue and the slots of a shard's runners of one service.
 type lane struct {
-	id       laneID
-	router   *Router
-	reserved bool
-	queue    *admission.Queue[*slot]
+	id     laneID
+	router *Router
+	queue  *admission.Queue[*slot]
 
 	mu      sync.Mutex
 	turn    int
@@ -41,34 +42,30 @@
 	runner structs.Member
 }
 
-// lane returns the queue of a shard's runners, which it makes on first use.
+// lane returns the queue of a shard's runners.
 func (r *Router) lane(shard structs.ShardID, service string) *lane {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	id := laneID{shard: shard, service: service}
-	l := r.lanes[id]
-	if l == nil {
-		l = r.newLane(id, false)
-		r.lanes[id] = l
-	}
-	return l
+	return r.laneOf(laneID{shard: shard, service: service})
 }
 
 // reservedLane returns the reserved connections to a service's runners.
 func (r *Router) reservedLane(shard structs.ShardID, service string) *lane {
+	return r.laneOf(laneID{shard: shard, service: service, reserved: true})
+}
+
+// laneOf returns the lane with the given ID, which it makes on first use.
+func (r *Router) laneOf(id laneID) *lane {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	id := laneID{shard: shard, service: service}
-	l := r.reserved[id]
+	l := r.lanes[id]
 	if l == nil {
-		l = r.newLane(id, true)
-		r.reserved[id] = l
+		l = r.newLane(id)
+		r.lanes[id] = l
 	}
 	return l
 }
 
-func (r *Router) newLane(id laneID, reserved bool) *lane {
-	l := &lane{id: id, router: r, reserved: reserved, runners: map[string]*runnerUse{}}
+func (r *Router) newLane(id laneID) *lane {
+	l := &lane{id: id, router: r, runners: map[string]*runnerUse{}}
 	l.queue = admission.NewQueue(r.Settings.Admission, r.Clock, l)
 	return l
 }
@@ -77,11 +74,9 @@
 func (r *Router) dropUnusedLanes() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, lanes := range []map[laneID]*lane{r.lanes, r.reserved} {
-		for id, l := range lanes {
-			if l.unused() {
-				delete(lanes, id)
-			}
+	for id, l := range r.lanes {
+		if l.unused() {
+			delete(r.lanes, id)
 		}
 	}
 }
@@ -89,14 +84,7 @@
 func (r *Router) allLanes() []*lane {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	out := make([]*lane, 0, len(r.lanes)+len(r.reserved))
-	for _, l := range r.lanes {
-		out = append(out, l)
-	}
-	for _, l := range r.reserved {
-		out = append(out, l)
-	}
-	return out
+	return slices.Collect(maps.Values(r.lanes))
 }
 
 // laneView is what the lane last read of the membership view and the topology.
@@ -130,7 +118,7 @@
 // the domain may use the reserved connections.
 func (l *lane) limit(m structs.Member, others int) int {
 	s := l.router.Settings
-	if l.reserved {
+	if l.id.reserved {
 		return s.ReservedConnections
 	}
 	slots, connections := m.Slots, m.Connections
