Replace settings that are not positive by defaults in one place

Package defaults has it once, for whole numbers and durations; the rule and the values are the same as before. The settings of routing and policy are left alone: they replace zero only and take over negative values. The calls of peer.Client are left as well: each is one line with types and a name of its own, and call has what they share.

go vet, staticcheck and the tests of defaults, httpclient, ownership, lifecycle, membership, platform/httpapi, routing, entry, standin and scenario pass.

--- a/httpclient/httpclient.go
+++ b/httpclient/httpclient.go
@@ -11,6 +11,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"bergamotstile/defaults"
 )
 
 // Defaults of Options.
@@ -97,18 +99,10 @@
 }
 
 func (o Options) withDefaults() Options {
-	if o.MaxConnsPerHost <= 0 {
-		o.MaxConnsPerHost = DefaultMaxConnsPerHost
-	}
-	if o.MaxResponseBytes <= 0 {
-		o.MaxResponseBytes = DefaultMaxResponseBytes
-	}
-	if o.DialTimeout <= 0 {
-		o.DialTimeout = DefaultDialTimeout
-	}
-	if o.IdleConnTimeout <= 0 {
-		o.IdleConnTimeout = DefaultIdleConnTimeout
-	}
+	defaults.Set(&o.MaxConnsPerHost, DefaultMaxConnsPerHost)
+	defaults.Set(&o.MaxResponseBytes, DefaultMaxResponseBytes)
+	defaults.Set(&o.DialTimeout, DefaultDialTimeout)
+	defaults.Set(&o.IdleConnTimeout, DefaultIdleConnTimeout)
 	return o
 }
 
--- a/lifecycle/config.go
+++ b/lifecycle/config.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"bergamotstile/defaults"
 	"bergamotstile/ownership"
 	"bergamotstile/platform"
 	"bergamotstile/scheduler"
@@ -73,39 +74,27 @@
 )
 
 func (c Config) withDefaults() Config {
-	orDuration(&c.TaskLease, defaultTaskLease)
-	orDuration(&c.StartWindow, defaultStartWindow)
-	orDuration(&c.LeaseMargin, defaultLeaseMargin)
-	orDuration(&c.Heartbeat, defaultHeartbeat)
-	orDuration(&c.QueueScan, defaultQueueScan)
-	orDuration(&c.PlanInterval, defaultPlanInterval)
-	orDuration(&c.CommitWait, defaultCommitWait)
-	orDuration(&c.CallTimeout, defaultCallTimeout)
-	orDuration(&c.RetryMin, defaultRetryMin)
-	orDuration(&c.RetryMax, defaultRetryMax)
-	orDuration(&c.RestartMin, defaultRestartMin)
-	orDuration(&c.RestartMax, defaultRestartMax)
-	orInt(&c.Shards, 1)
-	orInt(&c.ScanPage, defaultScanPage)
-	orInt(&c.CommitMax, defaultCommitMax)
-	orInt(&c.MaxCalls, defaultMaxCalls)
-	orInt(&c.Limits.MaxFailedWorkers, defaultMaxFailedWorkers)
-	orInt(&c.Limits.MaxFailures, defaultMaxFailures)
+	defaults.Set(&c.TaskLease, defaultTaskLease)
+	defaults.Set(&c.StartWindow, defaultStartWindow)
+	defaults.Set(&c.LeaseMargin, defaultLeaseMargin)
+	defaults.Set(&c.Heartbeat, defaultHeartbeat)
+	defaults.Set(&c.QueueScan, defaultQueueScan)
+	defaults.Set(&c.PlanInterval, defaultPlanInterval)
+	defaults.Set(&c.CommitWait, defaultCommitWait)
+	defaults.Set(&c.CallTimeout, defaultCallTimeout)
+	defaults.Set(&c.RetryMin, defaultRetryMin)
+	defaults.Set(&c.RetryMax, defaultRetryMax)
+	defaults.Set(&c.RestartMin, defaultRestartMin)
+	defaults.Set(&c.RestartMax, defaultRestartMax)
+	defaults.Set(&c.Shards, 1)
+	defaults.Set(&c.ScanPage, defaultScanPage)
+	defaults.Set(&c.CommitMax, defaultCommitMax)
+	defaults.Set(&c.MaxCalls, defaultMaxCalls)
+	defaults.Set(&c.Limits.MaxFailedWorkers, defaultMaxFailedWorkers)
+	defaults.Set(&c.Limits.MaxFailures, defaultMaxFailures)
 	return c
 }
 
-func orDuration(d *time.Duration, value time.Duration) {
-	if *d <= 0 {
-		*d = value
-	}
-}
-
-func orInt(n *int, value int) {
-	if *n <= 0 {
-		*n = value
-	}
-}
-
 // Policy plans for one shard. It has to be pure.
 type Policy interface {
 	Schedule(scheduler.Snapshot) scheduler.Plan
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -13,6 +13,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
 
+	"bergamotstile/defaults"
 	"bergamotstile/logging"
 	"bergamotstile/peer"
 	"bergamotstile/platform"
@@ -76,20 +77,14 @@
 		c.Clock = clockwork.NewRealClock()
 	}
 	c.Log = logging.Part(c.Log, "membership")
-	setDefault(&c.ListInterval, DefaultListInterval)
-	setDefault(&c.PeerInterval, DefaultPeerInterval)
-	setDefault(&c.ProbeInterval, DefaultProbeInterval)
-	setDefault(&c.SuspectAfter, DefaultSuspectAfter)
-	setDefault(&c.LeavingBound, DefaultLeavingBound)
+	defaults.Set(&c.ListInterval, DefaultListInterval)
+	defaults.Set(&c.PeerInterval, DefaultPeerInterval)
+	defaults.Set(&c.ProbeInterval, DefaultProbeInterval)
+	defaults.Set(&c.SuspectAfter, DefaultSuspectAfter)
+	defaults.Set(&c.LeavingBound, DefaultLeavingBound)
 	return c
 }
 
-func setDefault(d *time.Duration, value time.Duration) {
-	if *d <= 0 {
-		*d = value
-	}
-}
-
 // View is the merged membership as this instance sees it. It is safe for
 // concurrent use.
 type View struct {
--- a/ownership/config.go
+++ b/ownership/config.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"bergamotstile/defaults"
 	"bergamotstile/peer"
 	"bergamotstile/platform"
 	"bergamotstile/structs"
@@ -47,18 +48,10 @@
 )
 
 func (c Config) withDefaults() Config {
-	if c.Lease <= 0 {
-		c.Lease = defaultLease
-	}
-	if c.Margin <= 0 {
-		c.Margin = defaultMargin
-	}
-	if c.TableTimeout <= 0 {
-		c.TableTimeout = defaultTableTimeout
-	}
-	if c.PeerTimeout <= 0 {
-		c.PeerTimeout = defaultPeerTimeout
-	}
+	defaults.Set(&c.Lease, defaultLease)
+	defaults.Set(&c.Margin, defaultMargin)
+	defaults.Set(&c.TableTimeout, defaultTableTimeout)
+	defaults.Set(&c.PeerTimeout, defaultPeerTimeout)
 	c.Shards = max(c.Shards, 1)
 	return c
 }
--- a/routing/slots.go
+++ b/routing/slots.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"bergamotstile/admission"
+	"bergamotstile/defaults"
 	"bergamotstile/structs"
 )
 
@@ -122,12 +123,8 @@
 		return s.ReservedConnections
 	}
 	slots, connections := m.Slots, m.Connections
-	if slots <= 0 {
-		slots = s.DefaultSlots
-	}
-	if connections <= 0 {
-		connections = s.DefaultConnections
-	}
+	defaults.Set(&slots, s.DefaultSlots)
+	defaults.Set(&connections, s.DefaultConnections)
 	return min(slots, max(connections-s.ReservedConnections*others, 1))
 }
 
