Split the installation of faults in routing's history test

faults.install had 55 lines: the seeded source of chance and the faults of runners, table and forwarding. Each is a function of its own now; rates, order of draws and results are the same, so that seeds replay as before.

--- a/routing/history_test.go
+++ b/routing/history_test.go
@@ -94,59 +94,75 @@
 
 // install makes the cluster's parts fail at the drawn rates.
 func (f faults) install(c *cluster) {
+	hit := newChance(f.seed)
+	c.runners.setBehave(func(string, runnerapi.Dispatch) (time.Duration, error) { return f.atRunner(hit) })
+	c.table.setFault(func(op string) string { return f.atTable(hit, op) })
+	c.setForward(func(string) error { return f.atForward(hit) })
+}
+
+// chance is true in the given share of its calls.
+type chance func(percent int) bool
+
+func newChance(seed uint64) chance {
 	var mu sync.Mutex
-	random := rand.New(rand.NewPCG(f.seed, 1))
-	hit := func(percent int) bool {
+	random := rand.New(rand.NewPCG(seed, 1))
+	return func(percent int) bool {
 		mu.Lock()
 		defer mu.Unlock()
 		return random.IntN(100) < percent
 	}
-	c.runners.setBehave(func(string, runnerapi.Dispatch) (time.Duration, error) {
-		took := 30 * time.Millisecond
-		if hit(f.slow) {
-			took = 700 * time.Millisecond
-		}
-		if hit(f.slow) {
-			took = 1400 * time.Millisecond
-		}
-		switch {
-		case hit(f.unreachable):
-			return 0, runnerapi.ErrUnreachable
-		case hit(f.busy):
-			return 0, runnerapi.ErrBusy
-		case hit(f.leaving):
-			return 0, runnerapi.ErrLeaving
-		case hit(f.failed):
-			return 0, runnerapi.ErrFailed
-		case hit(f.lost):
-			return took, runnerapi.ErrIncomplete
-		}
-		return took, nil
-	})
-	c.table.setFault(func(op string) string {
-		switch {
-		case hit(f.tableDown):
-			return "down"
-		case op == "commit" && hit(f.tableLost):
-			return "lost"
-		case op == "commit" && hit(f.tableDropped):
-			return "dropped"
-		case op == "commit" && hit(f.tableDelayed):
-			return "delayed"
-		}
-		return ""
-	})
-	c.setForward(func(string) error {
-		switch {
-		case hit(f.forwardUnreachable):
-			return peer.ErrUnreachable
-		case hit(f.forwardLost):
-			return peer.ErrOutcomeUnknown
-		case hit(f.forwardCrossed):
-			return errCrossed
-		}
-		return nil
-	})
+}
+
+// atRunner returns how long a dispatch takes and how it fails.
+func (f faults) atRunner(hit chance) (time.Duration, error) {
+	took := 30 * time.Millisecond
+	if hit(f.slow) {
+		took = 700 * time.Millisecond
+	}
+	if hit(f.slow) {
+		took = 1400 * time.Millisecond
+	}
+	switch {
+	case hit(f.unreachable):
+		return 0, runnerapi.ErrUnreachable
+	case hit(f.busy):
+		return 0, runnerapi.ErrBusy
+	case hit(f.leaving):
+		return 0, runnerapi.ErrLeaving
+	case hit(f.failed):
+		return 0, runnerapi.ErrFailed
+	case hit(f.lost):
+		return took, runnerapi.ErrIncomplete
+	}
+	return took, nil
+}
+
+// atTable returns the fault of a table call.
+func (f faults) atTable(hit chance, op string) string {
+	switch {
+	case hit(f.tableDown):
+		return "down"
+	case op == "commit" && hit(f.tableLost):
+		return "lost"
+	case op == "commit" && hit(f.tableDropped):
+		return "dropped"
+	case op == "commit" && hit(f.tableDelayed):
+		return "delayed"
+	}
+	return ""
+}
+
+// atForward returns how a forwarded request fails.
+func (f faults) atForward(hit chance) error {
+	switch {
+	case hit(f.forwardUnreachable):
+		return peer.ErrUnreachable
+	case hit(f.forwardLost):
+		return peer.ErrOutcomeUnknown
+	case hit(f.forwardCrossed):
+		return errCrossed
+	}
+	return nil
 }
 
 const testLease = 2500 * time.Millisecond
