Take the set-up out of the manager's test in lifecycle

TestSubmittedWorkRunsAndFinishes had 57 lines, half of them the manager and its fakes. serveSoleWorker makes them now, and finishNext and finished are its two waits. Every check stands as before.

--- a/lifecycle/manager_test.go
+++ b/lifecycle/manager_test.go
@@ -28,62 +28,83 @@
 func (v fixedView) Workers(string) []structs.Member    { return v }
 func (v fixedView) WorkerGoneFor(string) time.Duration { return 0 }
 
-// Guards against a wiring of manager, core and applier in which a submitted
-// item never reaches its worker, or its outcome never reaches the table.
-func TestSubmittedWorkRunsAndFinishes(t *testing.T) {
-	shard := structs.ShardID{Domain: "d", Index: 0}
-	table := newMemTable()
-	epoch, err := table.Commit(t.Context(), platform.Transaction{Puts: []platform.Put{{Key: "epoch/d/0"}}})
+// soleWorker is a served manager that owns one shard with one worker.
+type soleWorker struct {
+	manager *Manager
+	shard   structs.ShardID
+	table   *memTable
+	worker  *fakeWorker
+	starts  chan structs.AttemptID
+}
+
+var soleWorkerSize = structs.Resources{CPUMilli: 1000, MemoryMB: 512}
+
+func serveSoleWorker(t *testing.T) *soleWorker {
+	s := &soleWorker{shard: structs.ShardID{Domain: "d", Index: 0}, table: newMemTable(), starts: make(chan structs.AttemptID, 1)}
+	epoch, err := s.table.Commit(t.Context(), platform.Transaction{Puts: []platform.Put{{Key: "epoch/d/0"}}})
 	if err != nil {
 		t.Fatal(err)
 	}
-	starts := make(chan structs.AttemptID, 1)
 	objects := &memObjects{data: map[string][]byte{}}
-	size := structs.Resources{CPUMilli: 1000, MemoryMB: 512}
 	clock := clockwork.NewRealClock()
-	w := newFakeWorker(clock, "w", size, objects, func(e runEntry) {
+	s.worker = newFakeWorker(clock, "w", soleWorkerSize, objects, func(e runEntry) {
 		if e.what == "start" {
-			starts <- e.attempt
+			s.starts <- e.attempt
 		}
 	})
 	var writes atomic.Int64
-	m := NewManager(Config{Domain: "d", Heartbeat: 10 * time.Millisecond}, Dependencies{
-		Table: table, Objects: objects, Workers: &fleet{workers: map[string]*fakeWorker{"w": w}},
+	s.manager = NewManager(Config{Domain: "d", Heartbeat: 10 * time.Millisecond}, Dependencies{
+		Table: s.table, Objects: objects, Workers: &fleet{workers: map[string]*fakeWorker{"w": s.worker}},
 		View:       fixedView{{Name: "w", Role: structs.RoleWorker, Domain: "d", Address: "w", State: structs.MemberLive}},
-		Leases:     fixedLease{ownership.Lease{Shard: shard, Epoch: 1, Fence: platform.Condition{Key: "epoch/d/0", Version: epoch.Version}}},
+		Leases:     fixedLease{ownership.Lease{Shard: s.shard, Epoch: 1, Fence: platform.Condition{Key: "epoch/d/0", Version: epoch.Version}}},
 		Policy:     scheduler.FirstFit{},
 		Domains:    func() []string { return []string{"d"} },
 		NewWriteID: func() string { return fmt.Sprint("write-", writes.Add(1)) },
 	}, clock)
-	ctx, cancel := context.WithCancel(t.Context())
-	defer cancel()
-	go func() { _ = m.Serve(ctx) }()
+	go func() { _ = s.manager.Serve(t.Context()) }()
+	return s
+}
+
+// finishNext ends the task of the next start.
+func (s *soleWorker) finishNext(result string) {
+	attempt := <-s.starts
+	s.worker.mu.Lock()
+	defer s.worker.mu.Unlock()
+	s.worker.end(attempt, workerapi.Ended{State: workerapi.EndFinished, Result: result}, "finished")
+}
+
+// finished waits until an item's status is finished, or cannot be asked for.
+func (s *soleWorker) finished(ctx context.Context, id structs.WorkID) (structs.WorkStatus, error) {
+	status, err := s.manager.Status(ctx, s.shard, id)
+	for err == nil && status.State != structs.StateFinished {
+		time.Sleep(time.Millisecond)
+		status, err = s.manager.Status(ctx, s.shard, id)
+	}
+	return status, err
+}
 
-	spec := structs.WorkSpec{Team: "t", Key: "k", Kind: structs.KindBatch, Size: size}
-	status, err := m.Submit(ctx, spec)
+// Guards against a wiring of manager, core and applier in which a submitted
+// item never reaches its worker, or its outcome never reaches the table.
+func TestSubmittedWorkRunsAndFinishes(t *testing.T) {
+	s, ctx := serveSoleWorker(t), t.Context()
+	spec := structs.WorkSpec{Team: "t", Key: "k", Kind: structs.KindBatch, Size: soleWorkerSize}
+	status, err := s.manager.Submit(ctx, spec)
 	if err != nil || status.Outcome != structs.OutcomeNotRun {
 		t.Fatalf("submit: %+v, %v", status, err)
 	}
-	attempt := <-starts
-	w.mu.Lock()
-	w.end(attempt, workerapi.Ended{State: workerapi.EndFinished, Result: "done"}, "finished")
-	w.mu.Unlock()
-	for table.item(shard, spec.ID()).State != structs.StateFinished {
-		time.Sleep(time.Millisecond)
-	}
-	status, err = m.Status(ctx, shard, spec.ID())
-	for err == nil && status.State != structs.StateFinished {
+	s.finishNext("done")
+	for s.table.item(s.shard, spec.ID()).State != structs.StateFinished {
 		time.Sleep(time.Millisecond)
-		status, err = m.Status(ctx, shard, spec.ID())
 	}
+	status, err = s.finished(ctx, spec.ID())
 	if err != nil || status.Outcome != structs.OutcomeRan || status.Result != "done" || status.Attempts != 1 {
 		t.Fatalf("status: %+v, %v", status, err)
 	}
-	if _, err := m.Submit(ctx, spec); err != nil {
+	if _, err := s.manager.Submit(ctx, spec); err != nil {
 		t.Fatalf("submit again: %v", err)
 	}
 	spec.Payload = []byte("other")
-	if _, err := m.Submit(ctx, spec); structs.AsRefusal(err).Reason != structs.ReasonKeyReused {
+	if _, err := s.manager.Submit(ctx, spec); structs.AsRefusal(err).Reason != structs.ReasonKeyReused {
 		t.Fatalf("submit of other work with the same key: %v", err)
 	}
 }
