Give the stand-ins' test addresses that nobody else takes

It asked for a free port, freed it and used it later: with four copies of the test at once, all four ended with "address already in use", two of them because the platform and the runner had been given the same port. Processes that ended before their time were not looked at, so the test waited half a minute for nothing.

The test now takes ports below the ephemeral range on a loopback host of its own process, and a process that ends early fails it with its error; with the address of the runner given to the proxy's control, it fails so at once.

--- a/standin/run_test.go
+++ b/standin/run_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
-	"net"
+	"fmt"
+	"os"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -11,15 +13,14 @@
 	"bergamotstile/standin"
 )
 
-// freeAddress returns a loopback address on which nothing listens.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+// ports counts the addresses that this process has given out.
+var ports atomic.Int32
+
+// nextAddress returns an address that nobody else uses: a loopback host of this
+// process with ports below the ephemeral range, which no connection takes.
+func nextAddress() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.1:%d", 1+pid>>8&0x7f, pid&0xff, 20000+ports.Add(1)%10000)
 }
 
 // Guards against stand-in processes that do not appear on the platform's list
@@ -29,25 +30,29 @@
 	defer cancel()
 	rest, stop := context.WithCancel(ctx)
 	defer stop()
-	platformAt, runnerAt, proxyAt := freeAddress(t), freeAddress(t), freeAddress(t)
-	go func() { _ = standin.RunPlatform(ctx, standin.ArgsPlatform{Address: platformAt}) }()
-	ended := make(chan error, 3)
+	platformAt, runnerAt, proxyAt := nextAddress(), nextAddress(), nextAddress()
+	ended := make(chan error, 4)
 	go func() {
-		ended <- standin.RunWorker(rest, standin.ArgsWorker{Address: freeAddress(t), Name: "w", Platform: platformAt})
+		if err := standin.RunPlatform(ctx, standin.ArgsPlatform{Address: platformAt}); err != nil {
+			ended <- err
+		}
+	}()
+	go func() {
+		ended <- standin.RunWorker(rest, standin.ArgsWorker{Address: nextAddress(), Name: "w", Platform: platformAt})
 	}()
 	go func() {
 		ended <- standin.RunRunner(rest, standin.ArgsRunner{Address: runnerAt, Name: "r", Platform: platformAt, DrainMS: 1})
 	}()
 	go func() {
-		ended <- standin.RunProxy(rest, standin.ArgsProxy{Address: proxyAt, Target: runnerAt, Control: freeAddress(t)})
+		ended <- standin.RunProxy(rest, standin.ArgsProxy{Address: proxyAt, Target: runnerAt, Control: nextAddress()})
 	}()
 	list := httpapi.New(httpapi.Options{Address: platformAt})
 	runners := runnerapi.NewHTTPClient(0)
-	waitFor(t, "two members", func() bool {
+	waitFor(t, ended, "two members", func() bool {
 		l, err := list.List(ctx)
 		return err == nil && len(l.Members) == 2
 	})
-	waitFor(t, "an answer through the proxy", func() bool {
+	waitFor(t, ended, "an answer through the proxy", func() bool {
 		_, err := runners.Health(ctx, proxyAt)
 		return err == nil
 	})
@@ -65,14 +70,19 @@
 	}
 }
 
-// waitFor polls a condition; the bound only ends a test that hangs.
-func waitFor(t *testing.T, what string, holds func() bool) {
+// waitFor polls a condition that no process may end before; the bound only ends
+// a test that hangs.
+func waitFor(t *testing.T, ended <-chan error, what string, holds func() bool) {
 	t.Helper()
 	for range 3000 {
 		if holds() {
 			return
 		}
-		time.Sleep(10 * time.Millisecond)
+		select {
+		case err := <-ended:
+			t.Fatalf("a process ended before %s: %v", what, err)
+		case <-time.After(10 * time.Millisecond):
+		}
 	}
 	t.Fatalf("never happened: %s", what)
 }
