Return from a server's start once its poller runs

Cause: a poller of nbio 1.6.8 clears the mark of a stop that came before it first ran. nbio gives no sign of that, so Start makes one: a connection of its own, whose first read tells that the listener and the poller run. There is one poller now (a quarter of the processors before, so one on the platform's instances too); it only reads and hands over.

--- a/httpserver/httpserver.go
+++ b/httpserver/httpserver.go
@@ -55,25 +55,29 @@
 
 // StartOn serves handler on a listener, as Start does. The engine gets a
 // listener because it may not return from a failed start: its pollers miss a
-// stop that comes before they run (nbio 1.6.8). For the same reason, a caller
-// that needs several addresses listens on all of them before it starts one.
+// stop that comes before they run (nbio 1.6.8). A caller that needs several
+// addresses listens on all of them before it starts one.
 func StartOn(listener net.Listener, handler http.Handler, probePaths ...string) (*Server, error) {
 	address := listener.Addr().String()
 	s := &Server{probePaths: probePaths, watch: newDisconnectWatch()}
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
 		Network:         "tcp",
 		Addrs:           []string{address},
+		NPoller:         1, // see awaitPoller
 		Listen:          func(string, string) (net.Listener, error) { return listener, nil },
 		MaxHTTPBodySize: MaxBodyBytes,
 		ReadLimit:       readLimitBytes,
 		KeepaliveTime:   keepaliveTime,
 		Handler:         s.track(handler),
 	})
-	orderAcceptBeforeRead(s.engine)
+	read := watchReads(s.engine)
 	if err := s.engine.Start(); err != nil {
 		_ = listener.Close()
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
+	if err := awaitPoller(s.Address(), read); err != nil {
+		return nil, fmt.Errorf("serve on %s: %w", address, err)
+	}
 	go s.watch.serve()
 	return s, nil
 }
--- a/httpserver/httpserver_test.go
+++ b/httpserver/httpserver_test.go
@@ -123,3 +123,28 @@
 		t.Errorf("the connection did not stay open: %v", err)
 	}
 }
+
+// Guards against a server that does not end when it is closed right after its start:
+// the engine's pollers miss a stop that comes before they have run.
+func TestCloseRightAfterStartEnds(t *testing.T) {
+	ended := make(chan error, 1)
+	go func() {
+		for range 50 {
+			s, err := Start("127.0.0.1:0", http.NotFoundHandler())
+			if err != nil {
+				ended <- err
+				return
+			}
+			s.Close()
+		}
+		ended <- nil
+	}()
+	select {
+	case err := <-ended:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(30 * time.Second):
+		t.Fatal("a server that was closed does not end")
+	}
+}
