Drain machines and take them down for upkeep in waves

The coordinator plans the waves that the operator requests: it cordons the runners of machines that are next, moves long-running tasks off within their step's disruption budget, stops work that can't end in time while its checkpoint saves it, and calls the platform. The machine list is read only while a wave is open, as each look is priced; requests come with the feed of the operator's table that every instance follows already.

A term leaves waves alone when the predecessor's record can't be read, since their limit could not be kept. Ending the term instead was ruled out: the jobs don't depend on it.

--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -22,6 +22,9 @@
 	// failures, or on one that has done nothing lately if another failure of
 	// the task would be the job's end.
 	doubtPenalty = 3.0
+	// upkeepPenalty keeps long-running tasks off runners whose machine is about
+	// to go down: they would have to be moved again.
+	upkeepPenalty = 2.0
 	// harmWeight weighs pressure on serving tasks against time lost.
 	harmWeight = 4.0
 	// packWeight prefers full runners among those that lose alike.
@@ -179,6 +182,9 @@
 	if r.health.doubtful(now) || w.lastChance && !r.health.proven(now) {
 		factor *= doubtPenalty
 	}
+	if w.step.LongRunning && r.upkeepDue {
+		factor *= upkeepPenalty
+	}
 	if w.step.Fills {
 		return c.fillCost(w, r, factor, now)
 	}
--- a/coordinator/platform.go
+++ b/coordinator/platform.go
@@ -57,6 +57,8 @@
 	// RunnersTable is the registry; DecodeRunner decodes its rows.
 	RunnersTable string
 	DecodeRunner func(rowstore.Row) (RunnerInfo, error)
+	// Maintenance is nil where the platform has no waves of upkeep.
+	Maintenance *Maintenance
 	// Queues returns the queues in force.
 	Queues func() []jobs.Queue
 	Limits Limits
--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -23,6 +23,9 @@
 		c.runners[rep.Runner] = r
 		c.sorted = nil
 	}
+	if rep.Incarnation == r.terminated && r.terminated != 0 {
+		return // the answer was under way when the machine went down
+	}
 	c.noteIncarnation(r, rep)
 	c.resolve(rep.Runner)
 	r.reported, r.suspect = true, rep.Unleased
--- a/coordinator/runner.go
+++ b/coordinator/runner.go
@@ -8,6 +8,7 @@
 
 	"bergamotstile/interference"
 	"bergamotstile/jobs"
+	"bergamotstile/maintenance"
 	"bergamotstile/structs"
 )
 
@@ -24,6 +25,12 @@
 	seen        int // highest end processed
 	// suspect is set while it does not answer, or its leases can't be extended.
 	suspect bool
+	// cordon is set while the runner takes no new tasks because its machine is to
+	// go down for upkeep; upkeepDue while that is yet to come.
+	cordon    *maintenance.Drain
+	upkeepDue bool
+	// terminated is the incarnation that ended with its machine.
+	terminated int64
 	// leaves is when a draining runner may be gone.
 	leaves time.Duration
 	runs   map[*run]struct{}
@@ -190,5 +197,5 @@
 
 // usable reports whether the runner may be given new tasks.
 func (r *runner) usable() bool {
-	return r.listed && r.reported && !r.Draining && !r.suspect && len(r.strays) == 0
+	return r.listed && r.reported && !r.Draining && r.cordon == nil && !r.suspect && len(r.strays) == 0
 }
--- a/coordinator/takeover.go
+++ b/coordinator/takeover.go
@@ -157,6 +157,8 @@
 		case rosterKey:
 			t.notes[row.Key] = string(row.Value)
 			roster = decodeRoster(string(row.Value))
+		case wavesKey:
+			t.inheritWaves(row.Value)
 		case learnedKey:
 			if err := t.core.Learn(row.Value); err != nil {
 				t.env.Log.WithError(err).Warn("starting without what was learned")
--- a/coordinator/tenure.go
+++ b/coordinator/tenure.go
@@ -65,6 +65,7 @@
 	nextLearn time.Duration
 	nextSweep time.Duration
 	ended     map[jobs.ID]time.Duration // on the store's clock
+	upkeep    *upkeep                   // nil if waves are left alone
 }
 
 // Lead coordinates until ctx ends or a later coordinator is noticed.
@@ -84,6 +85,7 @@
 		notes:    map[rowstore.Key]string{},
 		expiries: map[string]recordedExpiry{},
 		ended:    map[jobs.ID]time.Duration{},
+		upkeep:   newUpkeep(env.Maintenance, env.Log),
 	}
 	begun := env.Clock()
 	versions, err := t.takeOver(ctx)
@@ -150,6 +152,7 @@
 	t.core.SetStoreClock(now, t.env.StoreClock())
 	t.core.Configure(t.env.Queues())
 	t.lapse(now)
+	t.maintain(now)
 	t.core.Watch(now)
 	t.dropLinks()
 	if now >= t.nextNotes || t.withdraws() {
--- a/coordinator/watch.go
+++ b/coordinator/watch.go
@@ -29,7 +29,8 @@
 )
 
 // Watch stops tasks that stand still, and tasks that would not end before
-// their draining runner leaves, so that they go on elsewhere.
+// their draining runner leaves or its machine goes down, so that they go on
+// elsewhere.
 func (c *Core) Watch(now time.Duration) {
 	c.dropUnlisted(now)
 	c.dropGone()
@@ -43,8 +44,10 @@
 				continue
 			}
 			switch {
-			case r.Draining && c.mustLeave(x, now):
+			case r.Draining && c.mustLeave(x, r.leaves, now):
 				c.move(x, now, "runner is leaving")
+			case r.cordon != nil && c.evicts(x, now):
+				c.move(x, now, "machine goes down for upkeep")
 			case c.stalled(x, now):
 				r.health.stalls++
 				r.health.avoidUntil = max(r.health.avoidUntil, now+stallAvoid)
@@ -131,11 +134,11 @@
 }
 
 // mustLeave reports whether a task would not end before its runner leaves.
-func (c *Core) mustLeave(x *run, now time.Duration) bool {
+func (c *Core) mustLeave(x *run, leaves, now time.Duration) bool {
 	if x.step.LongRunning {
 		return true
 	}
-	left := x.runner.leaves - leaveMargin - now
+	left := leaves - leaveMargin - now
 	spent := now - x.began
 	need := x.job.estimates[x.task.Step] - spent
 	if x.percent > 0 {
--- a/maintenance/plan.go
+++ b/maintenance/plan.go
@@ -159,6 +159,22 @@
 	return drains
 }
 
+// Awaiting returns the runners on machines whose upkeep is yet to come.
+func (p *Planner) Awaiting() map[string]struct{} {
+	runners := map[string]struct{}{}
+	for _, w := range p.waves {
+		if !w.open() || w.withdrawn > 0 {
+			continue
+		}
+		for _, m := range w.members {
+			if m.phase == waiting && p.seen[m.machine].Runner != "" {
+				runners[p.seen[m.machine].Runner] = struct{}{}
+			}
+		}
+	}
+	return runners
+}
+
 // Calls returns the calls to send now, at most limit. Each waits for its answer
 // before it is repeated. Only recorded orders are sent.
 func (p *Planner) Calls(now time.Duration, limit int) []Call {
--- a/maintenance/planner.go
+++ b/maintenance/planner.go
@@ -183,6 +183,9 @@
 	return false
 }
 
+// Empty reports whether the planner knows no wave.
+func (p *Planner) Empty() bool { return len(p.waves) == 0 }
+
 // Observe records a whole machine list that was requested at a time.
 func (p *Planner) Observe(machines []Machine, sent time.Duration) {
 	if sent < p.looked {
@@ -313,11 +316,13 @@
 	}
 }
 
-// Reports returns the status of each wave.
+// Reports returns the status of each requested wave.
 func (p *Planner) Reports() []Report {
 	var reports []Report
 	for _, number := range slices.Sorted(maps.Keys(p.waves)) {
-		reports = append(reports, Report{Wave: number, Status: p.waves[number].status})
+		if w := p.waves[number]; w.withdrawn == 0 {
+			reports = append(reports, Report{Wave: number, Status: w.status})
+		}
 	}
 	return reports
 }
--- a/maintenance/wave.go
+++ b/maintenance/wave.go
@@ -109,6 +109,12 @@
 	Completed
 )
 
+// String returns the name for log lines.
+func (s Status) String() string { return [...]string{"unreported", "running", "completed"}[s] }
+
+// MarshalText implements encoding.TextMarshaler, for log lines.
+func (s Status) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
+
 // Report is a wave's status to be stored.
 type Report struct {
 	Wave   int
