Order no upkeep on the word of a stale machine list

A list may show a machine's last runner, or lack the machine, while another runner with tasks lives there. A runner that doesn't answer may be such a one, so what runs on its machine isn't known, and a machine that is missing from the lists is asked for only if its last runner holds no task with a disruption budget.

A successor reads the versions of the statuses before it writes them, as the first write of each term conflicted and was logged as a failure. The error of a fenced order names its cause.

Tests: silent runners, a missing machine with budgeted tasks, and the length of waves without faults.

--- a/coordinator/drain.go
+++ b/coordinator/drain.go
@@ -88,14 +88,16 @@
 	return false
 }
 
-// Load returns what runs on a runner, for the planning of upkeep.
+// Load returns what runs on a runner, for the planning of upkeep. It isn't known
+// while the runner does not answer: another may live on its machine already, which
+// the machine list doesn't show yet.
 func (c *Core) Load(id string) maintenance.Load {
 	r := c.runners[id]
 	if r == nil {
 		_, unresolved := c.unresolved[id]
 		return maintenance.Load{Known: !unresolved}
 	}
-	load := maintenance.Load{Known: r.reported && len(r.strays) == 0, Runs: len(r.runs), CPUMilli: r.held.CPUMilli}
+	load := maintenance.Load{Known: r.reported && !r.suspect && len(r.strays) == 0, Runs: len(r.runs), CPUMilli: r.held.CPUMilli}
 	for x := range r.runs {
 		if !x.step.LongRunning {
 			continue
--- a/coordinator/drain_test.go
+++ b/coordinator/drain_test.go
@@ -120,9 +120,9 @@
 	}
 }
 
-// What runs on a runner that has not answered a new coordinator is not known: its
-// machine must not go down.
-func TestLoadOfUnresolvedRunnersIsNotKnown(t *testing.T) {
+// What runs on a runner that has not answered a new coordinator, or that is silent,
+// is not known: its machine must not go down.
+func TestLoadOfUnresolvedAndSilentRunnersIsNotKnown(t *testing.T) {
 	w := newWorld(t, machine("r1", 4000))
 	w.core.Inherit([]InheritedRunner{{ID: "r2", Lapsed: w.now + time.Minute}}, w.now+time.Minute)
 	w.core.RunnerSeen(machine("r3", 4000), w.now)
@@ -131,4 +131,8 @@
 			t.Errorf("load of %s: %+v", id, got)
 		}
 	}
+	w.core.RunnerSilent("r1")
+	if got := w.core.Load("r1"); got.Known {
+		t.Errorf("load of a silent runner: %+v", got)
+	}
 }
--- a/coordinator/takeover.go
+++ b/coordinator/takeover.go
@@ -158,7 +158,9 @@
 			t.notes[row.Key] = string(row.Value)
 			roster = decodeRoster(string(row.Value))
 		case wavesKey:
-			t.inheritWaves(row.Value)
+			if err := t.inheritWaves(ctx, row.Value); err != nil {
+				return err
+			}
 		case learnedKey:
 			if err := t.core.Learn(row.Value); err != nil {
 				t.env.Log.WithError(err).Warn("starting without what was learned")
--- a/coordinator/upkeep.go
+++ b/coordinator/upkeep.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -88,15 +89,28 @@
 
 // inheritWaves takes over a predecessor's record. Waves are left alone where it
 // can't be read: their limit could not be kept.
-func (t *tenure) inheritWaves(value []byte) {
+func (t *tenure) inheritWaves(ctx context.Context, value []byte) error {
 	if t.upkeep == nil {
-		return
+		return nil
 	}
 	now := t.env.Clock()
-	if err := t.upkeep.planner.Restore(value, t.env.StoreClock()-now, now, now+t.upkeep.Handover); err != nil {
+	waves, err := t.upkeep.planner.Restore(value, t.env.StoreClock()-now, now, now+t.upkeep.Handover)
+	if err != nil {
 		t.env.Log.WithError(err).Error("waves of upkeep left alone")
 		t.upkeep = nil
+		return nil
 	}
+	for _, number := range waves {
+		key := t.upkeep.EncodeStatus(maintenance.Report{Wave: number}).Key
+		res, err := t.env.Store.Read(ctx, rowstore.Range{Table: key.Table, Part: key.Part, From: key.Key, To: key.Key + "\x00"})
+		if err != nil {
+			return fmt.Errorf("status of wave %d: %w", number, err)
+		}
+		for _, row := range res.Rows {
+			t.journal.loaded(row.Key, row.Version)
+		}
+	}
+	return nil
 }
 
 // maintain plans the waves and sends what is due. While another process may hold
@@ -116,7 +130,7 @@
 	}
 	u.planner.Plan(now, t.core.Load)
 	t.core.Cordon(u.planner.Drains(now), u.planner.Awaiting())
-	if change, waits := u.planner.Unrecorded(); waits && !u.recording {
+	if change, waits := u.planner.Unrecorded(); !u.recording && (waits || len(u.unreported()) > 0) {
 		t.recordWaves(change, now)
 	}
 	for _, c := range u.planner.Calls(now, upkeepCalls) {
@@ -148,6 +162,18 @@
 	u.nextLook = e.sent + u.lookPause
 }
 
+// unreported returns the statuses that are not stored, as many as fit beside the
+// record.
+func (u *upkeep) unreported() []maintenance.Report {
+	var reports []maintenance.Report
+	for _, r := range u.planner.Reports() {
+		if u.reported[r.Wave] != r.Status && len(reports) < jobsPerTransaction-1 {
+			reports = append(reports, r)
+		}
+	}
+	return reports
+}
+
 // recordWaves stores what a successor has to know together with the statuses
 // that have changed. It ends the term if that can't be stored.
 func (t *tenure) recordWaves(change uint64, now time.Duration) {
@@ -158,12 +184,9 @@
 		return
 	}
 	puts := []rowstore.Put{{Key: wavesKey, Value: value}}
-	var reports []maintenance.Report
-	for _, r := range u.planner.Reports() {
-		if u.reported[r.Wave] != r.Status && len(reports) < jobsPerTransaction-1 {
-			reports = append(reports, r)
-			puts = append(puts, u.EncodeStatus(r))
-		}
+	reports := u.unreported()
+	for _, r := range reports {
+		puts = append(puts, u.EncodeStatus(r))
 	}
 	u.recording = true
 	go func() {
@@ -187,7 +210,7 @@
 func (t *tenure) beginUpkeep(c maintenance.Call, now time.Duration) {
 	outcome, err := t.upkeep.Machines.BeginUpkeep(t.ctx, c, t.term.Epoch)
 	if errors.Is(err, ErrFenced) {
-		t.fail(ErrFenced)
+		t.fail(err)
 		return
 	}
 	t.post(t.ctx, upkeepEvent{maintenance.Result{Call: c, Outcome: outcome, Sent: now}, err})
--- a/maintenance/plan.go
+++ b/maintenance/plan.go
@@ -127,13 +127,14 @@
 
 // mayGoDown reports whether a machine's upkeep may be ordered. One that has been
 // missing from the lists is asked for, as only the platform's answer proves that
-// it doesn't exist.
+// it doesn't exist; it may be there after all.
 func (p *Planner) mayGoDown(w *wave, m *member, now time.Duration, load func(string) Load) bool {
 	switch {
 	case now < m.retryAt || p.engaged(w, m.machine):
 		return false
 	case m.phase == waiting:
-		return m.missingSince > 0 && p.looked-m.missingSince >= absentTime
+		l := load(m.lastRunner)
+		return m.missingSince > 0 && p.looked-m.missingSince >= absentTime && l.Known && l.Budgeted == 0
 	case m.phase != draining:
 		return false
 	}
--- a/maintenance/planner.go
+++ b/maintenance/planner.go
@@ -56,7 +56,9 @@
 	machine string
 	phase   phase
 	// runner lived on the machine before its upkeep; empty if it isn't known.
-	runner     string
+	runner string
+	// lastRunner is the one that a list has shown last.
+	lastRunner string
 	drainUntil time.Duration
 	change     uint64 // of the order, see Planner.changes
 	underWay   bool   // a call waits for its answer
@@ -207,7 +209,7 @@
 	seen, there := p.seen[m.machine]
 	switch {
 	case there:
-		m.missingSince = 0
+		m.missingSince, m.lastRunner = 0, seen.Runner
 	case m.missingSince == 0:
 		m.missingSince = sent
 	}
--- a/maintenance/planner_test.go
+++ b/maintenance/planner_test.go
@@ -16,7 +16,7 @@
 }
 
 func newBench(w Wave) *bench {
-	b := &bench{Planner: New(testUpkeep), now: time.Minute, loads: map[string]Load{}}
+	b := &bench{Planner: New(testUpkeep), now: time.Minute, loads: map[string]Load{"": {Known: true}}}
 	for _, id := range w.Machines {
 		b.list = append(b.list, Machine{ID: id, Runner: id})
 		b.loads[id] = Load{Known: true}
@@ -136,7 +136,7 @@
 	}
 	next := newBench(w)
 	next.Planner = New(testUpkeep)
-	if err := next.Restore(data, time.Hour, next.now, next.now+3*time.Second); err != nil {
+	if _, err := next.Restore(data, time.Hour, next.now, next.now+3*time.Second); err != nil {
 		t.Fatal(err)
 	}
 	next.Request([]Wave{w}, next.now)
@@ -218,6 +218,19 @@
 	if got := b.round(absentTime); !slices.Equal(got, []string{"a"}) {
 		t.Fatalf("called %v", got)
 	}
+	b.answer("a", Busy) // it is there after all
+	b.loads["a"] = Load{Known: true, Runs: 1, LongRunning: 1, Budgeted: 1}
+	b.list = []Machine{{ID: "a", Runner: "a"}}
+	b.round(0)
+	b.list = nil
+	b.round(refusedPause)
+	if got := b.round(absentTime); len(got) > 0 {
+		t.Fatalf("called %v though tasks with a budget run there", got)
+	}
+	b.loads["a"] = Load{Known: true}
+	if got := b.round(0); !slices.Equal(got, []string{"a"}) {
+		t.Fatalf("called %v", got)
+	}
 	b.answer("a", NoMachine)
 	if b.round(0); b.Reports()[0].Status != Completed || b.Open() {
 		t.Errorf("%v", b.Reports())
--- a/maintenance/property_test.go
+++ b/maintenance/property_test.go
@@ -44,7 +44,8 @@
 type sim struct {
 	t        *testing.T
 	seed     uint64
-	random   *rand.Rand
+	random   *rand.Rand // nil on a calm platform
+	lag      time.Duration
 	now      time.Duration
 	machines map[string]*simMachine
 	waves    []Wave
@@ -60,8 +61,16 @@
 
 func (s *sim) chance(p float64) bool { return s.now < calmFrom && s.random.Float64() < p }
 
+// roll returns a random number below n, or n-1 on a calm platform without one.
+func (s *sim) roll(n int) int {
+	if s.random == nil {
+		return n - 1
+	}
+	return s.random.IntN(n)
+}
+
 func newSim(t *testing.T, seed uint64) *sim {
-	s := &sim{t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 7)), machines: map[string]*simMachine{}, token: 1, planner: New(testUpkeep), late: map[int][]Result{}}
+	s := &sim{t: t, seed: seed, lag: listLag, random: rand.New(rand.NewPCG(seed, 7)), machines: map[string]*simMachine{}, token: 1, planner: New(testUpkeep), late: map[int][]Result{}}
 	var names []string
 	for i := range 3 + s.random.IntN(10) {
 		names = append(names, fmt.Sprint("m", i))
@@ -78,7 +87,7 @@
 // newLife gives a machine a new runner, at times under the name of the last one.
 func (s *sim) newLife(id string) {
 	m := s.machines[id]
-	if m.lives == 0 || s.random.Float64() < 0.8 {
+	if m.lives == 0 || s.roll(10) > 1 {
 		m.lives++
 	}
 	m.runner = fmt.Sprintf("%s-r%d", id, m.lives)
@@ -144,7 +153,7 @@
 		case m.until == 0 && s.chance(0.005):
 			s.newLife(id)
 		}
-		m.load.Runs = max(0, m.load.Runs-s.random.IntN(40)/39)
+		m.load.Runs = max(0, m.load.Runs-s.roll(40)/39)
 		if s.chance(0.0007) {
 			delete(s.machines, id)
 		}
@@ -229,7 +238,7 @@
 	s.planner = New(testUpkeep)
 	clear(s.late)
 	if s.record != nil {
-		if err := s.planner.Restore(s.record, 0, s.now, s.now+time.Duration(s.random.IntN(30))*step); err != nil {
+		if _, err := s.planner.Restore(s.record, 0, s.now, s.now+time.Duration(s.random.IntN(30))*step); err != nil {
 			s.t.Fatal(err)
 		}
 	}
@@ -248,7 +257,7 @@
 	if s.now >= s.nextLook && !s.chance(0.3) {
 		s.nextLook = s.now + 5*step
 		// A list lags behind, but never goes back.
-		s.listed = max(s.listed, len(s.history)-1-s.random.IntN(int(listLag/step)))
+		s.listed = max(s.listed, len(s.history)-1-s.roll(int(s.lag/step)))
 		s.planner.Observe(s.history[s.listed], s.now)
 	}
 	s.planner.Plan(s.now, s.load)
@@ -290,7 +299,7 @@
 			return false
 		}
 	}
-	return true
+	return len(s.planner.Reports()) > 0
 }
 
 // Whatever is lost, late or taken over, no upkeep begins beyond the limit, no
@@ -302,7 +311,7 @@
 		for s.now < endBy && !t.Failed() {
 			s.advance()
 			s.tick()
-			if s.now > time.Second && s.completed() && len(s.calls) == 0 {
+			if s.completed() && len(s.calls) == 0 {
 				break
 			}
 		}
--- a/maintenance/record.go
+++ b/maintenance/record.go
@@ -55,12 +55,14 @@
 }
 
 // Restore takes over a predecessor's record. Calls of the predecessor may still
-// be carried out; they are repeated from a time on.
-func (p *Planner) Restore(data []byte, offset, now, repeatFrom time.Duration) error {
+// be carried out; they are repeated from a time on. It returns the numbers of the
+// waves.
+func (p *Planner) Restore(data []byte, offset, now, repeatFrom time.Duration) ([]int, error) {
 	var r record
 	if err := cbor.Unmarshal(data, &r); err != nil {
-		return fmt.Errorf("record of waves: %w", err)
+		return nil, fmt.Errorf("record of waves: %w", err)
 	}
+	var numbers []int
 	for _, encoded := range r.Waves {
 		w := &wave{finishBy: encoded.FinishBy - offset, members: map[string]*member{}, status: encoded.Status, withdrawn: now}
 		w.Number, w.MaxDown = encoded.Number, 1
@@ -68,6 +70,7 @@
 			w.members[m.Machine] = &member{machine: m.Machine, phase: m.Phase, runner: m.Runner, doubtful: true, retryAt: repeatFrom, begunBy: now}
 		}
 		p.waves[encoded.Number] = w
+		numbers = append(numbers, encoded.Number)
 	}
-	return nil
+	return numbers, nil
 }
