--- a/coordinator/tenure.go
+++ b/coordinator/tenure.go
@@ -71,6 +71,7 @@
 	nextLearn time.Duration
 	nextSweep time.Duration
 	ended     map[jobs.ID]time.Duration // on the store's clock
+	upkeep    *upkeep                   // nil if waves are left alone
 }
 
 // Lead coordinates until ctx ends or a later coordinator is noticed.
@@ -89,6 +90,7 @@
 		notes:    map[rowstore.Key]string{},
 		expiries: map[string]recordedExpiry{},
 		ended:    map[jobs.ID]time.Duration{},
+		upkeep:   newUpkeep(env.Maintenance, env.Log),
 	}
 	begun := env.Clock()
 	versions, err := t.takeOver(ctx)
@@ -156,6 +158,7 @@
 	t.core.Configure(t.env.Queues())
 	t.noteMajority()
 	t.lapse(now)
+	t.maintain(now)
 	t.core.Watch(now)
 	t.dropLinks()
 	if now >= t.nextNotes || t.withdraws() {
