--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -21,17 +21,8 @@
 	ErrUnknown = errors.New("outcome unknown")
 )
 
-// Times of calls to the store.
-const (
-	// writeTimeout bounds one write; a slow store answers within it.
-	writeTimeout = time.Second
-	readTimeout  = time.Second
-	// refusedRetry is the pause before the one repetition of a refused write.
-	refusedRetry = 25 * time.Millisecond
-	unknownRetry = 50 * time.Millisecond
-	// answerMargin is kept of the client's time for the answer itself.
-	answerMargin = 60 * time.Millisecond
-)
+// readTimeout bounds one reading call.
+const readTimeout = time.Second
 
 // Clock returns the store's clock, as far as it is known.
 type Clock func() time.Duration
@@ -40,6 +31,8 @@
 type Gateway struct {
 	Store rowstore.Store
 	Clock Clock
+
+	writes latency
 }
 
 // Submit records a job. It returns nil once the job is durable, also if it was
@@ -56,52 +49,6 @@
 	})
 }
 
-// write commits a transaction whose conditions fail once it took effect. A
-// refusal is passed on only while no attempt can take effect.
-func (g *Gateway) write(ctx context.Context, tx rowstore.Transaction) error {
-	unknown := false
-	for attempt := 0; ; attempt++ {
-		call, cancel := context.WithTimeout(ctx, writeTimeout)
-		_, err := g.Store.Commit(call, tx)
-		cancel()
-		var conflict *rowstore.ConflictError
-		switch {
-		case err == nil, errors.As(err, &conflict):
-			return nil
-		case !errors.Is(err, rowstore.ErrRefused):
-			unknown = true
-		case unknown:
-			// The store can't tell now; the client may ask elsewhere at once.
-			return fmt.Errorf("%w: %v", ErrUnknown, err)
-		case attempt > 0:
-			return fmt.Errorf("%w: %v", ErrNotAccepted, err)
-		}
-		pause := refusedRetry
-		if unknown {
-			pause = unknownRetry << min(attempt, 3)
-		}
-		if !wait(ctx, pause) {
-			if unknown {
-				return fmt.Errorf("%w: %v", ErrUnknown, err)
-			}
-			return fmt.Errorf("%w: %v", ErrNotAccepted, err)
-		}
-	}
-}
-
-// wait pauses and reports whether enough time is left for another attempt.
-func wait(ctx context.Context, pause time.Duration) bool {
-	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < pause+answerMargin {
-		return false
-	}
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(pause):
-		return true
-	}
-}
-
 // rows are the records of one job.
 type rows struct {
 	accepted *rowstore.Row
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -151,3 +152,62 @@
 	}
 	expect(jobs.Cancelled)
 }
+
+// silentStore carries writes out and answers only some of them.
+type silentStore struct {
+	rowstore.Store
+	answers func(call int) bool
+	calls   atomic.Int32
+}
+
+func (s *silentStore) Commit(ctx context.Context, tx rowstore.Transaction) (uint64, error) {
+	call := int(s.calls.Add(1))
+	version, err := s.Store.Commit(ctx, tx)
+	if s.answers(call) {
+		return version, err
+	}
+	<-ctx.Done()
+	return 0, rowstore.ErrUnknown
+}
+
+// Guards against a client that is held for as long as it waits although the store
+// does not answer: it could ask another instance.
+func TestClientIsToldOfASilentStoreBeforeItsTimeIsOver(t *testing.T) {
+	store := &silentStore{Store: rowstore.NewMemory(), answers: func(int) bool { return false }}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Hour)
+	defer cancel()
+	if err := gatewayOn(store).Submit(ctx, queue, id, spec); !errors.Is(err, ErrUnknown) {
+		t.Errorf("error %v, want unknown", err)
+	}
+	if n := store.calls.Load(); n > 3 {
+		t.Errorf("%d calls to a store that does not answer", n)
+	}
+}
+
+// Guards against a client that waits for the time-out of a write whose answer was
+// lost: a second attempt tells at once that it took effect.
+func TestLostAnswerIsAskedForAgain(t *testing.T) {
+	store := &silentStore{Store: rowstore.NewMemory(), answers: func(call int) bool { return call > 1 }}
+	ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
+	defer cancel()
+	if err := gatewayOn(store).Submit(ctx, queue, id, spec); err != nil || store.calls.Load() != 2 {
+		t.Errorf("%d calls, error %v", store.calls.Load(), err)
+	}
+}
+
+// Guards against twice the writes to a store that is slow for all.
+func TestSlowStoreIsNotAskedTwice(t *testing.T) {
+	var writes latency
+	for range 30 {
+		writes.note(500 * time.Millisecond)
+	}
+	if got := writes.hedge(); got < unknownTime {
+		t.Errorf("a write is sent again after %v though the store takes 500 ms", got)
+	}
+	for range 30 {
+		writes.note(20 * time.Millisecond)
+	}
+	if got := writes.hedge(); got != hedgeTime {
+		t.Errorf("a write is sent again after %v though the store takes 20 ms", got)
+	}
+}
