Keep the disruption budget of long-running steps when tasks are moved

Tasks of long-running steps were all stopped in the round in which their runner began to drain, whatever the step's MaxUnavailable and whether or not another runner had room. The field was decoded and stored already (platform/hosted/ingress.go, jobs/spec.go) but nothing read it.

A task counts as away from the stop that we order until a run of it is at work again, or when it is not at work for half the notice time for another cause; the other half covers how late a silent runner is noticed. A successor counts what it doesn't find at work as stopped. Moves off a draining runner stay within the budget and wait for room elsewhere; from leaveMargin before the runner may be gone on everything is stopped.

Since tasks now stay on a draining runner, the time that is left matters: an entry read again with the same remaining time no longer extends it, and one that is first read after a takeover counts as a heartbeat old.

Ruled out: starting the replacement before the stop, since two runs of a task must not exist at one time unless its step is speculative.

--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -100,6 +100,9 @@
 	// lastChance is set while a task is placed whose next failure would be the
 	// last.
 	lastChance bool
+	// absent are the tasks that are not at work, of a step with a disruption
+	// budget.
+	absent map[int]absence
 }
 
 // Core is the state of the coordinator. Its methods are called by one
--- a/coordinator/runner.go
+++ b/coordinator/runner.go
@@ -63,19 +63,25 @@
 	}
 }
 
+// entryAge is how old an entry of the registry may be that is read first after a
+// takeover: runners write about every heartbeat.
+const entryAge = 1500 * time.Millisecond
+
 // RunnerSeen records what the registry says of a runner.
 func (c *Core) RunnerSeen(info RunnerInfo, now time.Duration) {
 	r := c.runners[info.ID]
+	left := info.Remaining
 	if r == nil {
 		r = newRunner()
 		c.runners[info.ID] = r
 		c.sorted = nil
+		left -= entryAge
 	}
 	if info.Draining && !r.Draining {
 		c.log.WithFields(logrus.Fields{"runner": info.ID, "remaining_ms": info.Remaining.Milliseconds()}).Info("runner is draining")
 	}
-	if info.Draining {
-		r.leaves = now + info.Remaining
+	if info.Draining && !(r.Draining && r.Remaining == info.Remaining) {
+		r.leaves = now + left
 	}
 	c.changed(r)
 	r.RunnerInfo = info
--- a/coordinator/types.go
+++ b/coordinator/types.go
@@ -154,6 +154,9 @@
 	// HarmTime is how long a serving task may be over its target because of
 	// tasks that fill.
 	HarmTime time.Duration
+	// NoticeTime is how long a long-running task may be away from work before
+	// that counts against its step's disruption budget.
+	NoticeTime time.Duration
 	// ScheduleLead is how much before its due time an occurrence may start.
 	ScheduleLead time.Duration
 }
--- a/coordinator/watch.go
+++ b/coordinator/watch.go
@@ -33,6 +33,7 @@
 func (c *Core) Watch(now time.Duration) {
 	c.dropUnlisted(now)
 	c.dropGone()
+	c.noteAbsences(now)
 	c.moveStuck(now)
 	for _, r := range c.runners {
 		if !r.reported || r.suspect {
@@ -74,7 +75,7 @@
 			continue
 		}
 		for x := range r.runs {
-			if !x.stuck(now) {
+			if !x.stuck(now) || !c.mayStop(x, now) {
 				continue
 			}
 			better, known := open[x.kind]
@@ -116,10 +117,15 @@
 	return false
 }
 
+// hasPlace reports whether a run's task could start on another runner.
+func (c *Core) hasPlace(x *run, now time.Duration) bool {
+	return x.work == nil || c.pick(x.work, now, nil, 0) != nil
+}
+
 func (c *Core) move(x *run, now time.Duration, cause string) {
 	c.counters("runs_moved", 1)
 	c.log.WithFields(logrus.Fields{"task": x.task, "run": x.number, "runner": x.runner.ID, "percent": x.percent, "cause": cause}).Info("run is moved")
-	c.stop(x, now)
+	c.displace(x, now)
 }
 
 // stalled reports whether a task that should progress does not.
@@ -130,12 +136,14 @@
 	return now-max(x.moved, x.began) > max(stallTime, x.job.estimates[x.task.Step]/2)
 }
 
-// mustLeave reports whether a task would not end before its runner leaves.
+// mustLeave reports whether a task is to be moved from its draining runner now: a
+// long-running one when its step's budget allows and another runner has room, or
+// no time is left; another one if it would not end before the runner leaves.
 func (c *Core) mustLeave(x *run, now time.Duration) bool {
+	left := x.runner.leaves - leaveMargin - now
 	if x.step.LongRunning {
-		return true
+		return left <= 0 || c.mayStop(x, now) && c.hasPlace(x, now)
 	}
-	left := x.runner.leaves - leaveMargin - now
 	spent := now - x.began
 	need := x.job.estimates[x.task.Step] - spent
 	if x.percent > 0 {
