Stop running work of less important queues for urgent work without room

Work of the queues that come first waited for the end of whatever filled the fleet; a queue's priority only ordered what waits. Work that has found no room anywhere for 0.2 s, and will not within 1 s, now stops those runs of less important queues on one runner that lose least unsaved work.

Bounds: disruption budgets, two preemptions a job, no gangs, no more than needed, nothing that ends soon, no loss above four times the work of the waiting task.

Ruled out: counting a stop of a checkpointing task as free, since the checkpoint of the stop is lost if the runner is lost meanwhile; the newest listed one counts.

--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -44,6 +44,9 @@
 	// confirmed is when the last order for the run was answered.
 	confirmed time.Duration
 	percent   int
+	// savedPercent is the progress when saved, the newest checkpoint, appeared.
+	savedPercent int
+	saved        string
 	// moved is when percent last changed.
 	moved time.Duration
 	load  int
@@ -73,6 +76,10 @@
 	estimates, measured []time.Duration
 	// inherited jobs may have runs that a predecessor started.
 	inherited bool
+	// preemptions counts how often tasks were stopped for more important work,
+	// the last time at preempted.
+	preemptions int
+	preempted   time.Duration
 }
 
 // work is a step of an occurrence whose turn has come.
@@ -103,6 +110,7 @@
 	// absent are the tasks that are not at work, of a step with a disruption
 	// budget.
 	absent map[int]absence
+	claims int // room that is kept for the step's tasks, see claim
 }
 
 // Core is the state of the coordinator. Its methods are called by one
@@ -137,7 +145,10 @@
 	full        fullFor
 	changes     uint64 // number of changes of runners
 	reserves    reserves
-	durations   map[string]*durations.Estimator // by queue
+	// nextPreemption is when running work may be stopped next for work that
+	// waits.
+	nextPreemption time.Duration
+	durations      map[string]*durations.Estimator // by queue
 }
 
 // Counter counts decisions by name.
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -79,7 +79,7 @@
 // plainDemand reports whether the step finds the same runners full as others of
 // its demand.
 func (w *work) plainDemand() bool {
-	return w.step.Label == "" && w.step.MaxPerRunner == 0 && !w.job.queue.Advised
+	return w.claims == 0 && w.step.Label == "" && w.step.MaxPerRunner == 0 && !w.job.queue.Advised
 }
 
 // note records that no runner was found among those that changed after since.
@@ -166,7 +166,7 @@
 
 // fits reports whether the runner has room for one of the step's tasks.
 func (r *runner) fits(w *work) bool {
-	return r.held.Add(w.step.Reserved()).Fits(r.Capacity)
+	return r.held.Add(r.claimedFrom(w)).Add(w.step.Reserved()).Fits(r.Capacity)
 }
 
 // cost compares runners for a task: how long it would take there, plus a small
--- /dev/null
+++ b/coordinator/preempt.go
@@ -0,0 +1,224 @@
+package coordinator
+
+import (
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"bergamotstile/structs"
+)
+
+// Bounds of preemption.
+const (
+	// preemptWait is how long work waits for room before running work is stopped
+	// for it.
+	preemptWait = 200 * time.Millisecond
+	// soonTime is how long room that running work will free is waited for.
+	soonTime = time.Second
+	// preemptEvery spaces the decisions: each looks at all runs of a service.
+	preemptEvery = 100 * time.Millisecond
+	// maxEvictions bounds the tasks that room is made for in one decision.
+	maxEvictions = 16
+	// maxLossShare bounds what may be lost for a task, in times of its own
+	// work: late urgent work costs more than batch work done twice.
+	maxLossShare = 4
+	// lastingGain is the time that a long-running task's own work counts for.
+	lastingGain = 30 * time.Second
+)
+
+// preemption is the state of a decision which running work is stopped for work
+// that waits.
+type preemption struct {
+	core *Core
+	now  time.Duration
+	// promised is room that work which was looked at earlier will get without
+	// any stop.
+	promised map[*runner]structs.Resources
+	left     int // evictions
+}
+
+// preempt stops running work of less important queues for steps that found no
+// room, in the order in which they are served.
+func (c *Core) preempt(blocked []*work, now time.Duration) {
+	if len(blocked) == 0 || now < c.nextPreemption {
+		return
+	}
+	c.nextPreemption = now + preemptEvery
+	p := preemption{core: c, now: now, promised: map[*runner]structs.Resources{}, left: maxEvictions}
+	for _, w := range blocked {
+		if w.mayPreempt(now) && c.outranks(w) {
+			p.makeRoom(w)
+		}
+	}
+}
+
+// mayPreempt reports whether running work may be stopped for the step. Filling
+// tasks wait for what others leave, and late results of worthless ones earn
+// nothing.
+func (w *work) mayPreempt(now time.Duration) bool {
+	return !w.step.Fills && !w.step.Gang && w.stand.rank < worthless && now-w.since >= preemptWait
+}
+
+// outranks reports whether less important work than the step runs in its
+// service.
+func (c *Core) outranks(w *work) bool {
+	for _, r := range c.runners {
+		if r.Service != w.job.queue.Service {
+			continue
+		}
+		for x := range r.runs {
+			if x.job.queue.Priority > w.job.queue.Priority {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// makeRoom stops running work for the tasks of a step that will not fit soon.
+func (p *preemption) makeRoom(w *work) {
+	if p.core.openSoon(w, p.now) {
+		return
+	}
+	runners := p.fullRunners(w)
+	missing := len(p.core.startable(w)) - p.promise(w, runners)
+	evictions := make([]eviction, len(runners))
+	for i, r := range runners {
+		evictions[i] = p.evictionFor(w, r)
+	}
+	for missing > 0 && p.left > 0 {
+		best := cheapest(evictions)
+		if best < 0 || evictions[best].loss > maxLossShare*w.taskWork() {
+			return
+		}
+		p.carryOut(w, evictions[best])
+		for i, e := range evictions {
+			// Runners that share a job or a disruption budget with the victims may
+			// have lost theirs.
+			if i == best || slices.ContainsFunc(e.victims, func(x *run) bool { return !p.core.preemptible(x, w.job.queue.Priority, p.now) }) {
+				evictions[i] = p.evictionFor(w, e.runner)
+			}
+		}
+		missing--
+	}
+}
+
+// openSoon reports whether a runner has room for the step and waits only for
+// advice, or for the end of the pause after a refusal.
+func (c *Core) openSoon(w *work, now time.Duration) bool {
+	for _, r := range c.runners {
+		switch c.obstacle(w, r, now) {
+		case noTicket:
+			return true
+		case avoided:
+			if r.health.avoidUntil-now <= soonTime && r.fits(w) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// fullRunners returns the runners that lack nothing but room for the step.
+func (p *preemption) fullRunners(w *work) []*runner {
+	var out []*runner
+	for _, r := range p.core.candidates() {
+		if p.core.obstacle(w, r, p.now) == noRoom && w.permitted(r, p.now) {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// promise counts the step's tasks that will fit within soonTime, at most as many
+// as wait, and keeps others in this decision from counting the same room.
+func (p *preemption) promise(w *work, runners []*runner) int {
+	count := 0
+	for _, r := range runners {
+		free := r.Capacity.Sub(r.held).Add(r.endingWithin(soonTime, p.now)).Sub(r.claimedFrom(w)).Sub(p.promised[r])
+		places := w.places(r, free)
+		places = min(places, len(w.pending)-count)
+		for range places - r.claimsOf(w) {
+			p.promised[r] = p.promised[r].Add(w.step.Reserved())
+		}
+		count += max(0, places)
+	}
+	return count
+}
+
+// endingWithin is what runs that are expected to end within a time hold.
+func (r *runner) endingWithin(span, now time.Duration) structs.Resources {
+	var sum structs.Resources
+	for x := range r.runs {
+		if x.endsWithin(span, now) {
+			sum = sum.Add(x.step.Reserved())
+		}
+	}
+	return sum
+}
+
+// places is how many of the step's tasks fit into free room of a runner.
+func (w *work) places(r *runner, free structs.Resources) int {
+	n := len(w.pending)
+	if w.step.MaxPerRunner > 0 {
+		n = min(n, w.step.MaxPerRunner-w.onRunner[r])
+	}
+	ask := w.step.Reserved()
+	for n > 0 && !times(ask, n).Fits(free) {
+		n--
+	}
+	return max(0, n)
+}
+
+func times(r structs.Resources, n int) structs.Resources {
+	return structs.Resources{CPUMilli: r.CPUMilli * int64(n), MemoryMB: r.MemoryMB * int64(n), Accelerators: r.Accelerators * int64(n)}
+}
+
+// evictionFor returns what to stop on a runner for one more task of the step.
+func (p *preemption) evictionFor(w *work, r *runner) eviction {
+	if w.step.MaxPerRunner > 0 && w.onRunner[r]+r.claimsOf(w) >= w.step.MaxPerRunner {
+		return eviction{runner: r}
+	}
+	need := r.held.Sub(r.endingWithin(soonTime, p.now)).Add(p.promised[r]).Add(w.step.Reserved())
+	for _, k := range r.claims {
+		need = need.Add(k.work.step.Reserved())
+	}
+	return p.core.evictionFrom(r, need.Sub(r.Capacity), w.job.queue.Priority, p.now)
+}
+
+// cheapest returns the index of the eviction that loses least, or -1.
+func cheapest(evictions []eviction) int {
+	best := -1
+	for i, e := range evictions {
+		if len(e.victims) > 0 && (best < 0 || e.loss < evictions[best].loss) {
+			best = i
+		}
+	}
+	return best
+}
+
+// taskWork is the work of one of the step's tasks in core-seconds.
+func (w *work) taskWork() float64 {
+	if w.step.LongRunning {
+		return coreSeconds(w.step.Ask, lastingGain)
+	}
+	return coreSeconds(w.step.Ask, w.job.estimates[w.index])
+}
+
+// carryOut stops the victims and keeps their room for the step.
+func (p *preemption) carryOut(w *work, e eviction) {
+	c := p.core
+	for _, x := range e.victims {
+		if x.job.preemptions == 0 || p.now-x.job.preempted >= preemptionSpan {
+			x.job.preemptions++
+			x.job.preempted = p.now
+		}
+		c.counters("runs_preempted", 1)
+		c.log.WithFields(logrus.Fields{"task": x.task, "run": x.number, "runner": x.runner.ID, "percent": x.percent,
+			"saved": x.savedPercent, "for": w.job.ID, "step": w.index}).Info("run is preempted")
+		c.displace(x, p.now)
+	}
+	c.claimRoom(w, e.runner, p.now)
+	p.left--
+}
--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -112,6 +112,9 @@
 	if s.Percent != x.percent || x.moved == 0 {
 		x.percent, x.moved = s.Percent, now
 	}
+	if s.Saved != x.saved {
+		x.saved, x.savedPercent = s.Saved, s.Percent
+	}
 	x.load = s.Load
 	if t := x.job.Task(x.task); t != nil && s.Saved != "" {
 		t.Saved = s.Saved
--- a/coordinator/runner.go
+++ b/coordinator/runner.go
@@ -43,6 +43,7 @@
 	// target; zero if none is.
 	overSince time.Duration
 	health    health
+	claims    []claim
 	change    uint64 // its last change, see Core.changes
 	// strays are the jobs of what the last report lists and is not known here:
 	// runs that are being stopped, which hold an unknown part of the runner, and
@@ -132,6 +133,7 @@
 		c.lose(lost, now, "lease lapsed")
 	}
 	if !r.listed {
+		r.forfeitClaims()
 		delete(c.runners, id)
 		c.sorted = nil
 	}
--- a/coordinator/schedule.go
+++ b/coordinator/schedule.go
@@ -15,6 +15,7 @@
 func (c *Core) Schedule(now, wall time.Duration) {
 	c.openTimed(wall)
 	c.dropEmpty()
+	c.dropClaims(now)
 	c.updateReserves(now)
 	store := now + c.storeOffset
 	for _, w := range c.waiting {
@@ -23,6 +24,7 @@
 	}
 	slices.SortFunc(c.waiting, func(a, b *work) int { return a.stand.compare(b.stand) })
 	strays := c.strays()
+	var blocked []*work
 	for _, w := range c.waiting {
 		tasks := c.startable(w)
 		if len(tasks) == 0 {
@@ -44,7 +46,12 @@
 			c.startGang(w, now)
 			continue
 		}
-		c.startTasks(w, tasks, now)
+		if !c.startTasks(w, tasks, now) {
+			blocked = append(blocked, w)
+		}
+	}
+	if c.limits.Preempt {
+		c.preempt(blocked, now)
 	}
 	c.dropEmpty()
 }
@@ -80,7 +87,9 @@
 	})
 }
 
-func (c *Core) startTasks(w *work, tasks []int, now time.Duration) {
+// startTasks starts tasks of a step and reports whether there was a runner for
+// each.
+func (c *Core) startTasks(w *work, tasks []int, now time.Duration) bool {
 	for _, index := range tasks {
 		w.lastChance = w.job.queue.Attempts > 1 && w.job.Failures(w.taskID(index)) >= w.job.queue.Attempts-1
 		since := c.full.since(w, now)
@@ -89,11 +98,12 @@
 			c.full.note(w, since, c.changes, now)
 			c.tellNoRunner(w, now)
 			c.ask(w, now)
-			return
+			return false
 		}
 		c.start(w, index, c.nextRun(w, index), r, now)
 		w.starved = false
 	}
+	return true
 }
 
 func (c *Core) nextRun(w *work, index int) int {
@@ -115,6 +125,7 @@
 		c.limitPace(r, w, now)
 	}
 	c.attach(x)
+	r.useClaim(w)
 	w.wait = telling{}
 	saved := t.Saved
 	if !w.step.Checkpoints {
--- a/coordinator/types.go
+++ b/coordinator/types.go
@@ -157,6 +157,9 @@
 	// NoticeTime is how long a long-running task may be away from work before
 	// that counts against its step's disruption budget.
 	NoticeTime time.Duration
+	// Preempt allows running work to be stopped for waiting work of a more
+	// important queue.
+	Preempt bool
 	// ScheduleLead is how much before its due time an occurrence may start.
 	ScheduleLead time.Duration
 }
--- /dev/null
+++ b/coordinator/victim.go
@@ -0,0 +1,154 @@
+package coordinator
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"bergamotstile/structs"
+)
+
+const (
+	// acceleratorProcessors is how many processors an accelerator counts for.
+	acceleratorProcessors = 8
+	// resumeTime is what every stopped task loses, for the stop, the report of
+	// its end and its restart.
+	resumeTime = 500 * time.Millisecond
+	// lastingLoss is what the stop of a long-running task counts for: it earns
+	// nothing until another task makes room.
+	lastingLoss = 10 * time.Second
+	// maxPreemptions is how often tasks of one job are stopped for more
+	// important work. Stops within preemptionSpan count once, as a decision may
+	// take several of a job's tasks.
+	maxPreemptions = 2
+	preemptionSpan = time.Second
+)
+
+// coreSeconds is the worth of holding resources for a time.
+func coreSeconds(r structs.Resources, span time.Duration) float64 {
+	cores := float64(r.CPUMilli)/1000 + float64(r.Accelerators*acceleratorProcessors)
+	return cores * span.Seconds()
+}
+
+// loss estimates the core-seconds of work that a stop of the run costs.
+func (x *run) loss() float64 {
+	unsaved := x.percent
+	switch {
+	case x.step.LongRunning:
+		return coreSeconds(x.step.Ask, lastingLoss)
+	case x.step.Checkpoints:
+		unsaved -= x.savedPercent
+	}
+	done := x.job.estimates[x.task.Step] * time.Duration(unsaved) / fullPace
+	return coreSeconds(x.step.Ask, done+resumeTime)
+}
+
+// preemptible reports whether a run may be stopped for work of a priority.
+// Members of gangs are not stopped, since that would end the whole gang.
+func (c *Core) preemptible(x *run, priority int, now time.Duration) bool {
+	return x.phase == running && x.work != nil && x.job.queue.Priority > priority && !x.step.Gang &&
+		(x.job.preemptions < maxPreemptions || now-x.job.preempted < preemptionSpan) &&
+		!x.endsWithin(soonTime, now) && c.mayStop(x, now)
+}
+
+// endsWithin reports whether a run is expected to free its room within a time.
+func (x *run) endsWithin(span, now time.Duration) bool {
+	if x.phase == stopping {
+		return true
+	}
+	if x.step.LongRunning {
+		return false
+	}
+	left := x.timeLeft(now)
+	overdue := x.percent == 0 && left < 0 // nothing is known of its end
+	return left <= span && !overdue
+}
+
+// timeLeft estimates how long a run goes on.
+func (x *run) timeLeft(now time.Duration) time.Duration {
+	spent := now - x.began
+	if x.percent > 0 {
+		return spent * time.Duration(fullPace-x.percent) / time.Duration(x.percent)
+	}
+	return x.job.estimates[x.task.Step] - spent
+}
+
+// eviction is the least costly way to free room on a runner.
+type eviction struct {
+	runner  *runner
+	victims []*run
+	loss    float64 // core-seconds
+}
+
+// evictionFrom returns the victims whose stop frees the room that lacks on a
+// runner, no more of them than needed. There are none if it can't be freed.
+func (c *Core) evictionFrom(r *runner, lacking structs.Resources, priority int, now time.Duration) eviction {
+	e := eviction{runner: r}
+	var freed structs.Resources
+	for _, x := range c.candidateVictims(r, priority, now) {
+		if lacking.Fits(freed) {
+			break
+		}
+		if x.relieves(lacking.Sub(freed)) && !e.hasLasting(x) {
+			e.victims = append(e.victims, x)
+			freed = freed.Add(x.step.Reserved())
+		}
+	}
+	if !lacking.Fits(freed) {
+		return eviction{runner: r}
+	}
+	e.prune(lacking, freed)
+	for _, x := range e.victims {
+		e.loss += x.loss()
+	}
+	return e
+}
+
+// candidateVictims returns the runs on a runner that may be stopped, those that
+// lose least first.
+func (c *Core) candidateVictims(r *runner, priority int, now time.Duration) []*run {
+	var out []*run
+	for x := range r.runs {
+		if c.preemptible(x, priority, now) {
+			out = append(out, x)
+		}
+	}
+	slices.SortFunc(out, func(a, b *run) int {
+		return cmp.Or(compareBool(a.step.LongRunning, b.step.LongRunning), cmp.Compare(a.loss(), b.loss()),
+			compareBool(b.step.Fills, a.step.Fills), cmp.Compare(a.task.String(), b.task.String()))
+	})
+	return out
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
+// relieves reports whether the run holds some of what lacks.
+func (x *run) relieves(lacking structs.Resources) bool {
+	held := x.step.Reserved()
+	return lacking.CPUMilli > 0 && held.CPUMilli > 0 || lacking.MemoryMB > 0 && held.MemoryMB > 0 ||
+		lacking.Accelerators > 0 && held.Accelerators > 0
+}
+
+// hasLasting reports whether a long-running task of the run's step is among the
+// victims: its disruption budget is checked for one at a time.
+func (e *eviction) hasLasting(x *run) bool {
+	return x.step.LongRunning && slices.ContainsFunc(e.victims, func(v *run) bool { return v.work == x.work })
+}
+
+// prune spares the victims that are not needed, the most costly ones first.
+func (e *eviction) prune(lacking, freed structs.Resources) {
+	for i := len(e.victims) - 1; i >= 0; i-- {
+		if rest := freed.Sub(e.victims[i].step.Reserved()); lacking.Fits(rest) {
+			freed = rest
+			e.victims = slices.Delete(e.victims, i, i+1)
+		}
+	}
+}
--- a/coordinator/watch.go
+++ b/coordinator/watch.go
@@ -59,6 +59,7 @@
 func (c *Core) dropGone() {
 	for id, r := range c.runners {
 		if !r.listed && r.suspect && len(r.runs) == 0 {
+			r.forfeitClaims()
 			delete(c.runners, id)
 			c.sorted = nil
 		}
@@ -144,10 +145,5 @@
 	if x.step.LongRunning {
 		return left <= 0 || c.mayStop(x, now) && c.hasPlace(x, now)
 	}
-	spent := now - x.began
-	need := x.job.estimates[x.task.Step] - spent
-	if x.percent > 0 {
-		need = spent * time.Duration(100-x.percent) / time.Duration(x.percent)
-	}
-	return need > left
+	return x.timeLeft(now) > left
 }
