--- a/coordinator/claim.go
+++ b/coordinator/claim.go
@@ -74,7 +74,7 @@
 // dropClaims frees what is kept for nobody any more: for work that has started
 // elsewhere or ended, on runners that can't be used, or for too long.
 func (c *Core) dropClaims(now time.Duration) {
-	for _, r := range c.runners {
+	for _, r := range c.candidates() {
 		before := len(r.claims)
 		if before == 0 {
 			continue
--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -76,10 +76,8 @@
 	estimates, measured []time.Duration
 	// inherited jobs may have runs that a predecessor started.
 	inherited bool
-	// preemptions counts how often tasks were stopped for more important work,
-	// the last time at preempted.
-	preemptions int
-	preempted   time.Duration
+	// preemptions counts how often each task was stopped for more important work.
+	preemptions map[jobs.TaskID]int
 }
 
 // work is a step of an occurrence whose turn has come.
@@ -204,7 +202,7 @@
 	if _, known := c.jobs[accepted.ID]; known || accepted.State.Terminal() {
 		return
 	}
-	j := &job{Job: accepted, work: map[[2]int]*work{}, runs: map[jobs.TaskID][]*run{}, inherited: inherited}
+	j := &job{Job: accepted, work: map[[2]int]*work{}, runs: map[jobs.TaskID][]*run{}, inherited: inherited, preemptions: map[jobs.TaskID]int{}}
 	j.queue = c.queueOf(accepted)
 	j.begun = j.State == jobs.Running
 	j.measured = make([]time.Duration, len(j.Spec.Steps))
--- a/coordinator/preempt.go
+++ b/coordinator/preempt.go
@@ -210,10 +210,7 @@
 func (p *preemption) carryOut(w *work, e eviction) {
 	c := p.core
 	for _, x := range e.victims {
-		if x.job.preemptions == 0 || p.now-x.job.preempted >= preemptionSpan {
-			x.job.preemptions++
-			x.job.preempted = p.now
-		}
+		x.job.preemptions[x.task]++
 		c.counters("runs_preempted", 1)
 		c.log.WithFields(logrus.Fields{"task": x.task, "run": x.number, "runner": x.runner.ID, "percent": x.percent,
 			"saved": x.savedPercent, "for": w.job.ID, "step": w.index}).Info("run is preempted")
--- a/coordinator/victim.go
+++ b/coordinator/victim.go
@@ -17,11 +17,9 @@
 	// lastingLoss is what the stop of a long-running task counts for: it earns
 	// nothing until another task makes room.
 	lastingLoss = 10 * time.Second
-	// maxPreemptions is how often tasks of one job are stopped for more
-	// important work. Stops within preemptionSpan count once, as a decision may
-	// take several of a job's tasks.
+	// maxPreemptions is how often a task is stopped for more important work. It
+	// bounds the delay of a job, whose tasks run side by side.
 	maxPreemptions = 2
-	preemptionSpan = time.Second
 )
 
 // coreSeconds is the worth of holding resources for a time.
@@ -47,8 +45,7 @@
 // Members of gangs are not stopped, since that would end the whole gang.
 func (c *Core) preemptible(x *run, priority int, now time.Duration) bool {
 	return x.phase == running && x.work != nil && x.job.queue.Priority > priority && !x.step.Gang &&
-		(x.job.preemptions < maxPreemptions || now-x.job.preempted < preemptionSpan) &&
-		!x.endsWithin(soonTime, now) && c.mayStop(x, now)
+		x.job.preemptions[x.task] < maxPreemptions && !x.endsWithin(soonTime, now) && c.mayStop(x, now)
 }
 
 // endsWithin reports whether a run is expected to free its room within a time.
