Work out victims once for all steps that wait

Each step that waited listed, priced and sorted the runs of every runner anew. A decision now does that once for each runner and priority, looks at a runner's obstacle once, and stops early where nothing less important runs.

--- a/coordinator/bench_test.go
+++ b/coordinator/bench_test.go
@@ -49,3 +49,39 @@
 		}
 	}
 }
+
+// BenchmarkBlocked measures a decision on preemption with 48 runners whose
+// processors long-running work of the first priority holds, less important filling
+// tasks beside it, and 30 urgent steps that wait.
+func BenchmarkBlocked(b *testing.B) {
+	t := &testing.T{}
+	w := newWorld(t)
+	w.core.limits.Preempt = true
+	w.core.Configure([]jobs.Queue{urgentQueue, batchQueue})
+	for i := range 48 {
+		w.core.RunnerSeen(machine(fmt.Sprint("m", i), 32_000), w.now)
+		w.report(Report{Runner: fmt.Sprint("m", i), Incarnation: 1})
+	}
+	shop := serving("shop")
+	shop.Count = 48 * 8
+	w.enqueue(urgentQueue, "a000000000000000", shop)
+	for _, o := range starts(w.schedule()) {
+		w.answer(o, Accepted, false)
+	}
+	for i := range 40 {
+		w.enqueue(batchQueue, jobs.ID(fmt.Sprintf("b%015x", i)), filling(12, fmt.Sprint("render", i%9)))
+	}
+	for _, o := range starts(w.schedule()) {
+		w.answer(o, Accepted, false)
+	}
+	for i := range 30 {
+		w.enqueue(urgentQueue, jobs.ID(fmt.Sprintf("c%015x", i)), plain(8, 2000))
+	}
+	w.schedule()
+	w.now += time.Second
+	b.ResetTimer()
+	for b.Loop() {
+		w.now += preemptEvery
+		w.schedule()
+	}
+}
--- a/coordinator/preempt.go
+++ b/coordinator/preempt.go
@@ -35,7 +35,17 @@
 	// promised is room that work which was looked at earlier will get without
 	// any stop.
 	promised map[*runner]structs.Resources
-	left     int // evictions
+	// least is the largest priority number among the runs of each service.
+	least map[string]int
+	// victims and ending are worked out once: many steps may wait.
+	victims map[victimsKey][]victim
+	ending  map[*runner]structs.Resources
+	left    int // evictions
+}
+
+type victimsKey struct {
+	runner   *runner
+	priority int
 }
 
 // preempt stops running work of less important queues for steps that found no
@@ -45,9 +55,14 @@
 		return
 	}
 	c.nextPreemption = now + preemptEvery
-	p := preemption{core: c, now: now, promised: map[*runner]structs.Resources{}, left: maxEvictions}
+	blocked = slices.DeleteFunc(blocked, func(w *work) bool { return !w.mayPreempt(now) })
+	if len(blocked) == 0 {
+		return
+	}
+	p := preemption{core: c, now: now, promised: map[*runner]structs.Resources{}, least: c.leastPriorities(),
+		victims: map[victimsKey][]victim{}, ending: map[*runner]structs.Resources{}, left: maxEvictions}
 	for _, w := range blocked {
-		if w.mayPreempt(now) && c.outranks(w) {
+		if p.least[w.job.queue.Service] > w.job.queue.Priority {
 			p.makeRoom(w)
 		}
 	}
@@ -60,28 +75,24 @@
 	return !w.step.Fills && !w.step.Gang && w.stand.rank < worthless && now-w.since >= preemptWait
 }
 
-// outranks reports whether less important work than the step runs in its
+// leastPriorities returns the largest priority number among the runs of each
 // service.
-func (c *Core) outranks(w *work) bool {
+func (c *Core) leastPriorities() map[string]int {
+	least := map[string]int{}
 	for _, r := range c.runners {
-		if r.Service != w.job.queue.Service {
-			continue
-		}
 		for x := range r.runs {
-			if x.job.queue.Priority > w.job.queue.Priority {
-				return true
-			}
+			least[r.Service] = max(least[r.Service], x.job.queue.Priority)
 		}
 	}
-	return false
+	return least
 }
 
 // makeRoom stops running work for the tasks of a step that will not fit soon.
 func (p *preemption) makeRoom(w *work) {
-	if p.core.openSoon(w, p.now) {
+	runners, soon := p.fullRunners(w)
+	if soon {
 		return
 	}
-	runners := p.fullRunners(w)
 	missing := len(p.core.startable(w)) - p.promise(w, runners)
 	evictions := make([]eviction, len(runners))
 	for i, r := range runners {
@@ -96,7 +107,7 @@
 		for i, e := range evictions {
 			// Runners that share a job or a disruption budget with the victims may
 			// have lost theirs.
-			if i == best || slices.ContainsFunc(e.victims, func(x *run) bool { return !p.core.preemptible(x, w.job.queue.Priority, p.now) }) {
+			if i == best || slices.ContainsFunc(e.victims, func(v victim) bool { return !p.stoppable(v) }) {
 				evictions[i] = p.evictionFor(w, e.runner)
 			}
 		}
@@ -104,31 +115,25 @@
 	}
 }
 
-// openSoon reports whether a runner has room for the step and waits only for
-// advice, or for the end of the pause after a refusal.
-func (c *Core) openSoon(w *work, now time.Duration) bool {
-	for _, r := range c.runners {
-		switch c.obstacle(w, r, now) {
+// fullRunners returns the runners that lack nothing but room for the step, or
+// reports that one has room and waits only for advice or for the end of the pause
+// after a refusal.
+func (p *preemption) fullRunners(w *work) (full []*runner, soon bool) {
+	for _, r := range p.core.candidates() {
+		switch p.core.obstacle(w, r, p.now) {
+		case noRoom:
+			if w.permitted(r, p.now) {
+				full = append(full, r)
+			}
 		case noTicket:
-			return true
+			return nil, true
 		case avoided:
-			if r.health.avoidUntil-now <= soonTime && r.fits(w) {
-				return true
+			if r.health.avoidUntil-p.now <= soonTime && r.fits(w) {
+				return nil, true
 			}
 		}
 	}
-	return false
-}
-
-// fullRunners returns the runners that lack nothing but room for the step.
-func (p *preemption) fullRunners(w *work) []*runner {
-	var out []*runner
-	for _, r := range p.core.candidates() {
-		if p.core.obstacle(w, r, p.now) == noRoom && w.permitted(r, p.now) {
-			out = append(out, r)
-		}
-	}
-	return out
+	return full, false
 }
 
 // promise counts the step's tasks that will fit within soonTime, at most as many
@@ -136,7 +141,7 @@
 func (p *preemption) promise(w *work, runners []*runner) int {
 	count := 0
 	for _, r := range runners {
-		free := r.Capacity.Sub(r.held).Add(r.endingWithin(soonTime, p.now)).Sub(r.claimedFrom(w)).Sub(p.promised[r])
+		free := r.Capacity.Sub(r.held).Add(p.endingOn(r)).Sub(r.claimedFrom(w)).Sub(p.promised[r])
 		places := w.places(r, free)
 		places = min(places, len(w.pending)-count)
 		for range places - r.claimsOf(w) {
@@ -147,17 +152,36 @@
 	return count
 }
 
-// endingWithin is what runs that are expected to end within a time hold.
-func (r *runner) endingWithin(span, now time.Duration) structs.Resources {
-	var sum structs.Resources
+// endingOn is what runs hold that are expected to end within soonTime.
+func (p *preemption) endingOn(r *runner) structs.Resources {
+	sum, known := p.ending[r]
+	if known {
+		return sum
+	}
 	for x := range r.runs {
-		if x.endsWithin(span, now) {
+		if x.endsWithin(soonTime, p.now) {
 			sum = sum.Add(x.step.Reserved())
 		}
 	}
+	p.ending[r] = sum
 	return sum
 }
 
+// stoppable reports whether a victim may still be stopped after others were.
+func (p *preemption) stoppable(v victim) bool {
+	return v.phase == running && p.core.mayStop(v.run, p.now)
+}
+
+// victimsOn returns the victims on a runner for work of a priority.
+func (p *preemption) victimsOn(r *runner, priority int) []victim {
+	key := victimsKey{r, priority}
+	if _, known := p.victims[key]; !known {
+		p.victims[key] = p.core.victimsOn(r, priority, p.now)
+	}
+	p.victims[key] = slices.DeleteFunc(p.victims[key], func(v victim) bool { return !p.stoppable(v) })
+	return p.victims[key]
+}
+
 // places is how many of the step's tasks fit into free room of a runner.
 func (w *work) places(r *runner, free structs.Resources) int {
 	n := len(w.pending)
@@ -180,11 +204,15 @@
 	if w.step.MaxPerRunner > 0 && w.onRunner[r]+r.claimsOf(w) >= w.step.MaxPerRunner {
 		return eviction{runner: r}
 	}
-	need := r.held.Sub(r.endingWithin(soonTime, p.now)).Add(p.promised[r]).Add(w.step.Reserved())
+	victims := p.victimsOn(r, w.job.queue.Priority)
+	if len(victims) == 0 {
+		return eviction{runner: r}
+	}
+	need := r.held.Sub(p.endingOn(r)).Add(p.promised[r]).Add(w.step.Reserved())
 	for _, k := range r.claims {
 		need = need.Add(k.work.step.Reserved())
 	}
-	return p.core.evictionFrom(r, need.Sub(r.Capacity), w.job.queue.Priority, p.now)
+	return evict(r, victims, need.Sub(r.Capacity))
 }
 
 // cheapest returns the index of the eviction that loses least, or -1.
@@ -214,8 +242,9 @@
 		c.counters("runs_preempted", 1)
 		c.log.WithFields(logrus.Fields{"task": x.task, "run": x.number, "runner": x.runner.ID, "percent": x.percent,
 			"saved": x.savedPercent, "for": w.job.ID, "step": w.index}).Info("run is preempted")
-		c.displace(x, p.now)
+		c.displace(x.run, p.now)
 	}
+	delete(p.ending, e.runner)
 	c.claimRoom(w, e.runner, p.now)
 	p.left--
 }
--- a/coordinator/victim.go
+++ b/coordinator/victim.go
@@ -70,63 +70,76 @@
 	return x.job.estimates[x.task.Step] - spent
 }
 
+// victim is a run that may be stopped, and the core-seconds that this costs.
+type victim struct {
+	*run
+	loss float64
+}
+
+// victimsOn returns the runs on a runner that may be stopped for work of a
+// priority, those that lose least first.
+func (c *Core) victimsOn(r *runner, priority int, now time.Duration) []victim {
+	var out []victim
+	for x := range r.runs {
+		if c.preemptible(x, priority, now) {
+			out = append(out, victim{x, x.loss()})
+		}
+	}
+	slices.SortFunc(out, victim.compare)
+	return out
+}
+
+// compare orders victims by what they lose, long-running ones last and filling
+// ones first among equals.
+func (v victim) compare(o victim) int {
+	order := cmp.Or(compareBool(v.step.LongRunning, o.step.LongRunning), cmp.Compare(v.loss, o.loss), compareBool(o.step.Fills, v.step.Fills))
+	if order != 0 {
+		return order
+	}
+	return cmp.Compare(v.task.String(), o.task.String())
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
 // eviction is the least costly way to free room on a runner.
 type eviction struct {
 	runner  *runner
-	victims []*run
+	victims []victim
 	loss    float64 // core-seconds
 }
 
-// evictionFrom returns the victims whose stop frees the room that lacks on a
-// runner, no more of them than needed. There are none if it can't be freed.
-func (c *Core) evictionFrom(r *runner, lacking structs.Resources, priority int, now time.Duration) eviction {
+// evict chooses from the victims on a runner those whose stop frees the room that
+// lacks, no more of them than needed. There are none if it can't be freed.
+func evict(r *runner, victims []victim, lacking structs.Resources) eviction {
 	e := eviction{runner: r}
 	var freed structs.Resources
-	for _, x := range c.candidateVictims(r, priority, now) {
+	for _, v := range victims {
 		if lacking.Fits(freed) {
 			break
 		}
-		if x.relieves(lacking.Sub(freed)) && !e.hasLasting(x) {
-			e.victims = append(e.victims, x)
-			freed = freed.Add(x.step.Reserved())
+		if v.relieves(lacking.Sub(freed)) && !e.hasLasting(v) {
+			e.victims = append(e.victims, v)
+			freed = freed.Add(v.step.Reserved())
 		}
 	}
 	if !lacking.Fits(freed) {
 		return eviction{runner: r}
 	}
 	e.prune(lacking, freed)
-	for _, x := range e.victims {
-		e.loss += x.loss()
+	for _, v := range e.victims {
+		e.loss += v.loss
 	}
 	return e
 }
 
-// candidateVictims returns the runs on a runner that may be stopped, those that
-// lose least first.
-func (c *Core) candidateVictims(r *runner, priority int, now time.Duration) []*run {
-	var out []*run
-	for x := range r.runs {
-		if c.preemptible(x, priority, now) {
-			out = append(out, x)
-		}
-	}
-	slices.SortFunc(out, func(a, b *run) int {
-		return cmp.Or(compareBool(a.step.LongRunning, b.step.LongRunning), cmp.Compare(a.loss(), b.loss()),
-			compareBool(b.step.Fills, a.step.Fills), cmp.Compare(a.task.String(), b.task.String()))
-	})
-	return out
-}
-
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	}
-	return 1
-}
-
 // relieves reports whether the run holds some of what lacks.
 func (x *run) relieves(lacking structs.Resources) bool {
 	held := x.step.Reserved()
@@ -134,10 +147,10 @@
 		lacking.Accelerators > 0 && held.Accelerators > 0
 }
 
-// hasLasting reports whether a long-running task of the run's step is among the
-// victims: its disruption budget is checked for one at a time.
-func (e *eviction) hasLasting(x *run) bool {
-	return x.step.LongRunning && slices.ContainsFunc(e.victims, func(v *run) bool { return v.work == x.work })
+// hasLasting reports whether a long-running task of the victim's step is chosen
+// already: the disruption budget is checked for one at a time.
+func (e *eviction) hasLasting(v victim) bool {
+	return v.step.LongRunning && slices.ContainsFunc(e.victims, func(o victim) bool { return o.work == v.work })
 }
 
 // prune spares the victims that are not needed, the most costly ones first.
