--- a/coordinator/preempt.go
+++ b/coordinator/preempt.go
@@ -14,8 +14,9 @@
 	// preemptWait is how long work waits for room before running work is stopped
 	// for it.
 	preemptWait = 200 * time.Millisecond
-	// soonTime is how long room that running work will free is waited for.
-	soonTime = time.Second
+	// soonTime is how long room that running work will free is waited for. Where
+	// batch tasks are that short, stopping some gains urgent work nothing.
+	soonTime = 2 * time.Second
 	// preemptEvery spaces the decisions: each looks at all runs of a service.
 	preemptEvery = 100 * time.Millisecond
 	// maxEvictions bounds the tasks that room is made for in one decision.
@@ -23,8 +24,6 @@
 	// maxLossShare bounds what may be lost for a task, in times of its own
 	// work: late urgent work costs more than batch work done twice.
 	maxLossShare = 4
-	// lastingGain is the time that a long-running task's own work counts for.
-	lastingGain = 30 * time.Second
 )
 
 // preemption is the state of a decision which running work is stopped for work
@@ -69,10 +68,11 @@
 }
 
 // mayPreempt reports whether running work may be stopped for the step. Filling
-// tasks wait for what others leave, and late results of worthless ones earn
-// nothing.
+// tasks wait for what others leave, late results of worthless ones earn nothing,
+// and long-running tasks would hold what they get: urgent work that ends would
+// lack it next.
 func (w *work) mayPreempt(now time.Duration) bool {
-	return !w.step.Fills && !w.step.Gang && w.stand.rank < worthless && now-w.since >= preemptWait
+	return !w.step.LongRunning && !w.step.Fills && !w.step.Gang && w.stand.rank < worthless && now-w.since >= preemptWait
 }
 
 // leastPriorities returns the largest priority number among the runs of each
@@ -228,9 +228,6 @@
 
 // taskWork is the work of one of the step's tasks in core-seconds.
 func (w *work) taskWork() float64 {
-	if w.step.LongRunning {
-		return coreSeconds(w.step.Ask, lastingGain)
-	}
 	return coreSeconds(w.step.Ask, w.job.estimates[w.index])
 }
 
