--- a/coordinator/budget_test.go
+++ b/coordinator/budget_test.go
@@ -176,3 +176,13 @@
 		t.Errorf("%d stops while the third task's whereabouts are not known", n)
 	}
 }
+
+// An entry that a successor reads first may have been written a heartbeat ago; taken
+// for new, it promised time that was gone.
+func TestFirstEntryOfARunnerCountsAsOld(t *testing.T) {
+	w := newWorld(t)
+	w.drain("a", 3000, 5*time.Second)
+	if left := w.core.runners["a"].leaves - w.now; left != 5*time.Second-entryAge {
+		t.Errorf("%v are left, want the stated time less the age of an entry", left)
+	}
+}
--- a/coordinator/preempt_test.go
+++ b/coordinator/preempt_test.go
@@ -256,3 +256,23 @@
 		t.Errorf("stopped %v for processors, want the task that holds some", got)
 	}
 }
+
+// A claim on a runner that is lost must be given up: a step with claims doesn't share
+// what is known of full runners, and would give up its later claims.
+func TestClaimEndsWithItsRunner(t *testing.T) {
+	w, batch := preemptWorld(t, []RunnerInfo{machine("a", 1000)}, batchStep(1, 1000, true))
+	w.progress("a", batch)
+	w.enqueue(urgentQueue, firstID, plain(1, 1000))
+	if n := len(w.waitForRoom()); n != 1 {
+		t.Fatalf("%d stops, want 1", n)
+	}
+	waiting := w.core.jobs[firstID].work[[2]int{0, 0}]
+	if waiting.claims != 1 {
+		t.Fatalf("%d claims, want 1", waiting.claims)
+	}
+	w.core.runners["a"].listed = false
+	w.core.RunnerLapsed("a", w.now)
+	if waiting.claims != 0 {
+		t.Errorf("%d claims on a runner that is lost", waiting.claims)
+	}
+}
