--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -44,6 +44,9 @@
 	// confirmed is when the last order for the run was answered.
 	confirmed time.Duration
 	percent   int
+	// savedPercent is the progress when saved, the newest checkpoint, appeared.
+	savedPercent int
+	saved        string
 	// moved is when percent last changed.
 	moved time.Duration
 	load  int
@@ -73,6 +76,8 @@
 	estimates, measured []time.Duration
 	// inherited jobs may have runs that a predecessor started.
 	inherited bool
+	// preemptions counts how often each task was stopped for more important work.
+	preemptions map[jobs.TaskID]int
 }
 
 // work is a step of an occurrence whose turn has come.
@@ -100,6 +105,10 @@
 	// lastChance is set while a task is placed whose next failure would be the
 	// last.
 	lastChance bool
+	// absent are the tasks that are not at work, of a step with a disruption
+	// budget.
+	absent map[int]absence
+	claims int // room that is kept for the step's tasks, see claim
 }
 
 // Core is the state of the coordinator. Its methods are called by one
@@ -137,7 +146,10 @@
 	full        fullFor
 	changes     uint64 // number of changes of runners
 	reserves    reserves
-	durations   map[string]*durations.Estimator // by queue
+	// nextPreemption is when running work may be stopped next for work that
+	// waits.
+	nextPreemption time.Duration
+	durations      map[string]*durations.Estimator // by queue
 }
 
 // Counter counts decisions by name.
@@ -193,7 +205,7 @@
 	if _, known := c.jobs[accepted.ID]; known || accepted.State.Terminal() {
 		return
 	}
-	j := &job{Job: accepted, work: map[[2]int]*work{}, runs: map[jobs.TaskID][]*run{}, inherited: inherited}
+	j := &job{Job: accepted, work: map[[2]int]*work{}, runs: map[jobs.TaskID][]*run{}, inherited: inherited, preemptions: map[jobs.TaskID]int{}}
 	j.queue = c.queueOf(accepted)
 	j.begun = j.State == jobs.Running
 	j.measured = make([]time.Duration, len(j.Spec.Steps))
--- a/coordinator/drain.go
+++ b/coordinator/drain.go
@@ -5,7 +5,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"bergamotstile/jobs"
 	"bergamotstile/maintenance"
 )
 
@@ -40,52 +39,29 @@
 // would not end in time leaves early, so that little of it is lost; long-running
 // tasks leave as their disruption budget allows, where another runner has room.
 func (c *Core) evicts(x *run, now time.Duration) bool {
+	cordon := x.runner.cordon
 	if !x.step.LongRunning {
-		return c.mustLeave(x, x.runner.cordon.Until, now)
+		return x.timeLeft(now) > cordon.Until-leaveMargin-now
 	}
-	return c.mayDisrupt(x) && (x.runner.cordon.Pressing || c.fitsElsewhere(x, now))
+	return c.mayDisrupt(x, now) && (cordon.Pressing || c.hasPlace(x, now))
 }
 
-// mayDisrupt reports whether the disruption budget of a long-running step allows
-// to end one more of its tasks. Where there is no budget, one task is ended at a
-// time. A task that isn't known to be at work may have become so since.
-func (c *Core) mayDisrupt(x *run) bool {
-	away := 0
-	for index := range x.step.Count {
-		id := x.task
-		id.Index = index
-		if index != x.task.Index && !x.job.atWork(id) {
-			away++
-		}
-	}
-	return away < max(1, x.step.MaxUnavailable)
-}
-
-// fullProgress is the progress in percent that a long-running task shows while it
-// is at work.
-const fullProgress = 100
-
-// atWork reports whether a long-running task is known to be at work.
-func (j *job) atWork(id jobs.TaskID) bool {
-	for _, x := range j.runs[id] {
-		if x.phase == running && x.percent >= fullProgress && !x.runner.suspect {
-			return true
-		}
+// mayDisrupt reports whether one more task of a long-running step may be ended for
+// an upkeep, which can wait: within the step's disruption budget, or one at a time
+// where it has none.
+func (c *Core) mayDisrupt(x *run, now time.Duration) bool {
+	if budgeted(x.step) {
+		return c.mayStop(x, now)
 	}
-	return false
-}
-
-// fitsElsewhere reports whether another runner could take the task now.
-func (c *Core) fitsElsewhere(x *run, now time.Duration) bool {
 	if x.work == nil {
-		return false
+		return true
 	}
-	for _, r := range c.runners {
-		if r != x.runner && c.eligible(x.work, r, now) {
-			return true
+	for index := range x.step.Count {
+		if index != x.task.Index && !x.work.atWork(index) {
+			return false
 		}
 	}
-	return false
+	return true
 }
 
 // Load returns what runs on a runner, for the planning of upkeep. It isn't known
--- a/coordinator/drain_test.go
+++ b/coordinator/drain_test.go
@@ -4,16 +4,9 @@
 	"testing"
 	"time"
 
-	"bergamotstile/jobs"
 	"bergamotstile/maintenance"
-	"bergamotstile/structs"
 )
 
-// lasting is a step of long-running tasks with a disruption budget.
-func lasting(count, budget int) jobs.Step {
-	return jobs.Step{Count: count, Ask: structs.Resources{CPUMilli: 1000, MemoryMB: 10}, LongRunning: true, MaxUnavailable: budget}
-}
-
 // cordon drains a runner until a time from now and returns the stops of one watch.
 func (w *world) cordon(runner string, left time.Duration, pressing bool) []Order {
 	w.core.Cordon(map[string]maintenance.Drain{runner: {Until: w.now + left, Pressing: pressing}}, nil)
--- a/coordinator/watch.go
+++ b/coordinator/watch.go
@@ -26,6 +26,10 @@
 	nearlyDone = 85
 	// leaveMargin is kept free before a draining runner may be gone.
 	leaveMargin = 500 * time.Millisecond
+	// lastingMargin is the same for long-running tasks. All of those that are left
+	// are stopped together, the registry tells of a notice late, and a task that
+	// goes with its runner is away until its lease has lapsed.
+	lastingMargin = 2 * time.Second
 )
 
 // Watch stops tasks that stand still, and tasks that would not end before
@@ -34,6 +38,7 @@
 func (c *Core) Watch(now time.Duration) {
 	c.dropUnlisted(now)
 	c.dropGone()
+	c.noteAbsences(now)
 	c.moveStuck(now)
 	for _, r := range c.runners {
 		if !r.reported || r.suspect {
@@ -44,7 +49,7 @@
 				continue
 			}
 			switch {
-			case r.Draining && c.mustLeave(x, r.leaves, now):
+			case r.Draining && c.mustLeave(x, now):
 				c.move(x, now, "runner is leaving")
 			case r.cordon != nil && c.evicts(x, now):
 				c.move(x, now, "machine goes down for upkeep")
@@ -61,6 +66,7 @@
 func (c *Core) dropGone() {
 	for id, r := range c.runners {
 		if !r.listed && r.suspect && len(r.runs) == 0 {
+			r.forfeitClaims()
 			delete(c.runners, id)
 			c.sorted = nil
 		}
@@ -77,7 +83,7 @@
 			continue
 		}
 		for x := range r.runs {
-			if !x.stuck(now) {
+			if !x.stuck(now) || !c.mayStop(x, now) {
 				continue
 			}
 			better, known := open[x.kind]
@@ -119,10 +125,15 @@
 	return false
 }
 
+// hasPlace reports whether a run's task could start on another runner.
+func (c *Core) hasPlace(x *run, now time.Duration) bool {
+	return x.work == nil || c.pick(x.work, now, nil, 0) != nil
+}
+
 func (c *Core) move(x *run, now time.Duration, cause string) {
 	c.counters("runs_moved", 1)
 	c.log.WithFields(logrus.Fields{"task": x.task, "run": x.number, "runner": x.runner.ID, "percent": x.percent, "cause": cause}).Info("run is moved")
-	c.stop(x, now)
+	c.displace(x, now)
 }
 
 // stalled reports whether a task that should progress does not.
@@ -133,16 +144,13 @@
 	return now-max(x.moved, x.began) > max(stallTime, x.job.estimates[x.task.Step]/2)
 }
 
-// mustLeave reports whether a task would not end before its runner leaves.
-func (c *Core) mustLeave(x *run, leaves, now time.Duration) bool {
+// mustLeave reports whether a task is to be moved from its draining runner now: a
+// long-running one when its step's budget allows and another runner has room, or
+// no time is left; another one if it would not end before the runner leaves.
+func (c *Core) mustLeave(x *run, now time.Duration) bool {
+	left := x.runner.leaves - now
 	if x.step.LongRunning {
-		return true
-	}
-	left := leaves - leaveMargin - now
-	spent := now - x.began
-	need := x.job.estimates[x.task.Step] - spent
-	if x.percent > 0 {
-		need = spent * time.Duration(100-x.percent) / time.Duration(x.percent)
+		return left <= lastingMargin || c.mayStop(x, now) && c.hasPlace(x, now)
 	}
-	return need > left
+	return x.timeLeft(now) > left-leaveMargin
 }
