Rename the measurements of work in the coordinator

gauge and gauged did not say what they hold: workMeter measures a run, taskTimes sums the times of a step's tasks. No change of behaviour; tests of coordinator and platform/hosted pass.

--- a/coordinator/estimate.go
+++ b/coordinator/estimate.go
@@ -15,22 +15,22 @@
 	estimateStep = 0.1
 )
 
-// gauge measures the work of a run: the processor time that it has used, and
+// workMeter measures the work of a run: the processor time that it has used, and
 // the progress in which.
-type gauge struct {
-	from int           // percent at the first reading
-	at   time.Duration // of the last reading; zero before the first
-	used float64       // thousandths of a processor, times seconds
-	told time.Duration // time that was added to the step's
+type workMeter struct {
+	from    int           // percent at the first reading
+	at      time.Duration // of the last reading; zero before the first
+	used    float64       // thousandths of a processor, times seconds
+	counted time.Duration // time that was added to the step's
 }
 
-// gauged sums the measured times of a step's tasks.
-type gauged struct {
+// taskTimes sums the measured times of a step's tasks.
+type taskTimes struct {
 	sum   time.Duration
 	tasks int
 }
 
-func (g gauged) mean() time.Duration {
+func (g taskTimes) mean() time.Duration {
 	if g.tasks == 0 {
 		return 0
 	}
@@ -39,7 +39,7 @@
 
 // read adds a reading and returns the time that the whole task takes with all
 // it asks for, or zero while too little of it has been seen.
-func (g *gauge) read(percent, load int, ask int64, now time.Duration) time.Duration {
+func (g *workMeter) read(percent, load int, ask int64, now time.Duration) time.Duration {
 	if g.at == 0 {
 		g.from, g.at = percent, now
 		return 0
@@ -53,24 +53,24 @@
 	return time.Duration(seconds * float64(time.Second))
 }
 
-// gaugeRun learns from a run's progress how long the tasks of its step take.
-func (c *Core) gaugeRun(x *run, s RunStatus, now time.Duration) {
+// measureRun learns from a run's progress how long the tasks of its step take.
+func (c *Core) measureRun(x *run, s RunStatus, now time.Duration) {
 	if x.step.LongRunning || x.step.Gang || x.work == nil {
 		return
 	}
-	takes := x.gauge.read(s.Percent, s.Load, x.step.Ask.CPUMilli, now)
+	takes := x.workMeter.read(s.Percent, s.Load, x.step.Ask.CPUMilli, now)
 	if takes <= 0 {
 		return
 	}
-	g := &x.work.gauged
-	if x.gauge.told == 0 {
+	g := &x.work.taskTimes
+	if x.workMeter.counted == 0 {
 		g.tasks++
 		if g.tasks == 1 {
 			c.durationsOf(x.job).Observe(x.step.Estimate, takes)
 		}
 	}
-	g.sum += takes - x.gauge.told
-	x.gauge.told = takes
+	g.sum += takes - x.workMeter.counted
+	x.workMeter.counted = takes
 	before := x.job.measured[x.task.Step]
 	if math.Abs(float64(g.mean()-before)) > estimateStep*float64(before) {
 		x.job.measured[x.task.Step] = g.mean()
--- a/coordinator/estimate_test.go
+++ b/coordinator/estimate_test.go
@@ -38,7 +38,7 @@
 
 // Slowed tasks take longer without being larger.
 func TestSlowedTaskIsNotTakenForALargeOne(t *testing.T) {
-	var g gauge
+	var g workMeter
 	var takes time.Duration
 	for i := range 9 {
 		takes = g.read(5*i, 400, 2000, time.Duration(i+1)*500*time.Millisecond)
--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -106,7 +106,7 @@
 		x.confirmed = rep.Sent
 		x.settled.Store(true)
 	}
-	c.gaugeRun(x, s, now)
+	c.measureRun(x, s, now)
 	x.observe(s, now)
 	return x
 }
