Name what spaces the lines about a wait a log throttle

telling and told needed explaining; the usual term is a throttle. The functions that log begin with log. No change of behaviour; tests of coordinator and platform/hosted pass.

--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -95,7 +95,7 @@
 	stand     standing      // as of the present round
 	rest      time.Duration // estimated rest of the chain
 	taskTimes taskTimes
-	wait      telling
+	wait      logThrottle
 	// starved is set if the job needs something running at once.
 	starved bool
 	// fresh is set if only this coordinator has seen the end that opened the step.
@@ -137,7 +137,7 @@
 	// inherited is the number of the predecessor's runners, reached that of those
 	// that have answered.
 	inherited, reached int
-	awaited            telling // spaces the lines about unresolved runners
+	awaited            logThrottle // spaces the lines about unresolved runners
 	// storeOffset is the store's clock less the local one.
 	storeOffset time.Duration
 	counters    Counter
--- a/coordinator/gang.go
+++ b/coordinator/gang.go
@@ -19,7 +19,7 @@
 		}
 	}
 	if !c.tryGang(w, now, nil) {
-		c.tellNoRunner(w, now)
+		c.logNoRunner(w, now)
 		c.ask(w, now)
 	}
 }
--- a/coordinator/inherited.go
+++ b/coordinator/inherited.go
@@ -87,16 +87,16 @@
 		}
 	}
 	if len(c.unresolved) > 0 {
-		c.tellAwaited(now)
+		c.logAwaited(now)
 	}
 }
 
-// tellAwaited logs which runners of a predecessor are waited for.
-func (c *Core) tellAwaited(now time.Duration) {
+// logAwaited logs which runners of a predecessor are waited for.
+func (c *Core) logAwaited(now time.Duration) {
 	if !c.awaited.due(now) {
 		return
 	}
-	c.awaited.told(now)
+	c.awaited.logged(now)
 	var named []string
 	var last time.Duration
 	for id, lapsed := range c.unresolved {
--- a/coordinator/schedule.go
+++ b/coordinator/schedule.go
@@ -28,15 +28,15 @@
 	for _, w := range c.waiting {
 		tasks := c.startable(w)
 		if len(tasks) == 0 {
-			c.tellWait(w, "runners of the predecessor are not resolved", now)
+			c.logWait(w, "runners of the predecessor are not resolved", now)
 			continue
 		}
 		if strays[w.job.ID] {
-			c.tellWait(w, "a run of the job that was not known has to end", now)
+			c.logWait(w, "a run of the job that was not known has to end", now)
 			continue
 		}
 		if w.stand.growth > 0 && !c.reserves.allow(w) {
-			c.tellWait(w, "room is kept for work that ends", now)
+			c.logWait(w, "room is kept for work that ends", now)
 			continue
 		}
 		if w.since == 0 {
@@ -96,7 +96,7 @@
 		r := c.pick(w, now, nil, since)
 		if r == nil {
 			c.full.note(w, since, c.changes, now)
-			c.tellNoRunner(w, now)
+			c.logNoRunner(w, now)
 			c.ask(w, now)
 			return false
 		}
@@ -126,7 +126,7 @@
 	}
 	c.attach(x)
 	r.useClaim(w)
-	w.wait = telling{}
+	w.wait = logThrottle{}
 	saved := t.Saved
 	if !w.step.Checkpoints {
 		saved = ""
--- a/coordinator/waiting.go
+++ b/coordinator/waiting.go
@@ -10,8 +10,8 @@
 
 // Times after which the log says why a step waits, and says it again.
 const (
-	waitTold  = time.Second
-	waitAgain = 5 * time.Second
+	firstWaitLog = time.Second
+	nextWaitLog  = 5 * time.Second
 )
 
 // obstacle is why a task is not started on a runner.
@@ -36,21 +36,21 @@
 	avoided: "avoided", noLabel: "without label", spreadReached: "spread reached", noRoom: "no room", noTicket: "no ticket",
 	noProcessors: "no processors left", troubledTasks: "serving tasks over target", harmsTasks: "would harm serving tasks"}
 
-// tellWait logs that a step waits, and why, once in a while.
-func (c *Core) tellWait(w *work, cause string, now time.Duration) {
+// logWait logs that a step waits, and why, once in a while.
+func (c *Core) logWait(w *work, cause string, now time.Duration) {
 	if !w.wait.due(now) || len(w.pending) == 0 {
 		return
 	}
-	w.wait.told(now)
+	w.wait.logged(now)
 	c.counters("waits_told", 1)
 	c.log.WithFields(logrus.Fields{"job": w.job.ID, "step": w.index, "tasks": len(w.pending), "cause": cause,
 		"late_ms": (-w.stand.slack).Milliseconds()}).Info("step waits")
 }
 
-// tellNoRunner logs why no runner takes a step's next task.
-func (c *Core) tellNoRunner(w *work, now time.Duration) {
+// logNoRunner logs why no runner takes a step's next task.
+func (c *Core) logNoRunner(w *work, now time.Duration) {
 	if w.wait.due(now) {
-		c.tellWait(w, c.obstaclesTo(w, now), now)
+		c.logWait(w, c.obstaclesTo(w, now), now)
 	}
 }
 
@@ -73,19 +73,19 @@
 	return strings.Join(parts, ", ")
 }
 
-// telling spaces the lines about one wait.
-type telling struct {
+// logThrottle spaces the lines about one wait.
+type logThrottle struct {
 	since time.Duration // of the wait, or of the last line; zero if nothing waits
 	pause time.Duration
 }
 
 // due reports whether it is time for a line. The first call begins the wait.
-func (t *telling) due(now time.Duration) bool {
+func (t *logThrottle) due(now time.Duration) bool {
 	if t.since == 0 {
-		*t = telling{now, waitTold}
+		*t = logThrottle{now, firstWaitLog}
 	}
 	return now-t.since >= t.pause
 }
 
-// told begins the next wait for a line.
-func (t *telling) told(now time.Duration) { *t = telling{now, waitAgain} }
+// logged begins the next wait for a line.
+func (t *logThrottle) logged(now time.Duration) { *t = logThrottle{now, nextWaitLog} }
