Rename what a step knows of the policy, and what placement expects

advised is policyAdvice now, prospect is forecast, which is the usual term for an expected pace and room. No change of behaviour; tests of coordinator and platform/hosted pass.

--- a/coordinator/advice.go
+++ b/coordinator/advice.go
@@ -50,8 +50,8 @@
 	until time.Duration
 }
 
-// advised is what is known of the policy for one step.
-type advised struct {
+// policyAdvice is what is known of the policy for one step.
+type policyAdvice struct {
 	tickets map[string]ticket
 	asking  bool
 	again   time.Duration // no new request before
--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -91,7 +91,7 @@
 	since     time.Duration     // when a task was first pending
 	onRunner  map[*runner]int
 	listed    bool // in Core.waiting
-	advice    advised
+	advice    policyAdvice
 	stand     standing      // as of the present round
 	rest      time.Duration // estimated rest of the chain
 	taskTimes taskTimes
@@ -243,7 +243,7 @@
 		}
 		w := &work{job: j, number: o.Number, index: i, step: &j.Spec.Steps[i], fresh: fresh, onRunner: map[*runner]int{},
 			kind: c.harm.model.Kind(j.Spec.Steps[i].Image), rest: j.chainFrom(i),
-			advice: advised{tickets: map[string]ticket{}}}
+			advice: policyAdvice{tickets: map[string]ticket{}}}
 		if w.step.Fills {
 			c.harm.fills[w.kind] = struct{}{}
 		}
--- a/coordinator/prospect.go
+++ b/coordinator/forecast.go
@@ -59,8 +59,8 @@
 	return most
 }
 
-// prospect is what a further filling task would find on a runner.
-type prospect struct {
+// forecast is what a further filling task would find on a runner.
+type forecast struct {
 	pace int   // percent
 	free int64 // thousandths of a processor
 	// harm is the pressure that it would add at full pace, summed over the
@@ -68,9 +68,9 @@
 	harm float64
 }
 
-// prospect works out what a task of a filling step finds. Tasks of classes that are served
+// forecast works out what a task of a filling step finds. Tasks of classes that are served
 // after it make room.
-func (c *Core) prospect(r *runner, s *jobs.Step, kind interference.Kind, stand standing) prospect {
+func (c *Core) forecast(r *runner, s *jobs.Step, kind interference.Kind, stand standing) forecast {
 	ask := max(1, s.Ask.CPUMilli)
 	var all, same int64
 	for _, x := range r.fillers {
@@ -81,7 +81,7 @@
 			}
 		}
 	}
-	p := prospect{free: r.idle() + r.filling - all}
+	p := forecast{free: r.idle() + r.filling - all}
 	use, harm := c.safeUse(r, kind, ask)
 	p.harm = harm
 	p.pace = min(fullPace, int(max(0, use-same)*fullPace/ask))
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -230,7 +230,7 @@
 // idle processors at the pace that spares the tasks that serve, and the harm
 // that it would do them.
 func (c *Core) fillCost(w *work, r *runner, factor float64, now time.Duration) float64 {
-	p := c.prospect(r, w.step, w.kind, w.stand)
+	p := c.forecast(r, w.step, w.kind, w.stand)
 	if c.fillObstacle(w, r, p, now) != noObstacle {
 		return -1
 	}
@@ -240,7 +240,7 @@
 }
 
 // fillObstacle returns why a filling task should wait rather than start there.
-func (c *Core) fillObstacle(w *work, r *runner, p prospect, now time.Duration) obstacle {
+func (c *Core) fillObstacle(w *work, r *runner, p forecast, now time.Duration) obstacle {
 	switch {
 	case p.free*100/max(1, w.step.Ask.CPUMilli) < fillShare:
 		return noProcessors
--- a/coordinator/waiting.go
+++ b/coordinator/waiting.go
@@ -60,7 +60,7 @@
 	for _, r := range c.runners {
 		o := c.obstacle(w, r, now)
 		if o == noObstacle && w.step.Fills {
-			o = c.fillObstacle(w, r, c.prospect(r, w.step, w.kind, w.stand), now)
+			o = c.fillObstacle(w, r, c.forecast(r, w.step, w.kind, w.stand), now)
 		}
 		counts[o]++
 	}
