Name the order of steps and runs their precedence

stand and standing needed explaining: the type decides which of two steps or runs comes first. No change of behaviour; tests of coordinator and platform/hosted pass.

--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -25,18 +25,18 @@
 // run is one start of a task on a runner. It holds capacity there until its end
 // is proved.
 type run struct {
-	job       *job
-	task      jobs.TaskID
-	number    int
-	runner    *runner
-	step      *jobs.Step
-	work      *work             // nil if the step is not open
-	kind      interference.Kind // of the step's image
-	stand     standing          // as of the runner's last report, if it fills
-	phase     phase
-	settled   *atomic.Bool // ends the repetition of its last order
-	began     time.Duration
-	workMeter workMeter
+	job        *job
+	task       jobs.TaskID
+	number     int
+	runner     *runner
+	step       *jobs.Step
+	work       *work             // nil if the step is not open
+	kind       interference.Kind // of the step's image
+	precedence precedence        // as of the runner's last report, if it fills
+	phase      phase
+	settled    *atomic.Bool // ends the repetition of its last order
+	began      time.Duration
+	workMeter  workMeter
 	// adopted is when a predecessor's run was first listed here, zero for own
 	// ones; located is set once only this coordinator can see its end.
 	adopted time.Duration
@@ -82,20 +82,20 @@
 
 // work is a step of an occurrence whose turn has come.
 type work struct {
-	job       *job
-	number    int // of the occurrence
-	index     int // of the step
-	step      *jobs.Step
-	kind      interference.Kind // of the step's image
-	pending   []int             // tasks to start
-	since     time.Duration     // when a task was first pending
-	onRunner  map[*runner]int
-	listed    bool // in Core.waiting
-	advice    policyAdvice
-	stand     standing      // as of the present round
-	rest      time.Duration // estimated rest of the chain
-	taskTimes taskTimes
-	wait      logThrottle
+	job        *job
+	number     int // of the occurrence
+	index      int // of the step
+	step       *jobs.Step
+	kind       interference.Kind // of the step's image
+	pending    []int             // tasks to start
+	since      time.Duration     // when a task was first pending
+	onRunner   map[*runner]int
+	listed     bool // in Core.waiting
+	advice     policyAdvice
+	precedence precedence    // as of the present round
+	rest       time.Duration // estimated rest of the chain
+	taskTimes  taskTimes
+	wait       logThrottle
 	// starved is set if the job needs something running at once.
 	starved bool
 	// fresh is set if only this coordinator has seen the end that opened the step.
--- a/coordinator/forecast.go
+++ b/coordinator/forecast.go
@@ -70,11 +70,11 @@
 
 // forecast works out what a task of a filling step finds. Tasks of classes that are served
 // after it make room.
-func (c *Core) forecast(r *runner, s *jobs.Step, kind interference.Kind, stand standing) forecast {
+func (c *Core) forecast(r *runner, s *jobs.Step, kind interference.Kind, place precedence) forecast {
 	ask := max(1, s.Ask.CPUMilli)
 	var all, same int64
 	for _, x := range r.fillers {
-		if !stand.class().before(x.stand.class()) {
+		if !place.class().before(x.precedence.class()) {
 			all += x.use()
 			if x.kind == kind {
 				same += x.step.Ask.CPUMilli
--- a/coordinator/order.go
+++ b/coordinator/order.go
@@ -26,11 +26,11 @@
 	worthless
 )
 
-// standing decides which of two steps or runs is served first: by priority,
+// precedence decides which of two steps or runs is served first: by priority,
 // then those that can still meet their objective, the small ones first, then by
 // slack. Long-running tasks that have not run yet come after work that ends:
 // they hold what they get.
-type standing struct {
+type precedence struct {
 	priority int
 	growth   int // 1 for long-running tasks that have not run yet
 	rank     rank
@@ -42,7 +42,7 @@
 	job    jobs.ID
 }
 
-func (s standing) compare(o standing) int {
+func (s precedence) compare(o precedence) int {
 	switch {
 	case s.priority != o.priority:
 		return cmp.Compare(s.priority, o.priority)
@@ -64,16 +64,16 @@
 	rank     rank
 }
 
-func (s standing) class() class { return class{s.priority, max(onTime, s.rank)} }
+func (s precedence) class() class { return class{s.priority, max(onTime, s.rank)} }
 
 // before reports whether the class is served first.
 func (c class) before(o class) bool {
 	return c.priority < o.priority || c.priority == o.priority && c.rank < o.rank
 }
 
-// standing works out where a step stands with the given slack.
-func (w *work) standing(slack time.Duration) standing {
-	s := standing{priority: w.job.queue.Priority, slack: slack, job: w.job.ID}
+// precedenceAt works out where a step stands with the given slack.
+func (w *work) precedenceAt(slack time.Duration) precedence {
+	s := precedence{priority: w.job.queue.Priority, slack: slack, job: w.job.ID}
 	if w.step.LongRunning && !w.job.begun {
 		s.growth = 1
 	}
@@ -96,13 +96,13 @@
 // slack is what is left of the job's time after the estimated rest of its chain.
 func (w *work) slack(store time.Duration) time.Duration { return w.job.objective - store - w.rest }
 
-// standing works out where a run stands now. What it has done counts.
-func (c *Core) standing(x *run) standing {
+// precedenceOf works out where a run stands now. What it has done counts.
+func (c *Core) precedenceOf(x *run) precedence {
 	if x.work == nil {
-		return standing{rank: worthless, job: x.task.Job}
+		return precedence{rank: worthless, job: x.task.Job}
 	}
 	done := x.job.estimates[x.task.Step] * time.Duration(x.percent) / fullPace
-	return x.work.standing(x.work.slack(c.now+c.storeOffset) + done)
+	return x.work.precedenceAt(x.work.slack(c.now+c.storeOffset) + done)
 }
 
 // starved reports whether nothing of a step's job has run for a while although
--- a/coordinator/pace.go
+++ b/coordinator/pace.go
@@ -93,9 +93,9 @@
 	}
 	r.pressed = nil
 	for _, x := range r.fillers {
-		x.stand = c.standing(x)
+		x.precedence = c.precedenceOf(x)
 	}
-	slices.SortFunc(r.fillers, func(a, b *run) int { return a.stand.compare(b.stand) })
+	slices.SortFunc(r.fillers, func(a, b *run) int { return a.precedence.compare(b.precedence) })
 	c.orderPaces(r)
 }
 
@@ -218,7 +218,7 @@
 	for rest := r.fillers; len(rest) > 0; {
 		equals := rest
 		for i, x := range rest {
-			if x.stand.class() != rest[0].stand.class() {
+			if x.precedence.class() != rest[0].precedence.class() {
 				equals = rest[:i]
 				break
 			}
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -47,7 +47,7 @@
 func (w *work) demand(now time.Duration) demand {
 	d := demand{service: w.job.queue.Service, fills: w.step.Fills, waited: now-w.since >= harmWait}
 	if w.step.Fills {
-		d.kind, d.rank = w.kind, w.stand.rank
+		d.kind, d.rank = w.kind, w.precedence.rank
 	}
 	return d
 }
@@ -230,7 +230,7 @@
 // idle processors at the pace that spares the tasks that serve, and the harm
 // that it would do them.
 func (c *Core) fillCost(w *work, r *runner, factor float64, now time.Duration) float64 {
-	p := c.forecast(r, w.step, w.kind, w.stand)
+	p := c.forecast(r, w.step, w.kind, w.precedence)
 	if c.fillObstacle(w, r, p, now) != noObstacle {
 		return -1
 	}
--- a/coordinator/preempt.go
+++ b/coordinator/preempt.go
@@ -72,7 +72,7 @@
 // and long-running tasks would hold what they get: urgent work that ends would
 // lack it next.
 func (w *work) mayPreempt(now time.Duration) bool {
-	return !w.step.LongRunning && !w.step.Fills && !w.step.Gang && w.stand.rank < worthless && now-w.since >= preemptWait
+	return !w.step.LongRunning && !w.step.Fills && !w.step.Gang && w.precedence.rank < worthless && now-w.since >= preemptWait
 }
 
 // leastPriorities returns the largest priority number among the runs of each
--- a/coordinator/runner.go
+++ b/coordinator/runner.go
@@ -43,7 +43,7 @@
 	served  map[interference.Kind]*servedImage
 	filled  map[interference.Kind]int64
 	fills   map[interference.Kind]*fillState
-	fillers []*run    // its filling tasks in the order of their standing
+	fillers []*run    // its filling tasks in the order of their precedence
 	pressed []pressed // see pressedOn
 	open    float64   // see openness; negative after a change
 	// overSince is since when one of its serving tasks has been over its
@@ -171,7 +171,7 @@
 			delete(r.filled, x.kind)
 		}
 		if sign > 0 {
-			at, _ := slices.BinarySearchFunc(r.fillers, x, func(a, b *run) int { return a.stand.compare(b.stand) })
+			at, _ := slices.BinarySearchFunc(r.fillers, x, func(a, b *run) int { return a.precedence.compare(b.precedence) })
 			r.fillers = slices.Insert(r.fillers, at, x)
 		} else {
 			r.fillers = slices.DeleteFunc(r.fillers, func(o *run) bool { return o == x })
--- a/coordinator/schedule.go
+++ b/coordinator/schedule.go
@@ -20,9 +20,9 @@
 	store := now + c.storeOffset
 	for _, w := range c.waiting {
 		w.starved = c.starved(w, now)
-		w.stand = w.standing(w.slack(store))
+		w.precedence = w.precedenceAt(w.slack(store))
 	}
-	slices.SortFunc(c.waiting, func(a, b *work) int { return a.stand.compare(b.stand) })
+	slices.SortFunc(c.waiting, func(a, b *work) int { return a.precedence.compare(b.precedence) })
 	strays := c.strays()
 	var blocked []*work
 	for _, w := range c.waiting {
@@ -35,7 +35,7 @@
 			c.logWait(w, "a run of the job that was not known has to end", now)
 			continue
 		}
-		if w.stand.growth > 0 && !c.reserves.allow(w) {
+		if w.precedence.growth > 0 && !c.reserves.allow(w) {
 			c.logWait(w, "room is kept for work that ends", now)
 			continue
 		}
@@ -120,7 +120,7 @@
 	t := w.job.Task(id)
 	t.LastRun = number
 	delete(w.located, index)
-	x := &run{located: true, job: w.job, task: id, number: number, runner: r, step: w.step, kind: w.kind, settled: new(atomic.Bool), began: now, pace: fullPace, stand: w.stand}
+	x := &run{located: true, job: w.job, task: id, number: number, runner: r, step: w.step, kind: w.kind, settled: new(atomic.Bool), began: now, pace: fullPace, precedence: w.precedence}
 	if w.step.Fills {
 		c.limitPace(r, w, now)
 	}
--- a/coordinator/waiting.go
+++ b/coordinator/waiting.go
@@ -44,7 +44,7 @@
 	w.wait.logged(now)
 	c.counters("waits_told", 1)
 	c.log.WithFields(logrus.Fields{"job": w.job.ID, "step": w.index, "tasks": len(w.pending), "cause": cause,
-		"late_ms": (-w.stand.slack).Milliseconds()}).Info("step waits")
+		"late_ms": (-w.precedence.slack).Milliseconds()}).Info("step waits")
 }
 
 // logNoRunner logs why no runner takes a step's next task.
@@ -60,7 +60,7 @@
 	for _, r := range c.runners {
 		o := c.obstacle(w, r, now)
 		if o == noObstacle && w.step.Fills {
-			o = c.fillObstacle(w, r, c.forecast(r, w.step, w.kind, w.stand), now)
+			o = c.fillObstacle(w, r, c.forecast(r, w.step, w.kind, w.precedence), now)
 		}
 		counts[o]++
 	}
--- a/coordinator/watch.go
+++ b/coordinator/watch.go
@@ -118,7 +118,7 @@
 		if r == x.runner || !c.eligible(x.work, r, now) || c.troubled(r, now) {
 			continue
 		}
-		if p := c.forecast(r, x.step, x.kind, x.stand); p.free >= x.step.Ask.CPUMilli && p.pace >= betterPace {
+		if p := c.forecast(r, x.step, x.kind, x.precedence); p.free >= x.step.Ask.CPUMilli && p.pace >= betterPace {
 			return true
 		}
 	}
