Say in the names of steps and runs what own, rest and fresh are

own is the pressure of a serving task's own load, rest the estimated rest of a chain, fresh a step whose opening only this coordinator has seen: ownPressure, chainLeft, openedHere. No change of behaviour; tests of coordinator and platform/hosted pass.

--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -55,9 +55,9 @@
 	// over is since when a serving task has been over its target; zero if it
 	// is not.
 	over time.Duration
-	// own is the disturbance by a serving task's own load, once measured.
-	own      float64
-	measured bool
+	// ownPressure is the disturbance by a serving task's own load, once measured.
+	ownPressure float64
+	measured    bool
 }
 
 // job is an accepted job with its runs.
@@ -93,13 +93,13 @@
 	listed     bool // in Core.waiting
 	advice     policyAdvice
 	precedence precedence    // as of the present round
-	rest       time.Duration // estimated rest of the chain
+	chainLeft  time.Duration // estimated rest of the chain
 	taskTimes  taskTimes
 	wait       logThrottle
 	// starved is set if the job needs something running at once.
 	starved bool
-	// fresh is set if only this coordinator has seen the end that opened the step.
-	fresh bool
+	// openedHere is set if only this coordinator has seen the end that opened the step.
+	openedHere bool
 	// located are pending tasks whose last run only this coordinator saw end.
 	located map[int]struct{}
 	// lastChance is set while a task is placed whose next failure would be the
@@ -233,16 +233,16 @@
 	}
 }
 
-// openSteps lists the tasks of the steps whose turn has come. They are fresh if
+// openSteps lists the tasks of the steps whose turn has come. They are opened here if
 // no predecessor can have opened them.
-func (c *Core) openSteps(j *job, o *jobs.Occurrence, fresh bool) {
+func (c *Core) openSteps(j *job, o *jobs.Occurrence, openedHere bool) {
 	for i := range o.Steps {
 		key := [2]int{o.Number, i}
 		if o.Steps[i].Left == 0 || j.work[key] != nil || !j.Ready(o, i) {
 			continue
 		}
-		w := &work{job: j, number: o.Number, index: i, step: &j.Spec.Steps[i], fresh: fresh, onRunner: map[*runner]int{},
-			kind: c.harm.model.Kind(j.Spec.Steps[i].Image), rest: j.chainFrom(i),
+		w := &work{job: j, number: o.Number, index: i, step: &j.Spec.Steps[i], openedHere: openedHere, onRunner: map[*runner]int{},
+			kind: c.harm.model.Kind(j.Spec.Steps[i].Image), chainLeft: j.chainFrom(i),
 			advice: policyAdvice{tickets: map[string]ticket{}}}
 		if w.step.Fills {
 			c.harm.fills[w.kind] = struct{}{}
--- a/coordinator/estimate.go
+++ b/coordinator/estimate.go
@@ -107,7 +107,7 @@
 	j.objective = j.Accepted + j.allowed
 	j.left = j.workLeft()
 	for key, w := range j.work {
-		w.rest = j.chainFrom(key[1])
+		w.chainLeft = j.chainFrom(key[1])
 	}
 }
 
--- a/coordinator/forecast.go
+++ b/coordinator/forecast.go
@@ -50,7 +50,7 @@
 	known := false
 	for x := range r.runs {
 		if x.kind == kind && x.measured {
-			most, known = max(most, x.own), true
+			most, known = max(most, x.ownPressure), true
 		}
 	}
 	if !known {
--- a/coordinator/harm.go
+++ b/coordinator/harm.go
@@ -197,14 +197,14 @@
 		q.ms = 1 / (1/q.ms + (1/float64(x.load)-1/q.ms)/q.samples)
 	}
 	now := max(-1, h.disturbance(x.step, float64(x.load)))
-	surprise := now - x.own - h.model.Predict(x.kind, 0, beside.pressures).Mean
+	surprise := now - x.ownPressure - h.model.Predict(x.kind, 0, beside.pressures).Mean
 	capped := now > saturated
 	if len(beside.pressures) > 0 && x.measured && (!capped || surprise > 0) {
-		h.model.Observe(interference.Measurement{Victim: x.kind, Slowdown: max(0.01, 1+now-x.own), Neighbours: beside.pressures})
-		surprise = now - x.own - h.model.Predict(x.kind, 0, beside.pressures).Mean
+		h.model.Observe(interference.Measurement{Victim: x.kind, Slowdown: max(0.01, 1+now-x.ownPressure), Neighbours: beside.pressures})
+		surprise = now - x.ownPressure - h.model.Predict(x.kind, 0, beside.pressures).Mean
 	}
 	if !capped || surprise > 0 {
-		x.own = min(mostOwn, max(-mostOwn, x.own+ownGain*surprise))
+		x.ownPressure = min(mostOwn, max(-mostOwn, x.ownPressure+ownGain*surprise))
 	}
 	x.measured = true
 }
--- a/coordinator/locate.go
+++ b/coordinator/locate.go
@@ -29,7 +29,7 @@
 	var tasks []int
 	for _, index := range w.pending {
 		_, located := w.located[index]
-		if !w.job.inherited || len(c.unresolved) == 0 || w.fresh || located {
+		if !w.job.inherited || len(c.unresolved) == 0 || w.openedHere || located {
 			tasks = append(tasks, index)
 		}
 	}
--- a/coordinator/order.go
+++ b/coordinator/order.go
@@ -94,7 +94,7 @@
 }
 
 // slack is what is left of the job's time after the estimated rest of its chain.
-func (w *work) slack(store time.Duration) time.Duration { return w.job.objective - store - w.rest }
+func (w *work) slack(store time.Duration) time.Duration { return w.job.objective - store - w.chainLeft }
 
 // precedenceOf works out where a run stands now. What it has done counts.
 func (c *Core) precedenceOf(x *run) precedence {
--- a/coordinator/pace.go
+++ b/coordinator/pace.go
@@ -119,7 +119,7 @@
 // spare lowers the paces so that a serving task stays below its target, given
 // the disturbance by its own load. The images that press most are slowed.
 func (c *Core) spare(r *runner, x *run, paces map[interference.Kind]float64) {
-	allowed := max(calmPressure, c.harm.disturbance(x.step, targetMS(x.step))-headroom-x.own)
+	allowed := max(calmPressure, c.harm.disturbance(x.step, targetMS(x.step))-headroom-x.ownPressure)
 	var total, large float64
 	for kind := range paces {
 		total += c.pressureOf(r, x.kind, kind)
--- a/coordinator/pace_test.go
+++ b/coordinator/pace_test.go
@@ -86,7 +86,7 @@
 	x := r.find(victim.Task, victim.Run)
 	x.phase, x.percent, x.load, x.measured = running, fullPace, 9, true
 	allowed := func(own float64) float64 {
-		x.own = own
+		x.ownPressure = own
 		r.filled[render] = 16_000
 		paces := map[interference.Kind]float64{render: 1}
 		w.core.spare(r, x, paces)
@@ -98,7 +98,7 @@
 	}
 	delete(r.filled, render)
 	own := func(own float64) int64 {
-		x.own, r.pressed = own, nil
+		x.ownPressure, r.pressed = own, nil
 		use, _ := w.core.safeUse(r, render, 16_000)
 		return use
 	}
