Call the loop of one term of the coordinator the leader

tenure was a word of our own beside leadership.Term; the process that holds the lease and acts on it is usually called the leader. No change of behaviour; tests of coordinator and platform/hosted pass.

--- a/coordinator/grant.go
+++ b/coordinator/grant.go
@@ -34,7 +34,7 @@
 
 // grantedUntil returns until when leases last that are granted now, on the local
 // clock; zero if none may be granted.
-func (t *tenure) grantedUntil(now time.Duration) time.Duration {
+func (t *leader) grantedUntil(now time.Duration) time.Duration {
 	renewed := t.term.Renewed()
 	switch {
 	case t.term.Exclusive():
@@ -47,7 +47,7 @@
 
 // noteMajority works out until when answers from more than half of the runners are
 // recent enough.
-func (t *tenure) noteMajority() {
+func (t *leader) noteMajority() {
 	t.majorityUntil.Store(0)
 	if t.term.Exclusive() || len(t.links) == 0 {
 		return
--- a/coordinator/grant_test.go
+++ b/coordinator/grant_test.go
@@ -20,9 +20,9 @@
 	now     time.Duration
 	runners map[string]*leasedRunner
 	pending []delivery
-	old, in *tenure
+	old, in *leader
 	fenced  bool
-	reaches map[*tenure]map[string]bool
+	reaches map[*leader]map[string]bool
 	// divided is set if each runner is reached by one of the coordinators only.
 	divided bool
 }
@@ -45,25 +45,25 @@
 }
 
 func newSuccessionWorld(seed uint64) *successionWorld {
-	w := &successionWorld{random: rand.New(rand.NewPCG(seed, 9)), now: time.Minute, runners: map[string]*leasedRunner{}, reaches: map[*tenure]map[string]bool{}}
+	w := &successionWorld{random: rand.New(rand.NewPCG(seed, 9)), now: time.Minute, runners: map[string]*leasedRunner{}, reaches: map[*leader]map[string]bool{}}
 	for i := range 3 + w.random.IntN(6) {
 		w.runners[fmt.Sprint("r", i)] = &leasedRunner{rate: 1 - 0.02*w.random.Float64()}
 	}
-	w.old = w.tenure(1, leadership.NewTerm(1, w.now, w.clock))
+	w.old = w.leader(1, leadership.NewTerm(1, w.now, w.clock))
 	return w
 }
 
 func (w *successionWorld) clock() time.Duration { return w.now }
 
-func (w *successionWorld) tenure(epoch uint64, term *leadership.Term) *tenure {
+func (w *successionWorld) leader(epoch uint64, term *leadership.Term) *leader {
 	env := Environment{Lease: 8 * time.Second, Clock: w.clock, Log: silentLog(), Count: func(string, int64) {}}
-	t := &tenure{env: env, core: New(Limits{}, silentLog(), nil), term: term, links: map[string]*link{}, notes: map[rowstore.Key]string{}, expiries: map[string]recordedExpiry{}}
+	t := &leader{env: env, core: New(Limits{}, silentLog(), nil), term: term, links: map[string]*link{}, notes: map[rowstore.Key]string{}, expiries: map[string]recordedExpiry{}}
 	w.reaches[t] = map[string]bool{}
 	return t
 }
 
 // connect makes the links of a coordinator.
-func (w *successionWorld) connect(t *tenure) {
+func (w *successionWorld) connect(t *leader) {
 	for id := range w.runners {
 		t.core.RunnerSeen(RunnerInfo{ID: id}, w.now)
 		t.links[id] = t.linkTo(RunnerInfo{ID: id}, w.now)
@@ -76,7 +76,7 @@
 	term := leadership.NewTerm(2, 24*time.Hour, w.clock)
 	seen := renewed + time.Duration(w.random.Int64N(int64(400*time.Millisecond)))
 	term.PredecessorRenewed, term.PredecessorGone = seen, seen+leadership.Grace
-	w.in = w.tenure(2, term)
+	w.in = w.leader(2, term)
 	w.in.predecessor = predecessor{renewed: term.PredecessorRenewed, gone: term.PredecessorGone, lease: w.in.env.Lease}
 	latest := w.in.predecessor.latest(w.now)
 	var inherited []InheritedRunner
@@ -114,7 +114,7 @@
 }
 
 // call makes one call of a coordinator to a runner.
-func (w *successionWorld) call(t *tenure, epoch uint64, id string) {
+func (w *successionWorld) call(t *leader, epoch uint64, id string) {
 	l, r, sent := t.links[id], w.runners[id], w.now
 	h := l.request()
 	delay := func() time.Duration { return time.Duration(w.random.Int64N(int64(400 * time.Millisecond))) }
--- a/coordinator/handover_test.go
+++ b/coordinator/handover_test.go
@@ -157,7 +157,7 @@
 // extend leases on runners that this one can't reach.
 func TestInheritedLeasesLapseOnlyForTheHolderOfTheLease(t *testing.T) {
 	clock := startClock(time.Minute)
-	tn := &tenure{core: New(Limits{}, silentLog(), nil), term: leadership.NewTerm(1, clock.now(), clock.now)}
+	tn := &leader{core: New(Limits{}, silentLog(), nil), term: leadership.NewTerm(1, clock.now(), clock.now)}
 	tn.core.Inherit([]InheritedRunner{{"unseen", clock.now() + time.Second}}, clock.now())
 	clock.advance(leadership.Valid)
 	tn.lapse(clock.now())
--- a/coordinator/journal_test.go
+++ b/coordinator/journal_test.go
@@ -106,7 +106,7 @@
 // not lapsed before the time inherited. A takeover started tasks a second time
 // because it took such a runner's leases as lapsed at once.
 func TestUnseenRunnerLapsesWithThePredecessorsLease(t *testing.T) {
-	tn := &tenure{env: Environment{Lease: 8 * time.Second}, term: leadership.NewTerm(1, time.Hour, func() time.Duration { return 0 })}
+	tn := &leader{env: Environment{Lease: 8 * time.Second}, term: leadership.NewTerm(1, time.Hour, func() time.Duration { return 0 })}
 	l := newLink(tn, "a", "", 20*time.Second)
 	l.unanswered(15 * time.Second)
 	if l.lapses(15 * time.Second) {
@@ -136,7 +136,7 @@
 	now := 20 * time.Second
 	clock := func() time.Duration { return now }
 	silent := func() *link {
-		l := newLink(&tenure{term: leadership.NewTerm(1, 20*time.Second, clock), env: Environment{Clock: clock}}, "a", "", time.Second)
+		l := newLink(&leader{term: leadership.NewTerm(1, 20*time.Second, clock), env: Environment{Clock: clock}}, "a", "", time.Second)
 		l.unanswered(now)
 		return l
 	}
@@ -171,7 +171,7 @@
 func TestReplacedRunnerIsGoneAtOnce(t *testing.T) {
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
-	tn := &tenure{
+	tn := &leader{
 		env:    Environment{Lease: 8 * time.Second, Runners: replaced{}, Clock: func() time.Duration { return time.Second }, Count: func(string, int64) {}},
 		term:   leadership.NewTerm(1, time.Hour, func() time.Duration { return time.Second }),
 		events: make(chan event, 8),
@@ -194,7 +194,7 @@
 // answer it must not be told to forget ends up to the number of before: in the
 // soak (seed 106) one forgot an end that nobody had seen, and its task ran again.
 func TestDoubtedRunnerForgetsNothing(t *testing.T) {
-	l := newLink(&tenure{term: leadership.NewTerm(1, time.Hour, func() time.Duration { return time.Second }), env: Environment{Clock: func() time.Duration { return time.Second }}}, "r", "a", 0)
+	l := newLink(&leader{term: leadership.NewTerm(1, time.Hour, func() time.Duration { return time.Second }), env: Environment{Clock: func() time.Duration { return time.Second }}}, "r", "a", 0)
 	const incarnation = 5
 	l.answered(incarnation, time.Second, time.Second, time.Second)
 	l.acknowledge(Acknowledged{Incarnation: incarnation, Number: 7})
@@ -221,7 +221,7 @@
 func TestRunnerThatStartedAnewIsGrantedLeasesOnItsNewClock(t *testing.T) {
 	now := time.Minute
 	clock := func() time.Duration { return now }
-	l := newLink(&tenure{term: leadership.NewTerm(1, time.Hour, clock), env: Environment{Clock: clock, Lease: 8 * time.Second}}, "r", "a", 0)
+	l := newLink(&leader{term: leadership.NewTerm(1, time.Hour, clock), env: Environment{Clock: clock, Lease: 8 * time.Second}}, "r", "a", 0)
 	l.answered(1, 10*time.Minute, now, now)
 	l.request()
 	l.answered(2, time.Second, now, now)
--- a/coordinator/tenure.go
+++ b/coordinator/leader.go
@@ -24,7 +24,7 @@
 )
 
 // event is something that happened; apply is called by the loop.
-type event interface{ apply(t *tenure) }
+type event interface{ apply(t *leader) }
 
 type (
 	reportEvent struct{ report Report }
@@ -45,8 +45,8 @@
 	}
 )
 
-// tenure is one term of the coordinator.
-type tenure struct {
+// leader is one term of the coordinator.
+type leader struct {
 	env     Environment
 	term    *leadership.Term
 	core    *Core
@@ -78,7 +78,7 @@
 func Lead(ctx context.Context, env Environment, term *leadership.Term) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	t := &tenure{
+	t := &leader{
 		env: env, term: term,
 		core:     New(env.Limits, env.Log, env.Count),
 		journal:  newJournal(env.Store, term.Epoch, env.Log),
@@ -105,21 +105,21 @@
 }
 
 // fail ends the term.
-func (t *tenure) fail(err error) {
+func (t *leader) fail(err error) {
 	select {
 	case t.failed <- err:
 	default:
 	}
 }
 
-func (t *tenure) post(ctx context.Context, e event) {
+func (t *leader) post(ctx context.Context, e event) {
 	select {
 	case t.events <- e:
 	case <-ctx.Done():
 	}
 }
 
-func (t *tenure) loop(ctx context.Context) error {
+func (t *leader) loop(ctx context.Context) error {
 	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
 	t.act()
@@ -141,7 +141,7 @@
 }
 
 // drain handles events that wait, so that scheduling sees them together.
-func (t *tenure) drain() {
+func (t *leader) drain() {
 	for range maxBatch {
 		select {
 		case e := <-t.events:
@@ -152,7 +152,7 @@
 	}
 }
 
-func (t *tenure) tick() {
+func (t *leader) tick() {
 	now := t.env.Clock()
 	t.core.SetStoreClock(now, t.env.StoreClock())
 	t.core.Configure(t.env.Queues())
@@ -172,7 +172,7 @@
 }
 
 // act schedules, sends the orders and stores the progress.
-func (t *tenure) act() {
+func (t *leader) act() {
 	now := t.env.Clock()
 	t.core.Schedule(now, time.Duration(time.Now().UnixNano()))
 	for _, o := range t.core.TakeOrders() {
@@ -190,7 +190,7 @@
 }
 
 // advise asks for advice. The service answers one call of a machine at a time.
-func (t *tenure) advise(r AdviceRequest) {
+func (t *leader) advise(r AdviceRequest) {
 	select {
 	case t.advising <- struct{}{}:
 		defer func() { <-t.advising }()
@@ -201,11 +201,11 @@
 	t.post(t.ctx, adviceEvent{r, advice, err})
 }
 
-func (e adviceEvent) apply(t *tenure) {
+func (e adviceEvent) apply(t *leader) {
 	t.core.Advised(e.request, e.advice, e.err, t.env.Clock())
 }
 
-func (t *tenure) storeProgress(now time.Duration) {
+func (t *leader) storeProgress(now time.Duration) {
 	writes, acknowledged, err := t.core.TakeWrites(now)
 	if err != nil {
 		t.fail(err)
@@ -227,7 +227,7 @@
 	}()
 }
 
-func (e storedEvent) apply(t *tenure) {
+func (e storedEvent) apply(t *leader) {
 	t.storing = false
 	for id, a := range e.acknowledged {
 		if l := t.links[id]; l != nil {
@@ -237,20 +237,20 @@
 }
 
 // apply ignores a report that was queued when its runner left.
-func (e reportEvent) apply(t *tenure) {
+func (e reportEvent) apply(t *leader) {
 	if t.links[e.report.Runner] != nil {
 		t.core.Report(e.report, t.env.Clock())
 	}
 }
 
-func (e silentEvent) apply(t *tenure) { t.core.RunnerSilent(e.runner) }
-func (e answerEvent) apply(t *tenure) { t.core.Answered(e.answer, t.env.Clock()) }
+func (e silentEvent) apply(t *leader) { t.core.RunnerSilent(e.runner) }
+func (e answerEvent) apply(t *leader) { t.core.Answered(e.answer, t.env.Clock()) }
 
-func (e goneEvent) apply(t *tenure) { t.core.RunnerLapsed(e.runner, t.env.Clock()) }
+func (e goneEvent) apply(t *leader) { t.core.RunnerLapsed(e.runner, t.env.Clock()) }
 
 // lapse gives up what runs on silent runners once every lease there has lapsed,
 // whether or not a call to them is still waited for.
-func (t *tenure) lapse(now time.Duration) {
+func (t *leader) lapse(now time.Duration) {
 	if t.term.Exclusive() {
 		t.noteSuccession(now)
 		t.core.LapseInherited(now)
@@ -264,7 +264,7 @@
 
 // noteSuccession brings forward when the predecessor's leases have lapsed, once it
 // can't have a majority of the runners any more.
-func (t *tenure) noteSuccession(now time.Duration) {
+func (t *leader) noteSuccession(now time.Duration) {
 	if t.core.Unresolved() == 0 || t.predecessor.gone <= now || !t.core.mostReached() {
 		return
 	}
@@ -277,7 +277,7 @@
 }
 
 // dropLinks ends the duties of runners that are gone.
-func (t *tenure) dropLinks() {
+func (t *leader) dropLinks() {
 	for id, l := range t.links {
 		if t.core.runners[id] == nil {
 			l.stop()
@@ -286,14 +286,14 @@
 	}
 }
 
-func (e jobsEvent) apply(t *tenure) {
+func (e jobsEvent) apply(t *leader) {
 	for _, row := range e.rows {
 		t.noteJob(row, false)
 	}
 }
 
 // noteJob takes on or cancels the job that a row is about.
-func (t *tenure) noteJob(row rowstore.Row, inherited bool) {
+func (t *leader) noteJob(row rowstore.Row, inherited bool) {
 	id, cancel, ok := gateway.ParseJobKey(row.Key.Key)
 	if !ok || row.Deleted {
 		return
@@ -316,7 +316,7 @@
 	t.core.Accept(j, inherited, time.Duration(time.Now().UnixNano()))
 }
 
-func (e registryEvent) apply(t *tenure) {
+func (e registryEvent) apply(t *leader) {
 	now := t.env.Clock()
 	seen := map[string]bool{}
 	for _, row := range e.rows {
@@ -344,7 +344,7 @@
 	}
 }
 
-func (t *tenure) noteRunner(info RunnerInfo, now time.Duration) {
+func (t *leader) noteRunner(info RunnerInfo, now time.Duration) {
 	t.core.RunnerSeen(info, now)
 	if l := t.links[info.ID]; l != nil {
 		l.setAddress(info.Address)
@@ -358,7 +358,7 @@
 }
 
 // linkTo returns a link to a runner that has not been called yet.
-func (t *tenure) linkTo(info RunnerInfo, now time.Duration) *link {
+func (t *leader) linkTo(info RunnerInfo, now time.Duration) *link {
 	lapsed := t.core.InheritedLapse(info.ID)
 	x, held := t.expiries[info.ID]
 	if held {
--- a/coordinator/link.go
+++ b/coordinator/link.go
@@ -33,7 +33,7 @@
 // link is the connection to one runner. Its duty keeps the leases there alive
 // and reports what the runner lists.
 type link struct {
-	t       *tenure
+	t       *leader
 	runner  string
 	orders  chan struct{} // one token for each order under way
 	stored  chan struct{} // signals progress of acknowledged
@@ -60,7 +60,7 @@
 
 // newLink returns the link to a runner on which a predecessor's leases have
 // lapsed at the time inherited.
-func newLink(t *tenure, runner, address string, inherited time.Duration) *link {
+func newLink(t *leader, runner, address string, inherited time.Duration) *link {
 	return &link{t: t, runner: runner, address: address, orders: make(chan struct{}, maxOrders), stored: make(chan struct{}, 1),
 		lease: lease{lapsed: inherited}}
 }
--- a/coordinator/notes.go
+++ b/coordinator/notes.go
@@ -24,7 +24,7 @@
 
 // writeNotes stores the numbers of pending jobs and the roster where they have
 // changed. One write is under way at a time, until its event has been applied.
-func (t *tenure) writeNotes(now time.Duration) {
+func (t *leader) writeNotes(now time.Duration) {
 	if t.noting {
 		return
 	}
@@ -46,7 +46,7 @@
 }
 
 // addLearned adds what is known of interference, now and then.
-func (t *tenure) addLearned(notes map[rowstore.Key]string, now time.Duration) {
+func (t *leader) addLearned(notes map[rowstore.Key]string, now time.Duration) {
 	if now < t.nextLearn {
 		return
 	}
@@ -61,7 +61,7 @@
 
 // putNotes stores rows and reports whether they are durable. It ends the term if
 // they can't be.
-func (t *tenure) putNotes(notes map[rowstore.Key]string) bool {
+func (t *leader) putNotes(notes map[rowstore.Key]string) bool {
 	var puts []rowstore.Put
 	for key, value := range notes {
 		puts = append(puts, rowstore.Put{Key: key, Value: []byte(value)})
--- a/coordinator/recorded_test.go
+++ b/coordinator/recorded_test.go
@@ -15,7 +15,7 @@
 	t      *testing.T
 	clock  *manualClock
 	store  *rowstore.Memory
-	tenure *tenure
+	leader *leader
 }
 
 func newRecordedWorld(t *testing.T) *recordedWorld {
@@ -24,22 +24,22 @@
 	store := rowstore.NewMemory()
 	env := Environment{Store: store, Lease: 8 * time.Second, Clock: clock.now, StoreClock: clock.now, StoreBounds: sameClock,
 		Log: silentLog(), Count: func(string, int64) {}}
-	tn := &tenure{env: env, core: New(Limits{}, silentLog(), nil), term: leadership.NewTerm(1, 24*time.Hour, clock.now),
+	tn := &leader{env: env, core: New(Limits{}, silentLog(), nil), term: leadership.NewTerm(1, 24*time.Hour, clock.now),
 		journal: newJournal(store, 1, silentLog()), links: map[string]*link{}, notes: map[rowstore.Key]string{},
 		expiries: map[string]recordedExpiry{}, events: make(chan event, 16), failed: make(chan error, 1), ctx: t.Context()}
 	if _, err := tn.journal.fence(t.Context(), sharedPart); err != nil {
 		t.Fatal(err)
 	}
-	return &recordedWorld{t: t, clock: clock, store: store, tenure: tn}
+	return &recordedWorld{t: t, clock: clock, store: store, leader: tn}
 }
 
 // register adds the runner to the registry and returns the link to it.
 func (w *recordedWorld) register() *link {
 	info := RunnerInfo{ID: rosterRunner}
-	w.tenure.core.RunnerSeen(info, w.clock.now())
-	l := w.tenure.linkTo(info, w.clock.now())
+	w.leader.core.RunnerSeen(info, w.clock.now())
+	l := w.leader.linkTo(info, w.clock.now())
 	l.stop = func() {}
-	w.tenure.links[rosterRunner] = l
+	w.leader.links[rosterRunner] = l
 	return l
 }
 
@@ -57,7 +57,7 @@
 func (w *recordedWorld) awaitEvent() {
 	w.t.Helper()
 	for until := time.Now().Add(patience); time.Now().Before(until); time.Sleep(time.Millisecond) {
-		if len(w.tenure.events) > 0 {
+		if len(w.leader.events) > 0 {
 			return
 		}
 	}
@@ -80,14 +80,14 @@
 func TestEventOfAnEarlierRosterWithdrawsNoLaterExpiry(t *testing.T) {
 	w := newRecordedWorld(t)
 	l := w.silentRunner(silenceRecorded - tickEvery/2)
-	w.tenure.writeNotes(w.clock.now()) // not silent for long enough
+	w.leader.writeNotes(w.clock.now()) // not silent for long enough
 	w.awaitEvent()
 	w.clock.advance(tickEvery)
-	w.tenure.writeNotes(w.clock.now()) // the tick comes before the event
-	for until := time.Now().Add(patience / 25); time.Now().Before(until) && len(w.tenure.events) < 2; {
+	w.leader.writeNotes(w.clock.now()) // the tick comes before the event
+	for until := time.Now().Add(patience / 25); time.Now().Before(until) && len(w.leader.events) < 2; {
 		time.Sleep(time.Millisecond)
 	}
-	(<-w.tenure.events).apply(w.tenure)
+	(<-w.leader.events).apply(w.leader)
 	l.answered(1, time.Hour+time.Second, w.clock.now(), w.clock.now())
 	w.checkGrant(l.request().Deadline)
 }
@@ -98,26 +98,26 @@
 func TestRunnerThatComesBackIsNotLeasedBeforeItsExpiryIsRemoved(t *testing.T) {
 	w := newRecordedWorld(t)
 	w.silentRunner(silenceRecorded)
-	w.tenure.writeNotes(w.clock.now())
+	w.leader.writeNotes(w.clock.now())
 	w.awaitEvent()
-	(<-w.tenure.events).apply(w.tenure)
-	w.clock.advance(w.tenure.env.Lease + time.Second)
-	w.tenure.core.runners[rosterRunner].listed = false
-	w.tenure.core.RunnerLapsed(rosterRunner, w.clock.now())
-	w.tenure.dropLinks()
+	(<-w.leader.events).apply(w.leader)
+	w.clock.advance(w.leader.env.Lease + time.Second)
+	w.leader.core.runners[rosterRunner].listed = false
+	w.leader.core.RunnerLapsed(rosterRunner, w.clock.now())
+	w.leader.dropLinks()
 	w.store.Fail = func(call string) error { // the next write is not carried out
 		if call == "commit" {
 			return rowstore.ErrRefused
 		}
 		return nil
 	}
-	w.tenure.writeNotes(w.clock.now())
+	w.leader.writeNotes(w.clock.now())
 	again := w.register()
 	again.answered(1, time.Hour+10*time.Second, w.clock.now(), w.clock.now())
 	w.checkGrant(again.request().Deadline)
 	w.store.Fail = nil
 	w.awaitEvent()
-	(<-w.tenure.events).apply(w.tenure)
+	(<-w.leader.events).apply(w.leader)
 	if again.request().Deadline == 0 {
 		t.Error("no lease is extended after the expiry was removed")
 	}
@@ -128,15 +128,15 @@
 func TestReportAfterItsLinkWasDroppedLeavesNoRunnerBehind(t *testing.T) {
 	w := newRecordedWorld(t)
 	w.register()
-	w.tenure.core.runners[rosterRunner].listed = false
-	w.tenure.core.RunnerSilent(rosterRunner)
-	w.tenure.core.Watch(w.clock.now())
-	w.tenure.dropLinks()
-	reportEvent{Report{Runner: rosterRunner, Incarnation: 1}}.apply(w.tenure) // was queued
+	w.leader.core.runners[rosterRunner].listed = false
+	w.leader.core.RunnerSilent(rosterRunner)
+	w.leader.core.Watch(w.clock.now())
+	w.leader.dropLinks()
+	reportEvent{Report{Runner: rosterRunner, Incarnation: 1}}.apply(w.leader) // was queued
 	w.clock.advance(time.Minute)
-	w.tenure.core.Watch(w.clock.now())
-	w.tenure.dropLinks()
-	if left := w.tenure.core.Roster(); len(left) > 0 {
+	w.leader.core.Watch(w.clock.now())
+	w.leader.dropLinks()
+	if left := w.leader.core.Roster(); len(left) > 0 {
 		t.Errorf("roster %v without a registered runner", left)
 	}
 }
@@ -158,7 +158,7 @@
 func TestNoStartIsSentToASilentRunner(t *testing.T) {
 	w := newRecordedWorld(t)
 	runners := sentStarts{make(chan Order, 1)}
-	w.tenure.env.Runners = runners
+	w.leader.env.Runners = runners
 	l := w.silentRunner(0)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -180,12 +180,12 @@
 // this coordinator as gone.
 func TestNoLeaseIsExtendedAfterTheGraceOfTheTerm(t *testing.T) {
 	w := newRecordedWorld(t)
-	w.tenure.term = leadership.NewTerm(1, w.clock.now(), w.clock.now)
+	w.leader.term = leadership.NewTerm(1, w.clock.now(), w.clock.now)
 	l := w.register()
 	l.answered(1, time.Hour, w.clock.now(), w.clock.now())
 	w.clock.advance(leadership.Grace - time.Millisecond)
 	l.answered(1, time.Hour+leadership.Grace, w.clock.now(), w.clock.now())
-	w.tenure.noteMajority()
+	w.leader.noteMajority()
 	if l.request().Deadline == 0 {
 		t.Error("no lease is extended within the grace")
 	}
@@ -199,11 +199,11 @@
 // its expiry was stored or would be, and can't be removed.
 func TestNoExpiryIsRecordedWhileTheStoreIsAway(t *testing.T) {
 	w := newRecordedWorld(t)
-	w.tenure.term = leadership.NewTerm(1, w.clock.now(), w.clock.now)
+	w.leader.term = leadership.NewTerm(1, w.clock.now(), w.clock.now)
 	l := w.silentRunner(leadership.Valid)
-	w.tenure.writeNotes(w.clock.now())
+	w.leader.writeNotes(w.clock.now())
 	l.answered(1, time.Hour+time.Second, w.clock.now(), w.clock.now())
-	w.tenure.noteMajority()
+	w.leader.noteMajority()
 	if l.request().Deadline == 0 {
 		t.Error("no lease is extended on a runner that answers again")
 	}
--- a/coordinator/roster.go
+++ b/coordinator/roster.go
@@ -85,7 +85,7 @@
 
 // inheritRoster returns when the leases on a predecessor's runners have lapsed, at
 // the latest at a given time, and keeps in mind the expiries that stay stored.
-func (t *tenure) inheritRoster(entries []rosterEntry, latest time.Duration) []InheritedRunner {
+func (t *leader) inheritRoster(entries []rosterEntry, latest time.Duration) []InheritedRunner {
 	inherited := make([]InheritedRunner, 0, len(entries))
 	for _, e := range entries {
 		lapsed := latest
@@ -100,7 +100,7 @@
 
 // localTime returns the local time from which on the store's clock has passed a
 // reading for certain.
-func (t *tenure) localTime(reading time.Duration) (local time.Duration, known bool) {
+func (t *leader) localTime(reading time.Duration) (local time.Duration, known bool) {
 	local = t.env.Clock()
 	// The second pass allows for the drift of the clocks until then.
 	for range 2 {
@@ -115,7 +115,7 @@
 
 // dropAnswering removes the expiries of runners that answered the predecessor when
 // it stopped, before the first call to any of them.
-func (t *tenure) dropAnswering(ctx context.Context, entries []rosterEntry) error {
+func (t *leader) dropAnswering(ctx context.Context, entries []rosterEntry) error {
 	changed := false
 	for i := range entries {
 		if entries[i].answering {
@@ -134,7 +134,7 @@
 
 // roster returns the entries to store now, and the expiries among them. All runners
 // get an expiry if this coordinator is about to stop.
-func (t *tenure) roster(now time.Duration, stopping bool) (entries []rosterEntry, recorded map[string]recordedExpiry) {
+func (t *leader) roster(now time.Duration, stopping bool) (entries []rosterEntry, recorded map[string]recordedExpiry) {
 	recorded = map[string]recordedExpiry{}
 	for _, id := range t.core.Roster() {
 		e := rosterEntry{id: id}
@@ -157,7 +157,7 @@
 
 // expiryOf returns when every lease on a runner has expired, if that is to be
 // stored, and whether the runner answers.
-func (t *tenure) expiryOf(id string, now time.Duration, stopping bool) (expiry time.Duration, answering, ok bool) {
+func (t *leader) expiryOf(id string, now time.Duration, stopping bool) (expiry time.Duration, answering, ok bool) {
 	l := t.links[id]
 	if l == nil {
 		// It is not registered, so nobody extends its leases.
@@ -169,7 +169,7 @@
 
 // withdrawn lets leases be extended on the runners whose expiries the store does
 // not hold any more.
-func (t *tenure) withdrawn(stored map[string]recordedExpiry) {
+func (t *leader) withdrawn(stored map[string]recordedExpiry) {
 	t.expiries = maps.Clone(stored)
 	for id, l := range t.links {
 		if _, held := stored[id]; !held {
@@ -180,7 +180,7 @@
 
 // withdraws reports whether an expiry has to be removed from the store, as its
 // runner answers again.
-func (t *tenure) withdraws() bool {
+func (t *leader) withdraws() bool {
 	for _, l := range t.links {
 		if l.withdraws() {
 			return true
@@ -192,14 +192,14 @@
 // rosterEvent follows a stored roster.
 type rosterEvent struct{ expiries map[string]recordedExpiry }
 
-func (e rosterEvent) apply(t *tenure) {
+func (e rosterEvent) apply(t *leader) {
 	t.noting = false
 	t.withdrawn(e.expiries)
 }
 
 // handOver stores the expiries of all runners for a successor. No lease is
 // extended from then on.
-func (t *tenure) handOver() {
+func (t *leader) handOver() {
 	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
 	defer cancel()
 	entries, _ := t.roster(t.env.Clock(), true)
--- a/coordinator/roster_test.go
+++ b/coordinator/roster_test.go
@@ -38,7 +38,7 @@
 	t      *testing.T
 	random *rand.Rand
 	now    time.Duration
-	tenure *tenure
+	leader *leader
 	epoch  uint64
 	// durable is the stored roster, writing one whose write is under way.
 	durable  string
@@ -70,30 +70,30 @@
 	w.epoch++
 	w.below, w.above = time.Duration(w.random.Int64N(int64(clockError))), time.Duration(w.random.Int64N(int64(clockError)))
 	env := Environment{Store: rowstore.NewMemory(), Lease: 8 * time.Second, Clock: w.clock, StoreBounds: w.bounds, Log: silentLog()}
-	w.tenure = &tenure{env: env, core: New(Limits{}, silentLog(), nil), term: leadership.NewTerm(w.epoch, w.now, w.clock),
+	w.leader = &leader{env: env, core: New(Limits{}, silentLog(), nil), term: leadership.NewTerm(w.epoch, w.now, w.clock),
 		journal: newJournal(env.Store, w.epoch, silentLog()), links: map[string]*link{}, notes: map[rowstore.Key]string{}, expiries: map[string]recordedExpiry{}}
-	if _, err := w.tenure.journal.fence(context.Background(), sharedPart); err != nil {
+	if _, err := w.leader.journal.fence(context.Background(), sharedPart); err != nil {
 		w.t.Fatal(err)
 	}
 	entries := decodeRoster(w.durable)
 	latest := w.now + 8*time.Second*100/(100-clockDrift) + lapseMargin
-	inherited := w.tenure.inheritRoster(entries, latest)
-	w.tenure.core.Inherit(inherited, latest)
-	if lapsed := w.tenure.core.InheritedLapse(rosterRunner); lapsed < w.leaseEnd {
+	inherited := w.leader.inheritRoster(entries, latest)
+	w.leader.core.Inherit(inherited, latest)
+	if lapsed := w.leader.core.InheritedLapse(rosterRunner); lapsed < w.leaseEnd {
 		w.t.Fatalf("epoch %d takes the leases as lapsed %v before they are", w.epoch, w.leaseEnd-lapsed)
 	}
-	if err := w.tenure.dropAnswering(context.Background(), entries); err != nil {
+	if err := w.leader.dropAnswering(context.Background(), entries); err != nil {
 		w.t.Fatal(err)
 	}
 	w.durable, w.busy = encodeRoster(entries), false
 	info := RunnerInfo{ID: rosterRunner}
-	w.tenure.core.RunnerSeen(info, w.now)
-	w.tenure.links[rosterRunner] = w.tenure.linkTo(info, w.now)
+	w.leader.core.RunnerSeen(info, w.now)
+	w.leader.links[rosterRunner] = w.leader.linkTo(info, w.now)
 }
 
 // call calls the runner, which may take the call and whose answer may get lost.
 func (w *rosterWorld) call() {
-	l := w.tenure.links[rosterRunner]
+	l := w.leader.links[rosterRunner]
 	h := l.request()
 	w.now += time.Duration(w.random.Int64N(int64(50 * time.Millisecond)))
 	if w.random.IntN(4) > 0 {
@@ -120,17 +120,17 @@
 	case 0, 1, 2:
 		w.call()
 	case 3:
-		_, deadline, _ := w.tenure.links[rosterRunner].orderTarget(Start)
+		_, deadline, _ := w.leader.links[rosterRunner].orderTarget(Start)
 		w.grant(deadline)
 	case 4:
 		if !w.busy {
-			entries, expiries := w.tenure.roster(w.now, false)
+			entries, expiries := w.leader.roster(w.now, false)
 			w.writing, w.expiries, w.busy = encodeRoster(entries), expiries, true
 		}
 	case 5:
 		if w.busy {
 			w.durable, w.busy = w.writing, false
-			w.tenure.withdrawn(w.expiries)
+			w.leader.withdrawn(w.expiries)
 		}
 	case 6:
 		if w.busy && w.random.IntN(2) == 0 {
@@ -140,7 +140,7 @@
 	case 7:
 		if w.random.IntN(3) == 0 {
 			if w.random.IntN(2) == 0 {
-				entries, _ := w.tenure.roster(w.now, true)
+				entries, _ := w.leader.roster(w.now, true)
 				w.durable = encodeRoster(entries)
 			}
 			w.takeOver()
@@ -163,7 +163,7 @@
 					t.Fatalf("seed %d: the stored expiry is %v before the lease ends", seed, w.leaseEnd+clockOffset-e.expiry)
 				}
 			}
-			if w.tenure.core.InheritedLapse(rosterRunner) < w.tenure.core.resolveBy {
+			if w.leader.core.InheritedLapse(rosterRunner) < w.leader.core.resolveBy {
 				early++
 			}
 		}
@@ -177,7 +177,7 @@
 // stays stored.
 func TestRunnerThatAnswersAgainIsLeasedOnceItsExpiryIsDropped(t *testing.T) {
 	clock := startClock(time.Minute)
-	l := newLink(&tenure{term: leadership.NewTerm(1, 24*time.Hour, clock.now), env: Environment{Clock: clock.now, Lease: 8 * time.Second}}, "r", "a", 0)
+	l := newLink(&leader{term: leadership.NewTerm(1, 24*time.Hour, clock.now), env: Environment{Clock: clock.now, Lease: 8 * time.Second}}, "r", "a", 0)
 	l.answered(1, time.Second, clock.now(), clock.now())
 	l.unanswered(clock.now())
 	if _, _, ok := l.recordExpiry(clock.now(), false); ok {
--- a/coordinator/sweep.go
+++ b/coordinator/sweep.go
@@ -16,7 +16,7 @@
 )
 
 // sweep removes the rows of jobs that ended long ago.
-func (t *tenure) sweep() {
+func (t *leader) sweep() {
 	old := map[string][]jobs.ID{}
 	limit := t.env.StoreClock() - t.env.Retention - sweepMargin
 	for id, ended := range t.ended {
--- a/coordinator/takeover.go
+++ b/coordinator/takeover.go
@@ -25,7 +25,7 @@
 
 // takeOver bars predecessors from the store and rebuilds the state from its
 // rows.
-func (t *tenure) takeOver(ctx context.Context) (startVersions, error) {
+func (t *leader) takeOver(ctx context.Context) (startVersions, error) {
 	var from startVersions
 	fence, err := t.fenceAll(ctx)
 	if err != nil {
@@ -48,7 +48,7 @@
 	return from, nil
 }
 
-func (t *tenure) fenceAll(ctx context.Context) (uint64, error) {
+func (t *leader) fenceAll(ctx context.Context) (uint64, error) {
 	parts := append(gateway.Parts(), sharedPart)
 	versions := make([]uint64, len(parts))
 	group, ctx := errgroup.WithContext(ctx)
@@ -71,7 +71,7 @@
 
 // loadJobs reads every job and returns the version from which on changes are to
 // be followed. A predecessor may have started tasks of jobs older than fence.
-func (t *tenure) loadJobs(ctx context.Context, fence uint64) (uint64, error) {
+func (t *leader) loadJobs(ctx context.Context, fence uint64) (uint64, error) {
 	parts := gateway.Parts()
 	accepted := make([]rowstore.Result, len(parts))
 	progress := make([]rowstore.Result, len(parts))
@@ -97,7 +97,7 @@
 	return from, nil
 }
 
-func (t *tenure) restore(accepted, progress []rowstore.Row, fence uint64) {
+func (t *leader) restore(accepted, progress []rowstore.Row, fence uint64) {
 	records := make(map[jobs.ID][]byte, len(progress))
 	for _, row := range progress {
 		records[jobs.ID(row.Key.Key)] = row.Value
@@ -123,7 +123,7 @@
 	}
 }
 
-func (t *tenure) restoreJob(id jobs.ID, row rowstore.Row, record []byte, inherited bool) error {
+func (t *leader) restoreJob(id jobs.ID, row rowstore.Row, record []byte, inherited bool) error {
 	j, err := jobs.DecodeAccepted(id, row.Value, row.Version)
 	if err != nil {
 		return err
@@ -145,7 +145,7 @@
 
 // inherit notes which runners may run a predecessor's tasks, and what it had
 // learned.
-func (t *tenure) inherit(ctx context.Context, registry []rowstore.Row) error {
+func (t *leader) inherit(ctx context.Context, registry []rowstore.Row) error {
 	notes, err := rowstore.ReadAll(ctx, t.env.Store, rowstore.Range{Table: rosterKey.Table, Part: sharedPart})
 	if err != nil {
 		return err
@@ -181,7 +181,7 @@
 
 // followJobs passes on accepted and cancelled jobs. While another process may
 // hold the lease, it passes nothing on: that process may start those jobs.
-func (t *tenure) followJobs(ctx context.Context, after uint64) {
+func (t *leader) followJobs(ctx context.Context, after uint64) {
 	t.follow(ctx, gateway.JobsTable, after, t.rereadJobs, func(rows []rowstore.Row, _ bool) bool {
 		if !t.term.Exclusive() {
 			return false
@@ -191,7 +191,7 @@
 	})
 }
 
-func (t *tenure) followRunners(ctx context.Context, after uint64) {
+func (t *leader) followRunners(ctx context.Context, after uint64) {
 	reread := func(ctx context.Context) (rowstore.Result, error) {
 		return rowstore.ReadAll(ctx, t.env.Store, rowstore.Range{Table: t.env.RunnersTable})
 	}
@@ -201,7 +201,7 @@
 	})
 }
 
-func (t *tenure) rereadJobs(ctx context.Context) (rowstore.Result, error) {
+func (t *leader) rereadJobs(ctx context.Context) (rowstore.Result, error) {
 	var all rowstore.Result
 	for i, part := range gateway.Parts() {
 		res, err := rowstore.ReadAll(ctx, t.env.Store, rowstore.Range{Table: gateway.JobsTable, Part: part})
@@ -218,7 +218,7 @@
 
 // follow passes the changes of a table on. Where the history is gone, all rows
 // are read again.
-func (t *tenure) follow(ctx context.Context, table string, after uint64, reread func(context.Context) (rowstore.Result, error), take func(rows []rowstore.Row, whole bool) bool) {
+func (t *leader) follow(ctx context.Context, table string, after uint64, reread func(context.Context) (rowstore.Result, error), take func(rows []rowstore.Row, whole bool) bool) {
 	outage := logging.Outage{Log: t.env.Log.WithField("table", table), Lost: "changes not read", Regained: "changes read again"}
 	for ctx.Err() == nil {
 		res, err := t.env.Store.Changes(ctx, table, after, feedWait)
--- a/coordinator/upkeep.go
+++ b/coordinator/upkeep.go
@@ -89,7 +89,7 @@
 
 // inheritWaves takes over a predecessor's record. Waves are left alone where it
 // can't be read: their limit could not be kept.
-func (t *tenure) inheritWaves(ctx context.Context, value []byte) error {
+func (t *leader) inheritWaves(ctx context.Context, value []byte) error {
 	if t.upkeep == nil {
 		return nil
 	}
@@ -115,7 +115,7 @@
 
 // maintain plans the waves and sends what is due. While another process may hold
 // the lease, nothing is planned or sent.
-func (t *tenure) maintain(now time.Duration) {
+func (t *leader) maintain(now time.Duration) {
 	u := t.upkeep
 	if u == nil || !t.term.Exclusive() {
 		return
@@ -138,7 +138,7 @@
 	}
 }
 
-func (t *tenure) listMachines(now time.Duration) {
+func (t *leader) listMachines(now time.Duration) {
 	t.upkeep.looking = true
 	machines := t.upkeep.Machines
 	go func() {
@@ -148,7 +148,7 @@
 	}()
 }
 
-func (e machinesEvent) apply(t *tenure) {
+func (e machinesEvent) apply(t *leader) {
 	u := t.upkeep
 	u.looking = false
 	u.outage.Note(e.err)
@@ -176,7 +176,7 @@
 
 // recordWaves stores what a successor has to know together with the statuses
 // that have changed. It ends the term if that can't be stored.
-func (t *tenure) recordWaves(change uint64, now time.Duration) {
+func (t *leader) recordWaves(change uint64, now time.Duration) {
 	u := t.upkeep
 	value, err := u.planner.Encode(t.env.StoreClock() - now)
 	if err != nil {
@@ -198,7 +198,7 @@
 	}()
 }
 
-func (e wavesEvent) apply(t *tenure) {
+func (e wavesEvent) apply(t *leader) {
 	t.upkeep.recording = false
 	t.upkeep.planner.Recorded(e.change)
 	for _, r := range e.reports {
@@ -207,7 +207,7 @@
 	}
 }
 
-func (t *tenure) beginUpkeep(c maintenance.Call, now time.Duration) {
+func (t *leader) beginUpkeep(c maintenance.Call, now time.Duration) {
 	outcome, err := t.upkeep.Machines.BeginUpkeep(t.ctx, c, t.term.Epoch)
 	if errors.Is(err, ErrFenced) {
 		t.fail(err)
@@ -216,7 +216,7 @@
 	t.post(t.ctx, upkeepEvent{maintenance.Result{Call: c, Outcome: outcome, Sent: now}, err})
 }
 
-func (e upkeepEvent) apply(t *tenure) {
+func (e upkeepEvent) apply(t *leader) {
 	r := e.result
 	t.env.Count("upkeep_"+r.Outcome.String(), 1)
 	line := t.env.Log.WithFields(logrus.Fields{"machine": r.Call.Machine, "wave": r.Call.Wave, "outcome": r.Outcome})
