Name the rows for a successor shared rows

notes did not say that they are rows of the shared part of the store, as last written: roster, pending counts, learned interference. No change of behaviour; tests of coordinator and platform/hosted pass.

--- a/coordinator/grant_test.go
+++ b/coordinator/grant_test.go
@@ -57,7 +57,7 @@
 
 func (w *successionWorld) leader(epoch uint64, term *leadership.Term) *leader {
 	env := Environment{Lease: 8 * time.Second, Clock: w.clock, Log: silentLog(), Count: func(string, int64) {}}
-	t := &leader{env: env, core: New(Limits{}, silentLog(), nil), term: term, links: map[string]*link{}, notes: map[rowstore.Key]string{}, expiries: map[string]recordedExpiry{}}
+	t := &leader{env: env, core: New(Limits{}, silentLog(), nil), term: term, links: map[string]*link{}, sharedRows: map[rowstore.Key]string{}, expiries: map[string]recordedExpiry{}}
 	w.reaches[t] = map[string]bool{}
 	return t
 }
--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -61,17 +61,17 @@
 	majorityUntil atomic.Int64
 	predecessor   predecessor
 
-	storing   bool
-	lastStore time.Duration
-	advising  chan struct{} // token of the one request for advice
-	noting    bool          // a write of notes is under way
-	notes     map[rowstore.Key]string
-	expiries  map[string]recordedExpiry // that the store may hold, by runner
-	nextNotes time.Duration
-	nextLearn time.Duration
-	nextSweep time.Duration
-	ended     map[jobs.ID]time.Duration // on the store's clock
-	upkeep    *upkeep                   // nil if waves are left alone
+	storing        bool
+	lastStore      time.Duration
+	advising       chan struct{} // token of the one request for advice
+	storingShared  bool          // a write of shared rows is under way
+	sharedRows     map[rowstore.Key]string
+	expiries       map[string]recordedExpiry // that the store may hold, by runner
+	nextSharedRows time.Duration
+	nextLearn      time.Duration
+	nextSweep      time.Duration
+	ended          map[jobs.ID]time.Duration // on the store's clock
+	upkeep         *upkeep                   // nil if waves are left alone
 }
 
 // Lead coordinates until ctx ends or a later coordinator is noticed.
@@ -80,17 +80,17 @@
 	defer cancel()
 	t := &leader{
 		env: env, term: term,
-		core:     New(env.Limits, env.Log, env.Count),
-		journal:  newJournal(env.Store, term.Epoch, env.Log),
-		links:    map[string]*link{},
-		events:   make(chan event, eventBuffer),
-		failed:   make(chan error, 1),
-		ctx:      ctx,
-		advising: make(chan struct{}, 1),
-		notes:    map[rowstore.Key]string{},
-		expiries: map[string]recordedExpiry{},
-		ended:    map[jobs.ID]time.Duration{},
-		upkeep:   newUpkeep(env.Maintenance, env.Log),
+		core:       New(env.Limits, env.Log, env.Count),
+		journal:    newJournal(env.Store, term.Epoch, env.Log),
+		links:      map[string]*link{},
+		events:     make(chan event, eventBuffer),
+		failed:     make(chan error, 1),
+		ctx:        ctx,
+		advising:   make(chan struct{}, 1),
+		sharedRows: map[rowstore.Key]string{},
+		expiries:   map[string]recordedExpiry{},
+		ended:      map[jobs.ID]time.Duration{},
+		upkeep:     newUpkeep(env.Maintenance, env.Log),
 	}
 	begun := env.Clock()
 	versions, err := t.takeOver(ctx)
@@ -161,9 +161,9 @@
 	t.maintain(now)
 	t.core.Watch(now)
 	t.dropLinks()
-	if now >= t.nextNotes || t.withdraws() {
-		t.nextNotes = now + notesEvery
-		t.writeNotes(now)
+	if now >= t.nextSharedRows || t.withdraws() {
+		t.nextSharedRows = now + sharedRowsEvery
+		t.writeSharedRows(now)
 	}
 	if now >= t.nextSweep {
 		t.nextSweep = now + sweepEvery
--- a/coordinator/recorded_test.go
+++ b/coordinator/recorded_test.go
@@ -25,7 +25,7 @@
 	env := Environment{Store: store, Lease: 8 * time.Second, Clock: clock.now, StoreClock: clock.now, StoreBounds: sameClock,
 		Log: silentLog(), Count: func(string, int64) {}}
 	tn := &leader{env: env, core: New(Limits{}, silentLog(), nil), term: leadership.NewTerm(1, 24*time.Hour, clock.now),
-		journal: newJournal(store, 1, silentLog()), links: map[string]*link{}, notes: map[rowstore.Key]string{},
+		journal: newJournal(store, 1, silentLog()), links: map[string]*link{}, sharedRows: map[rowstore.Key]string{},
 		expiries: map[string]recordedExpiry{}, events: make(chan event, 16), failed: make(chan error, 1), ctx: t.Context()}
 	if _, err := tn.journal.fence(t.Context(), sharedPart); err != nil {
 		t.Fatal(err)
@@ -80,10 +80,10 @@
 func TestEventOfAnEarlierRosterWithdrawsNoLaterExpiry(t *testing.T) {
 	w := newRecordedWorld(t)
 	l := w.silentRunner(silenceRecorded - tickEvery/2)
-	w.leader.writeNotes(w.clock.now()) // not silent for long enough
+	w.leader.writeSharedRows(w.clock.now()) // not silent for long enough
 	w.awaitEvent()
 	w.clock.advance(tickEvery)
-	w.leader.writeNotes(w.clock.now()) // the tick comes before the event
+	w.leader.writeSharedRows(w.clock.now()) // the tick comes before the event
 	for until := time.Now().Add(patience / 25); time.Now().Before(until) && len(w.leader.events) < 2; {
 		time.Sleep(time.Millisecond)
 	}
@@ -98,7 +98,7 @@
 func TestRunnerThatComesBackIsNotLeasedBeforeItsExpiryIsRemoved(t *testing.T) {
 	w := newRecordedWorld(t)
 	w.silentRunner(silenceRecorded)
-	w.leader.writeNotes(w.clock.now())
+	w.leader.writeSharedRows(w.clock.now())
 	w.awaitEvent()
 	(<-w.leader.events).apply(w.leader)
 	w.clock.advance(w.leader.env.Lease + time.Second)
@@ -111,7 +111,7 @@
 		}
 		return nil
 	}
-	w.leader.writeNotes(w.clock.now())
+	w.leader.writeSharedRows(w.clock.now())
 	again := w.register()
 	again.answered(1, time.Hour+10*time.Second, w.clock.now(), w.clock.now())
 	w.checkGrant(again.request().Deadline)
@@ -201,7 +201,7 @@
 	w := newRecordedWorld(t)
 	w.leader.term = leadership.NewTerm(1, w.clock.now(), w.clock.now)
 	l := w.silentRunner(leadership.Valid)
-	w.leader.writeNotes(w.clock.now())
+	w.leader.writeSharedRows(w.clock.now())
 	l.answered(1, time.Hour+time.Second, w.clock.now(), w.clock.now())
 	w.leader.noteMajority()
 	if l.request().Deadline == 0 {
--- a/coordinator/roster.go
+++ b/coordinator/roster.go
@@ -128,7 +128,7 @@
 		return nil
 	}
 	value := encodeRoster(entries)
-	t.notes[rosterKey] = value
+	t.sharedRows[rosterKey] = value
 	return t.journal.put(ctx, sharedPart, []rowstore.Put{{Key: rosterKey, Value: []byte(value)}})
 }
 
@@ -193,7 +193,7 @@
 type rosterEvent struct{ expiries map[string]recordedExpiry }
 
 func (e rosterEvent) apply(t *leader) {
-	t.noting = false
+	t.storingShared = false
 	t.withdrawn(e.expiries)
 }
 
--- a/coordinator/notes.go
+++ b/coordinator/sharedrows.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	notesEvery = time.Second
+	sharedRowsEvery = time.Second
 	// learnedEvery is how often what is known of interference is stored.
 	learnedEvery = 4 * time.Second
 )
@@ -22,24 +22,24 @@
 	learnedKey = rowstore.Key{Table: "lease", Part: sharedPart, Key: "interference"}
 )
 
-// writeNotes stores the numbers of pending jobs and the roster where they have
+// writeSharedRows stores the numbers of pending jobs and the roster where they have
 // changed. One write is under way at a time, until its event has been applied.
-func (t *leader) writeNotes(now time.Duration) {
-	if t.noting {
+func (t *leader) writeSharedRows(now time.Duration) {
+	if t.storingShared {
 		return
 	}
-	t.noting = true
+	t.storingShared = true
 	roster, expiries := t.roster(now, false)
 	notes := map[rowstore.Key]string{rosterKey: encodeRoster(roster)}
 	for queue, n := range t.core.Pending() {
 		notes[gateway.PendingKey(queue)] = strconv.Itoa(n)
 	}
 	t.addLearned(notes, now)
-	maps.DeleteFunc(notes, func(k rowstore.Key, v string) bool { return t.notes[k] == v })
-	maps.Copy(t.notes, notes)
+	maps.DeleteFunc(notes, func(k rowstore.Key, v string) bool { return t.sharedRows[k] == v })
+	maps.Copy(t.sharedRows, notes)
 	stored := rosterEvent{expiries}
 	go func() {
-		if t.putNotes(notes) {
+		if t.putSharedRows(notes) {
 			t.post(t.ctx, stored)
 		}
 	}()
@@ -59,9 +59,9 @@
 	notes[learnedKey] = string(value)
 }
 
-// putNotes stores rows and reports whether they are durable. It ends the term if
+// putSharedRows stores rows and reports whether they are durable. It ends the term if
 // they can't be.
-func (t *leader) putNotes(notes map[rowstore.Key]string) bool {
+func (t *leader) putSharedRows(notes map[rowstore.Key]string) bool {
 	var puts []rowstore.Put
 	for key, value := range notes {
 		puts = append(puts, rowstore.Put{Key: key, Value: []byte(value)})
--- a/coordinator/takeover.go
+++ b/coordinator/takeover.go
@@ -155,7 +155,7 @@
 		t.journal.loaded(row.Key, row.Version)
 		switch row.Key {
 		case rosterKey:
-			t.notes[row.Key] = string(row.Value)
+			t.sharedRows[row.Key] = string(row.Value)
 			roster = decodeRoster(string(row.Value))
 		case wavesKey:
 			if err := t.inheritWaves(ctx, row.Value); err != nil {
