--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -41,6 +41,7 @@
 	cause string
 }{
 	{106, "a runner that had started anew was told to forget ends up to the number of before"},
+	{236, "the time of a planned stop was counted from the end of the parts, not from its signal"},
 }
 
 func TestMain(m *testing.M) {
