--- a/coordinator/grant_test.go
+++ b/coordinator/grant_test.go
@@ -203,11 +203,7 @@
 // stands still for the time in which the predecessor might act and a lease beside:
 // 18.6 s in a trial on the bench.
 func TestRunnerLostWithItsCoordinatorIsNotWaitedForTwice(t *testing.T) {
-	f := newFleet(4, 1)
-	f.runTime = time.Hour
-	store, env := deployment(t, f)
-	clock := startClock(time.Minute)
-	env.Clock, env.StoreClock = clock.now, clock.now
+	f, store, env, clock := lastingFleet(t, 4)
 	var crashed atomic.Bool
 	first := env
 	first.Store = refusing{store, &crashed}
--- a/coordinator/handover_test.go
+++ b/coordinator/handover_test.go
@@ -9,6 +9,7 @@
 	"bergamotstile/gateway"
 	"bergamotstile/jobs"
 	"bergamotstile/leadership"
+	"bergamotstile/rowstore"
 )
 
 // manualClock is a clock that only the test moves.
@@ -40,6 +41,18 @@
 	}
 }
 
+// lastingFleet is a deployment of runners whose tasks don't end, on a clock that only
+// the test moves.
+func lastingFleet(t *testing.T, runners int) (*fleet, *rowstore.Memory, Environment, *manualClock) {
+	t.Helper()
+	f := newFleet(runners, 1)
+	f.runTime = time.Hour
+	store, env := deployment(t, f)
+	clock := startClock(time.Minute)
+	env.Clock, env.StoreClock = clock.now, clock.now
+	return f, store, env, clock
+}
+
 // lastingJob submits a job with one long-running task.
 func lastingJob(t *testing.T, g *gateway.Gateway) jobs.TaskID {
 	t.Helper()
@@ -99,11 +112,7 @@
 // Guards against a long-running task of a lost runner that stands still for the
 // whole lease again after each takeover (incident inc1).
 func TestPlannedTakeoverDoesNotWaitAnewForLostRunner(t *testing.T) {
-	f := newFleet(2, 1)
-	f.runTime = time.Hour
-	store, env := deployment(t, f)
-	clock := startClock(time.Minute)
-	env.Clock, env.StoreClock = clock.now, clock.now
+	f, store, env, clock := lastingFleet(t, 2)
 	stop := lead(env, 1)
 	id := lastingJob(t, &gateway.Gateway{Store: store, Clock: clock.now})
 	f.remove(f.awaitRunner(t, id))
@@ -134,12 +143,9 @@
 // Guards against tasks of a lost runner that stand still beyond their leases, until
 // a call that hangs times out.
 func TestLapseIsNoticedWhileACallHangs(t *testing.T) {
-	f := newFleet(2, 1)
-	f.runTime = time.Hour
-	store, env := deployment(t, f)
+	f, store, env, clock := lastingFleet(t, 2)
 	runners := &hanging{fleet: f}
-	clock := startClock(time.Minute)
-	env.Clock, env.StoreClock, env.Runners = clock.now, clock.now, runners
+	env.Runners = runners
 	defer lead(env, 1)()
 	id := lastingJob(t, &gateway.Gateway{Store: store, Clock: clock.now})
 	lost := f.awaitRunner(t, id)
--- a/coordinator/roster_test.go
+++ b/coordinator/roster_test.go
@@ -199,11 +199,7 @@
 // Guards against a lost runner that a successor waits for anew after its
 // coordinator was killed and stored nothing more.
 func TestCrashDoesNotHideTheExpiryOfALostRunner(t *testing.T) {
-	f := newFleet(2, 1)
-	f.runTime = time.Hour
-	store, env := deployment(t, f)
-	clock := startClock(time.Minute)
-	env.Clock, env.StoreClock = clock.now, clock.now
+	f, store, env, clock := lastingFleet(t, 2)
 	var crashed atomic.Bool
 	first := env
 	first.Store = refusing{store, &crashed}
