Count a stored expiry also beyond the successor's own bound

What callers would see: a task runs twice. A coordinator that is cut off from the store may act for ten seconds and grant leases of 4 s with most of the runners. Its successor waits for that; if it is stopped as planned meanwhile, it stores that time for the runners that it has not reached. The next one cut it to a lease counted from its own takeover, 2.6 s too early in the worst case.

An expiry now counts as it is stored, up to the longest time for which any coordinator may act and grant, so that a store whose clock begins anew does not stop work for long.

TestStoredExpiryCountsBeyondTheSuccessorsOwnBound failed before: expiry 1m14s, waits until 1m8s.

--- a/coordinator/recorded_test.go
+++ b/coordinator/recorded_test.go
@@ -208,3 +208,23 @@
 		t.Error("no lease is extended on a runner that answers again")
 	}
 }
+
+// Guards against a successor that waits too short after a planned stop: its
+// predecessor may have waited itself for runners of an earlier one that is cut off
+// from the store and still grants leases.
+func TestStoredExpiryCountsBeyondTheSuccessorsOwnBound(t *testing.T) {
+	w := newRecordedWorld(t)
+	now := w.clock.now()
+	latest := now + 8*time.Second
+	for _, c := range []struct{ expiry, want time.Duration }{
+		{now + 3*time.Second, now + 3*time.Second},
+		{now + 14*time.Second, now + 14*time.Second},
+		{now + time.Hour, now + longestWait(w.leader.env.Lease)}, // of a clock that has begun anew
+		{0, latest},
+	} {
+		got := w.leader.inheritRoster([]rosterEntry{{id: rosterRunner, expiry: c.expiry}}, latest)
+		if len(got) != 1 || got[0].Lapsed != c.want {
+			t.Errorf("expiry %v: waits until %+v, want %v", c.expiry, got, c.want)
+		}
+	}
+}
--- a/coordinator/roster.go
+++ b/coordinator/roster.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"bergamotstile/leadership"
 	"bergamotstile/rowstore"
 )
 
@@ -83,14 +84,23 @@
 	stored time.Duration // on the store's
 }
 
-// inheritRoster returns when the leases on a predecessor's runners have lapsed, at
-// the latest at a given time, and keeps in mind the expiries that stay stored.
+// longestWait bounds how long a stored expiry is waited for: an earlier predecessor may
+// act for its grace, and grant leases until then.
+func longestWait(granted time.Duration) time.Duration {
+	return lapse(leadership.Grace+granted+renewalSlack, granted)
+}
+
+// inheritRoster returns when the leases on a predecessor's runners have lapsed, and
+// keeps in mind the expiries that stay stored. Where none is stored that is the latest
+// time at which the predecessor's own have. An expiry may be later than that: the
+// predecessor may have waited for the leases of an earlier one.
 func (t *leader) inheritRoster(entries []rosterEntry, latest time.Duration) []InheritedRunner {
+	longest := t.env.Clock() + longestWait(t.env.Lease)
 	inherited := make([]InheritedRunner, 0, len(entries))
 	for _, e := range entries {
 		lapsed := latest
 		if local, known := t.localTime(e.expiry); known && e.expiry > 0 {
-			lapsed = min(latest, local)
+			lapsed = min(local, longest)
 			t.expiries[e.id] = recordedExpiry{local: lapsed, stored: e.expiry}
 		}
 		inherited = append(inherited, InheritedRunner{ID: e.id, Lapsed: lapsed})
