--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -61,12 +61,18 @@
 	for seed := range run {
 		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
 			t.Parallel()
-			soak(t, seed)
+			soak(t, seed, *length)
 		})
 	}
 }
 
-func soak(t *testing.T, seed uint64) {
+// Guards against a backlog of many jobs that is worked off too slowly, as runners on
+// which tasks have failed get no new ones (seed 302).
+func TestSoakBacklogOfManyJobs(t *testing.T) {
+	soak(t, 302, 15*time.Second)
+}
+
+func soak(t *testing.T, seed uint64, length time.Duration) {
 	dir := t.TempDir()
 	d, err := deploy(dir, seed, *size, *fleet)
 	defer d.close()
@@ -81,7 +87,7 @@
 		defer mu.Unlock()
 		injected = append(injected, time.Now().Format("15:04:05.000 ")+fmt.Sprintf(format, args...))
 	}
-	ctx, cancel := context.WithTimeout(t.Context(), *length)
+	ctx, cancel := context.WithTimeout(t.Context(), length)
 	defer cancel()
 	c := newClients(d)
 	var working sync.WaitGroup
