Let a test of takeovers wait for ticks instead of a fixed time

TestRunnerLostWithItsCoordinatorIsNotWaitedForTwice slept for 200 ms and relied on two ticks of the coordinator in that time. On a slow machine it could have moved the clock on before the coordinator had counted its runners, and failed without a fault. It waits now until the runners have answered twice and three ticks have passed; what it checks is unchanged. A local variable of the shared rows lost its old name; the compiled code is the same.

--- a/coordinator/grant_test.go
+++ b/coordinator/grant_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"bergamotstile/gateway"
+	"bergamotstile/jobs"
 	"bergamotstile/leadership"
 	"bergamotstile/rowstore"
 )
@@ -217,23 +218,31 @@
 	clock.advance(leadership.Duration)
 	term := leadership.NewTerm(2, 24*time.Hour, clock.now)
 	term.PredecessorRenewed, term.PredecessorGone = at, at+leadership.Grace
+	var ticks atomic.Int32
+	queues := env.Queues
+	env.Queues = func() []jobs.Queue { // asked for at each tick
+		ticks.Add(1)
+		return queues()
+	}
 	ctx := t.Context()
 	go func() { _ = Lead(ctx, env, term) }()
 	f.awaitReached(t, 2, len(f.runners)-1)
-	time.Sleep(2 * tickEvery)
+	for before := ticks.Load(); ticks.Load() < before+3; {
+		time.Sleep(5 * time.Millisecond)
+	}
 	clock.advance(env.Lease) // 11 s after the loss
 	f.awaitRunner(t, id)
 }
 
-// awaitReached waits until a number of runners have obeyed the coordinator of an
-// epoch.
+// awaitReached waits until a number of runners have answered the coordinator of an
+// epoch twice: the first answers have been passed on then.
 func (f *fleet) awaitReached(t *testing.T, epoch uint64, runners int) {
 	t.Helper()
 	for until := time.Now().Add(patience); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
 		reached := 0
 		f.mu.Lock()
 		for _, r := range f.runners {
-			if r.epoch == epoch {
+			if r.epoch == epoch && r.holds > 1 {
 				reached++
 			}
 		}
--- a/coordinator/leader_test.go
+++ b/coordinator/leader_test.go
@@ -42,6 +42,7 @@
 	ended    []RunEnd
 	next     int
 	gone     bool // answers no calls
+	holds    int  // calls of the present epoch for its list
 }
 
 type fakeRun struct {
@@ -94,7 +95,11 @@
 	if h.Epoch < r.epoch {
 		return HoldResponse{}, ErrFenced
 	}
+	if h.Epoch > r.epoch {
+		r.holds = 0
+	}
 	r.epoch = h.Epoch
+	r.holds++
 	for len(r.ended) > 0 && r.ended[0].Number <= h.Acknowledged {
 		r.ended = r.ended[1:]
 	}
--- a/coordinator/sharedrows.go
+++ b/coordinator/sharedrows.go
@@ -30,23 +30,23 @@
 	}
 	t.storingShared = true
 	roster, expiries := t.roster(now, false)
-	notes := map[rowstore.Key]string{rosterKey: encodeRoster(roster)}
+	rows := map[rowstore.Key]string{rosterKey: encodeRoster(roster)}
 	for queue, n := range t.core.Pending() {
-		notes[gateway.PendingKey(queue)] = strconv.Itoa(n)
+		rows[gateway.PendingKey(queue)] = strconv.Itoa(n)
 	}
-	t.addLearned(notes, now)
-	maps.DeleteFunc(notes, func(k rowstore.Key, v string) bool { return t.sharedRows[k] == v })
-	maps.Copy(t.sharedRows, notes)
+	t.addLearned(rows, now)
+	maps.DeleteFunc(rows, func(k rowstore.Key, v string) bool { return t.sharedRows[k] == v })
+	maps.Copy(t.sharedRows, rows)
 	stored := rosterEvent{expiries}
 	go func() {
-		if t.putSharedRows(notes) {
+		if t.putSharedRows(rows) {
 			t.post(t.ctx, stored)
 		}
 	}()
 }
 
 // addLearned adds what is known of interference, now and then.
-func (t *leader) addLearned(notes map[rowstore.Key]string, now time.Duration) {
+func (t *leader) addLearned(rows map[rowstore.Key]string, now time.Duration) {
 	if now < t.nextLearn {
 		return
 	}
@@ -56,14 +56,14 @@
 		t.env.Log.WithError(err).Error("learned interference not stored")
 		return
 	}
-	notes[learnedKey] = string(value)
+	rows[learnedKey] = string(value)
 }
 
 // putSharedRows stores rows and reports whether they are durable. It ends the term if
 // they can't be.
-func (t *leader) putSharedRows(notes map[rowstore.Key]string) bool {
+func (t *leader) putSharedRows(rows map[rowstore.Key]string) bool {
 	var puts []rowstore.Put
-	for key, value := range notes {
+	for key, value := range rows {
 		puts = append(puts, rowstore.Put{Key: key, Value: []byte(value)})
 	}
 	for chunk := range slices.Chunk(puts, jobsPerTransaction) {
