Store with the numbers of pending jobs as of when they were counted

A number of pending jobs told nothing of its age, an absent row was read as 0 and the answer to a client was not logged, so logs could not tell an old number from a wrong one. The coordinator stores the numbers of all queues in one row with the time on the store's clock up to which accepted jobs are known to it; the time comes from the answers of the feed and of the reads at a takeover, and moves on when their events are applied, so a queue of events shows in it. No answer changes.

Ruled out: a row for each queue with the time in each (all of them would be written every second; 160 queues are four transactions).

--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -31,7 +31,12 @@
 	silentEvent struct{ runner string }
 	goneEvent   struct{ runner string }
 	answerEvent struct{ answer Answer }
-	jobsEvent   struct{ rows []rowstore.Row }
+	// jobsEvent lists accepted and cancelled jobs; with it all are known up to asOf
+	// on the store's clock.
+	jobsEvent struct {
+		rows []rowstore.Row
+		asOf time.Duration
+	}
 	storedEvent struct{ acknowledged map[string]Acknowledged }
 	adviceEvent struct {
 		request AdviceRequest
@@ -61,6 +66,8 @@
 	majorityUntil atomic.Int64
 	predecessor   predecessor
 
+	// jobsAsOf is the time of the store's clock up to which accepted jobs are known.
+	jobsAsOf       time.Duration
 	storing        bool
 	lastStore      time.Duration
 	advising       chan struct{} // token of the one request for advice
@@ -287,6 +294,7 @@
 }
 
 func (e jobsEvent) apply(t *leader) {
+	t.jobsAsOf = max(t.jobsAsOf, e.asOf)
 	for _, row := range e.rows {
 		t.noteJob(row, false)
 	}
--- a/coordinator/sharedrows.go
+++ b/coordinator/sharedrows.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"strconv"
 	"time"
 
 	"bergamotstile/gateway"
@@ -31,9 +30,7 @@
 	t.storingShared = true
 	roster, expiries := t.roster(now, false)
 	rows := map[rowstore.Key]string{rosterKey: encodeRoster(roster)}
-	for queue, n := range t.core.Pending() {
-		rows[gateway.PendingKey(queue)] = strconv.Itoa(n)
-	}
+	t.addPending(rows)
 	t.addLearned(rows, now)
 	maps.DeleteFunc(rows, func(k rowstore.Key, v string) bool { return t.sharedRows[k] == v })
 	maps.Copy(t.sharedRows, rows)
@@ -45,6 +42,16 @@
 	}()
 }
 
+// addPending adds the numbers of pending jobs and the time as of which they are known.
+func (t *leader) addPending(rows map[rowstore.Key]string) {
+	value, err := gateway.PendingCounts{AsOf: t.jobsAsOf, Jobs: t.core.Pending()}.Encode()
+	if err != nil {
+		t.env.Log.WithError(err).Error("pending jobs not stored")
+		return
+	}
+	rows[gateway.PendingKey] = string(value)
+}
+
 // addLearned adds what is known of interference, now and then.
 func (t *leader) addLearned(rows map[rowstore.Key]string, now time.Duration) {
 	if now < t.nextLearn {
--- a/coordinator/takeover.go
+++ b/coordinator/takeover.go
@@ -90,8 +90,10 @@
 		return 0, fmt.Errorf("load jobs: %w", err)
 	}
 	from := accepted[0].Version
+	t.jobsAsOf = accepted[0].Now
 	for i := range parts {
 		from = min(from, accepted[i].Version)
+		t.jobsAsOf = min(t.jobsAsOf, accepted[i].Now)
 		t.restore(accepted[i].Rows, progress[i].Rows, fence)
 	}
 	return from, nil
@@ -182,11 +184,11 @@
 // followJobs passes on accepted and cancelled jobs. While another process may
 // hold the lease, it passes nothing on: that process may start those jobs.
 func (t *leader) followJobs(ctx context.Context, after uint64) {
-	t.follow(ctx, gateway.JobsTable, after, t.rereadJobs, func(rows []rowstore.Row, _ bool) bool {
+	t.follow(ctx, gateway.JobsTable, after, t.rereadJobs, func(res rowstore.Result, _ bool) bool {
 		if !t.term.Exclusive() {
 			return false
 		}
-		t.post(ctx, jobsEvent{rows})
+		t.post(ctx, jobsEvent{rows: res.Rows, asOf: res.Now})
 		return true
 	})
 }
@@ -195,8 +197,10 @@
 	reread := func(ctx context.Context) (rowstore.Result, error) {
 		return rowstore.ReadAll(ctx, t.env.Store, rowstore.Range{Table: t.env.RunnersTable})
 	}
-	t.follow(ctx, t.env.RunnersTable, after, reread, func(rows []rowstore.Row, whole bool) bool {
-		t.post(ctx, registryEvent{rows, whole})
+	t.follow(ctx, t.env.RunnersTable, after, reread, func(res rowstore.Result, whole bool) bool {
+		if len(res.Rows) > 0 {
+			t.post(ctx, registryEvent{res.Rows, whole})
+		}
 		return true
 	})
 }
@@ -209,16 +213,16 @@
 			return rowstore.Result{}, err
 		}
 		if i == 0 {
-			all.Version = res.Version
+			all.Version, all.Now = res.Version, res.Now
 		}
 		all.Rows = append(all.Rows, res.Rows...)
 	}
 	return all, nil
 }
 
-// follow passes the changes of a table on. Where the history is gone, all rows
+// follow passes the changes of a table on, also that there were none. Where the history is gone, all rows
 // are read again.
-func (t *leader) follow(ctx context.Context, table string, after uint64, reread func(context.Context) (rowstore.Result, error), take func(rows []rowstore.Row, whole bool) bool) {
+func (t *leader) follow(ctx context.Context, table string, after uint64, reread func(context.Context) (rowstore.Result, error), take func(res rowstore.Result, whole bool) bool) {
 	outage := logging.Outage{Log: t.env.Log.WithField("table", table), Lost: "changes not read", Regained: "changes read again"}
 	for ctx.Err() == nil {
 		res, err := t.env.Store.Changes(ctx, table, after, feedWait)
@@ -233,7 +237,7 @@
 			pause(ctx, feedRetry)
 			continue
 		}
-		if len(res.Rows) > 0 && !take(res.Rows, whole) {
+		if !take(res, whole) {
 			pause(ctx, feedRetry)
 			continue
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"strconv"
 	"time"
 
 	"bergamotstile/jobs"
@@ -132,23 +131,3 @@
 	})
 	return err == nil, err
 }
-
-// Pending returns the number of a queue's jobs that have not begun, as the
-// coordinator last stored it.
-func (g *Gateway) Pending(ctx context.Context, queue string) (int, error) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	key := PendingKey(queue)
-	res, err := g.Store.Read(ctx, rowstore.Range{Table: key.Table, Part: key.Part, From: key.Key, To: key.Key + "\x00"})
-	if err != nil {
-		return 0, fmt.Errorf("%w: %v", ErrNotAccepted, err)
-	}
-	if len(res.Rows) == 0 {
-		return 0, nil
-	}
-	n, err := strconv.Atoi(string(res.Rows[0].Value))
-	if err != nil {
-		return 0, fmt.Errorf("pending jobs of queue %s: %w", queue, err)
-	}
-	return n, nil
-}
--- a/gateway/keys.go
+++ b/gateway/keys.go
@@ -13,7 +13,6 @@
 const (
 	JobsTable     = "jobs"
 	ProgressTable = "progress"
-	queuesTable   = "queues"
 )
 
 // Suffixes of the rows of a job.
@@ -57,11 +56,6 @@
 	return rowstore.Key{Table: ProgressTable, Part: PartOf(id), Key: string(id)}
 }
 
-// PendingKey is the row with the number of a queue's jobs that have not begun.
-func PendingKey(queue string) rowstore.Key {
-	return rowstore.Key{Table: queuesTable, Key: queue}
-}
-
 // JobRange selects the rows that clients write for a job.
 func JobRange(id jobs.ID) rowstore.Range {
 	return rowstore.Range{Table: JobsTable, Part: PartOf(id), From: string(id) + ".", To: string(id) + "/"}
--- /dev/null
+++ b/gateway/pending.go
@@ -0,0 +1,52 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"bergamotstile/rowstore"
+)
+
+// PendingKey is the row with the numbers of pending jobs of all queues.
+var PendingKey = rowstore.Key{Table: "queues", Key: "pending"}
+
+// PendingCounts are the numbers of pending jobs as the coordinator stores them. A job
+// is pending while none of its tasks has started.
+type PendingCounts struct {
+	// AsOf is the time of the store's clock up to which accepted jobs are counted.
+	AsOf time.Duration `cbor:"1,keyasint"`
+	// Jobs holds the number for each queue. A queue that is missing has none.
+	Jobs map[string]int `cbor:"2,keyasint"`
+}
+
+// Encode returns the value of the row.
+func (c PendingCounts) Encode() ([]byte, error) { return cbor.Marshal(c) }
+
+// Pending is the number of a queue's pending jobs.
+type Pending struct {
+	Jobs int
+	// Age is how long ago the newest accepted jobs were counted.
+	Age time.Duration
+}
+
+// Pending returns the number of a queue's pending jobs as the coordinator last
+// stored it. Nothing stored is as old as the store.
+func (g *Gateway) Pending(ctx context.Context, queue string) (Pending, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	key := PendingKey
+	res, err := g.Store.Read(ctx, rowstore.Range{Table: key.Table, Part: key.Part, From: key.Key, To: key.Key + "\x00"})
+	if err != nil {
+		return Pending{}, fmt.Errorf("%w: %v", ErrNotAccepted, err)
+	}
+	var counts PendingCounts
+	if len(res.Rows) > 0 {
+		if err := cbor.Unmarshal(res.Rows[0].Value, &counts); err != nil {
+			return Pending{}, fmt.Errorf("pending jobs: %w", err)
+		}
+	}
+	return Pending{Jobs: counts.Jobs[queue], Age: res.Now - counts.AsOf}, nil
+}
