Count a job as begun once a runner has confirmed a start

A job counted as begun, its state became running and it left the number of pending jobs as soon as a start was ordered. A start that is ordered on a runner which has just been cut off, or which refuses it, runs nowhere; the job stayed out of the number until it ended, also across takeovers, as the state is stored.

Cause: an intention was kept as a fact. Class: state that only the other side can know is recorded when the order is given. Now a runner's answer to the start, its list of runs or its list of ends makes a job begun. Ruled out: counting jobs without a run on a reachable runner (a begun job whose runner is lost would count as pending again, which the number does not mean).

Tests of coordinator and jobs pass. A line 'job begun' tells when.

--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -69,7 +69,7 @@
 	allowed   time.Duration // from acceptance to objective
 	work      map[[2]int]*work
 	runs      map[jobs.TaskID][]*run
-	begun     bool
+	begun     bool  // a task has started, see begin
 	left      int64 // estimated work left, in milliseconds of a processor
 	// estimates are the expected times of the steps' tasks; measured are those
 	// steps' that have been seen at work, else zero.
--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -100,6 +100,7 @@
 	if x == nil {
 		return c.adopt(r, s, now)
 	}
+	c.begin(x.job)
 	x.located = x.located || rep.Sent-x.adopted >= locateTime
 	if x.phase == starting {
 		x.phase = running
@@ -146,6 +147,7 @@
 	x := &run{job: j, task: s.Task, number: s.Run, runner: r, step: &j.Spec.Steps[s.Task.Step], kind: c.harm.model.Kind(j.Spec.Steps[s.Task.Step].Image), phase: running,
 		settled: new(atomic.Bool), began: now, adopted: now, confirmed: now, pace: unknownPace}
 	c.attach(x)
+	c.begin(j)
 	x.observe(s, now)
 	t := j.Task(s.Task)
 	t.LastRun = max(t.LastRun, s.Run)
@@ -167,11 +169,18 @@
 		w.unlist(x.task.Index)
 		w.onRunner[x.runner]++
 	}
-	if !j.begun {
-		j.begun = true
-		j.State = jobs.Running
-		c.touch(j, false)
+}
+
+// begin records that a task of the job has started. Only what a runner says shows that:
+// an order may not reach it, or be refused.
+func (c *Core) begin(j *job) {
+	if j.begun || j.State.Terminal() {
+		return
 	}
+	j.begun = true
+	j.State = jobs.Running
+	c.touch(j, false)
+	c.log.WithField("job", j.ID).Info("job begun")
 }
 
 // detach frees what a run held.
@@ -227,6 +236,7 @@
 	if j == nil || j.State.Terminal() || j.Task(e.Task) == nil {
 		return
 	}
+	c.begin(j)
 	t := j.Task(e.Task)
 	t.LastRun = max(t.LastRun, e.Run)
 	if e.Saved != "" {
@@ -342,6 +352,7 @@
 func (c *Core) startAnswered(x *run, a Answer, now time.Duration) {
 	c.counters("starts_"+a.Outcome.String(), 1)
 	if a.Outcome == Accepted {
+		c.begin(x.job)
 		x.confirmed = now
 		if x.phase == starting {
 			x.phase = running
@@ -355,6 +366,7 @@
 	c.log.WithFields(logrus.Fields{"task": x.task, "run": x.number, "runner": x.runner.ID, "outcome": a.Outcome, "repeated": a.Repeated}).Warn("start refused")
 	if a.Repeated && a.Outcome == RefusedOld {
 		// An earlier attempt ran and has ended; the runner lists how.
+		c.begin(x.job)
 		x.settled.Store(true)
 		x.phase, x.confirmed = stopping, now
 		return
