Refuse to tell a number of pending jobs that is outdated

A row that does not exist was read as 0.

Cause: a number that is copied through the store was told without a look at its age.

Ruled out: counting in the gateway from the jobs' rows (the rows of jobs that ended in the last 120 s are in the same table: some 5,000 jobs with their specs a query).

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -30,6 +30,8 @@
 type Gateway struct {
 	Store rowstore.Store
 	Clock Clock
+	// MaxPendingAge is how old a number of pending jobs may be that is told.
+	MaxPendingAge time.Duration
 
 	writes latency
 }
--- a/gateway/pending.go
+++ b/gateway/pending.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -10,6 +11,10 @@
 	"bergamotstile/rowstore"
 )
 
+// ErrOutdated means that how many jobs are pending is not known now: they were counted
+// too long ago, or never.
+var ErrOutdated = errors.New("number of pending jobs is outdated")
+
 // PendingKey is the row with the numbers of pending jobs of all queues.
 var PendingKey = rowstore.Key{Table: "queues", Key: "pending"}
 
@@ -33,7 +38,7 @@
 }
 
 // Pending returns the number of a queue's pending jobs as the coordinator last
-// stored it. Nothing stored is as old as the store.
+// stored it, or ErrOutdated.
 func (g *Gateway) Pending(ctx context.Context, queue string) (Pending, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
@@ -48,5 +53,9 @@
 			return Pending{}, fmt.Errorf("pending jobs: %w", err)
 		}
 	}
-	return Pending{Jobs: counts.Jobs[queue], Age: res.Now - counts.AsOf}, nil
+	p := Pending{Jobs: counts.Jobs[queue], Age: res.Now - counts.AsOf}
+	if len(res.Rows) == 0 || p.Age > g.MaxPendingAge {
+		return p, fmt.Errorf("%w: counted %v ago", ErrOutdated, p.Age)
+	}
+	return p, nil
 }
