Compare waiting work only with the runners that have changed

Cause: a round of scheduling looked at every runner for each step that waits, if only to see that it had not changed since the step last found none. Its cost is waiting steps times runners, so that a backlog makes rounds slower, which makes the backlog longer. A log of changes lists the runners that have changed, each once; the pending tasks of a step are copied only when one is started.

--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -144,7 +144,7 @@
 	harm        harm
 	now         time.Duration // of the report being processed
 	full        fullFor
-	changes     uint64 // number of changes of runners
+	changes     changeLog
 	reserves    reserves
 	// nextPreemption is when running work may be stopped next for work that
 	// waits.
--- a/coordinator/locate.go
+++ b/coordinator/locate.go
@@ -24,12 +24,14 @@
 
 // startable returns the pending tasks of a step that may be started now: all of
 // them, unless a predecessor may have started some on runners that are not
-// resolved.
+// resolved. The result changes with the pending tasks.
 func (c *Core) startable(w *work) []int {
+	if !w.job.inherited || len(c.unresolved) == 0 || w.openedHere {
+		return w.pending
+	}
 	var tasks []int
 	for _, index := range w.pending {
-		_, located := w.located[index]
-		if !w.job.inherited || len(c.unresolved) == 0 || w.openedHere || located {
+		if _, located := w.located[index]; located {
 			tasks = append(tasks, index)
 		}
 	}
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -59,7 +59,7 @@
 // fullMark records that no runner had room for work that asks for least.
 type fullMark struct {
 	least structs.Resources
-	seen  uint64        // Core.changes at that time
+	seen  uint64        // the newest change at that time
 	whole time.Duration // when every runner was looked at last
 }
 
@@ -69,7 +69,7 @@
 // the coordinator's processor time.
 type fullFor map[demand]fullMark
 
-// since returns the change of Core.changes after which a runner must have changed
+// since returns the change after which a runner must have changed
 // to be worth a look for the step's next task. It is zero if all are.
 func (f fullFor) since(w *work, now time.Duration) uint64 {
 	m, ok := f[w.demand(now)]
@@ -100,8 +100,7 @@
 
 // changed notes that what a runner can take may have changed.
 func (c *Core) changed(r *runner) {
-	c.changes++
-	r.change = c.changes
+	c.changes.note(r, len(c.runners))
 }
 
 // candidates returns the runners in the order of their IDs.
@@ -117,28 +116,53 @@
 // compared, others each time. Rack and since, if set, confine the choice: to a
 // rack, and to runners that have changed after since.
 func (c *Core) pick(w *work, now time.Duration, rack *string, since uint64) *runner {
-	var best *runner
-	var bestCost float64
+	best := choice{core: c, work: w, now: now}
+	if since > 0 {
+		for r := range c.changes.after(since) {
+			if (rack == nil || r.Rack == *rack) && !best.compare(r) {
+				break
+			}
+		}
+		return best.runner
+	}
 	all := c.candidates()
-	tried := 0
 	for i := range all {
 		r := all[(c.cursor+i)%len(all)]
-		if since > 0 && r.change <= since || rack != nil && r.Rack != *rack || !c.eligible(w, r, now) {
-			continue
-		}
-		cost := c.cost(w, r, now)
-		if cost < 0 {
-			continue
-		}
-		if tried++; tried > sampleSize {
+		if (rack == nil || r.Rack == *rack) && !best.compare(r) {
 			c.cursor = (c.cursor + i) % len(all)
 			break
 		}
-		if best == nil || cost < bestCost || cost == bestCost && r.ID < best.ID {
-			best, bestCost = r, cost
-		}
 	}
-	return best
+	return best.runner
+}
+
+// choice is the best of the runners that were compared for a task.
+type choice struct {
+	core   *Core
+	work   *work
+	now    time.Duration
+	runner *runner
+	cost   float64
+	tried  int
+}
+
+// compare considers one more runner. It returns false, without considering it, once
+// enough were compared.
+func (b *choice) compare(r *runner) bool {
+	if !b.core.eligible(b.work, r, b.now) {
+		return true
+	}
+	cost := b.core.cost(b.work, r, b.now)
+	if cost < 0 {
+		return true
+	}
+	if b.tried++; b.tried > sampleSize {
+		return false
+	}
+	if b.runner == nil || cost < b.cost || cost == b.cost && r.ID < b.runner.ID {
+		b.runner, b.cost = r, cost
+	}
+	return true
 }
 
 // eligible reports whether the step's task may be started on the runner.
--- a/coordinator/runner.go
+++ b/coordinator/runner.go
@@ -51,7 +51,7 @@
 	overSince time.Duration
 	health    health
 	claims    []claim
-	change    uint64 // its last change, see Core.changes
+	change    uint64 // number of its last change, see changeLog
 	// strays are the jobs of what the last report lists and is not known here:
 	// runs that are being stopped, which hold an unknown part of the runner, and
 	// ends that wait for their job.
--- a/coordinator/schedule.go
+++ b/coordinator/schedule.go
@@ -90,16 +90,20 @@
 // startTasks starts tasks of a step and reports whether there was a runner for
 // each.
 func (c *Core) startTasks(w *work, tasks []int, now time.Duration) bool {
-	for _, index := range tasks {
+	for i := 0; i < len(tasks); i++ {
+		index := tasks[i]
 		w.lastChance = w.job.queue.Attempts > 1 && w.job.Failures(w.taskID(index)) >= w.job.queue.Attempts-1
 		since := c.full.since(w, now)
 		r := c.pick(w, now, nil, since)
 		if r == nil {
-			c.full.note(w, since, c.changes, now)
+			c.full.note(w, since, c.changes.last, now)
 			c.logNoRunner(w, now)
 			c.ask(w, now)
 			return false
 		}
+		if i == 0 {
+			tasks = slices.Clone(tasks) // a start takes the task off the pending ones
+		}
 		c.start(w, index, c.nextRun(w, index), r, now)
 		w.starved = false
 	}
