Declare the options of stand-ins on the membership list once

WorkerOptions and RunnerOptions repeated the same four options and the same check of their addresses. Both embed MemberOptions now. ProxyOptions only looks alike: it has other options and checks other addresses.

--- a/command/command_test.go
+++ b/command/command_test.go
@@ -164,6 +164,10 @@
 			got = fmt.Sprint(o.Name, " ", o.Domain, " ", o.CPUMilli)
 			return fmt.Errorf("stopped: %w", context.Canceled)
 		},
+		StandinRunner: func(_ context.Context, o RunnerOptions, _ io.Writer) error {
+			got = fmt.Sprint(o.Listen, " ", o.Platform, " ", o.Name, " ", o.Domain, " ", o.Service)
+			return nil
+		},
 	}
 	cases := []struct {
 		line, want string
@@ -173,6 +177,7 @@
 		{"bench --deployment lavigne --policy best-fit --seed 3", "lavigne best-fit 3", ExitRefused},
 		{"standin proxy --listen 127.0.0.1:0 --control 127.0.0.1:0 --target 127.0.0.1:9", "127.0.0.1:0 127.0.0.1:9", ExitAccepted},
 		{"standin worker --listen 127.0.0.1:0 --platform 127.0.0.1:9 --name w --domain d", "w d 32000", ExitAccepted},
+		{"standin runner --listen 127.0.0.1:0 --platform 127.0.0.1:9 --name r --domain d --service s", "127.0.0.1:0 127.0.0.1:9 r d s", ExitAccepted},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
--- a/command/run.go
+++ b/command/run.go
@@ -115,12 +115,21 @@
 	return runPart(ctx, "standin platform", r.StandinPlatform, *c, out)
 }
 
+// MemberOptions are the options of every stand-in that joins the membership list.
+type MemberOptions struct {
+	Listen   string `arg:"--listen,required" placeholder:"ADDRESS" help:"IP number and port to listen on"`
+	Platform string `arg:"--platform,required" placeholder:"ADDRESS" help:"address of the platform"`
+	Name     string `arg:"--name,required" help:"name on the membership list"`
+	Domain   string `arg:"--domain,required" help:"failure domain"`
+}
+
+func (c *MemberOptions) check() error {
+	return checkAddresses(map[string]string{"--listen": c.Listen, "--platform": c.Platform})
+}
+
 // WorkerOptions are the options of a worker's stand-in.
 type WorkerOptions struct {
-	Listen       string `arg:"--listen,required" placeholder:"ADDRESS" help:"IP number and port to listen on"`
-	Platform     string `arg:"--platform,required" placeholder:"ADDRESS" help:"address of the platform"`
-	Name         string `arg:"--name,required" help:"name on the membership list"`
-	Domain       string `arg:"--domain,required" help:"failure domain"`
+	MemberOptions
 	Rack         string `arg:"--rack" help:"rack"`
 	CPUMilli     int64  `arg:"--cpu-milli" default:"32000" help:"processors in thousandths"`
 	MemoryMB     int64  `arg:"--memory-mb" default:"128000" help:"memory in MB"`
@@ -130,7 +139,7 @@
 }
 
 func (c *WorkerOptions) run(ctx context.Context, r Registry, out io.Writer) error {
-	if err := checkAddresses(map[string]string{"--listen": c.Listen, "--platform": c.Platform}); err != nil {
+	if err := c.check(); err != nil {
 		return err
 	}
 	return runPart(ctx, "standin worker", r.StandinWorker, *c, out)
@@ -138,10 +147,7 @@
 
 // RunnerOptions are the options of a runner's stand-in.
 type RunnerOptions struct {
-	Listen      string `arg:"--listen,required" placeholder:"ADDRESS" help:"IP number and port to listen on"`
-	Platform    string `arg:"--platform,required" placeholder:"ADDRESS" help:"address of the platform"`
-	Name        string `arg:"--name,required" help:"name on the membership list"`
-	Domain      string `arg:"--domain,required" help:"failure domain"`
+	MemberOptions
 	Service     string `arg:"--service,required" help:"service that the runner answers for"`
 	Rack        string `arg:"--rack" help:"rack"`
 	Slots       int    `arg:"--slots" default:"8" help:"requests worked on at once"`
@@ -152,7 +158,7 @@
 }
 
 func (c *RunnerOptions) run(ctx context.Context, r Registry, out io.Writer) error {
-	if err := checkAddresses(map[string]string{"--listen": c.Listen, "--platform": c.Platform}); err != nil {
+	if err := c.check(); err != nil {
 		return err
 	}
 	return runPart(ctx, "standin runner", r.StandinRunner, *c, out)
