Share the set-up of a coordinator that crashes between two tests

TestRunnerLostWithItsCoordinatorIsNotWaitedForTwice (grant_test.go) and TestCrashDoesNotHideTheExpiryOfALostRunner (roster_test.go) built the same environment whose store refuses writes from a time on, and four tests built the same gateway to submit a lasting job. What remains alike, submitting the job and looking up its runner, differs in what happens next: in one test the coordinator crashes before the runner is lost, in the other after its expiry was stored. That order is what each of them tests, so it stays written out.

No check changed. Each of the two tests still fails with its rule taken out: with stored expiries ignored in inheritRoster, and with the time in which the predecessor may act always waited for in whileRenewed.

go test -p 2 -count=1 ./coordinator passes.

--- a/coordinator/grant_test.go
+++ b/coordinator/grant_test.go
@@ -8,7 +8,6 @@
 	"testing"
 	"time"
 
-	"bergamotstile/gateway"
 	"bergamotstile/jobs"
 	"bergamotstile/leadership"
 	"bergamotstile/rowstore"
@@ -205,11 +204,9 @@
 // 18.6 s in a trial on the bench.
 func TestRunnerLostWithItsCoordinatorIsNotWaitedForTwice(t *testing.T) {
 	f, store, env, clock := lastingFleet(t, 4)
-	var crashed atomic.Bool
-	first := env
-	first.Store = refusing{store, &crashed}
+	first, crashed := crashing(env)
 	stop := lead(first, 1)
-	id := lastingJob(t, &gateway.Gateway{Store: store, Clock: clock.now})
+	id := lastingJob(t, store, clock)
 	lost := f.awaitRunner(t, id)
 	crashed.Store(true)
 	f.remove(lost)
--- a/coordinator/handover_test.go
+++ b/coordinator/handover_test.go
@@ -41,6 +41,27 @@
 	}
 }
 
+// crashing returns a copy of an environment and a flag. Once the flag is set, the copy's
+// store refuses writes, as if its coordinator had crashed.
+func crashing(env Environment) (Environment, *atomic.Bool) {
+	crashed := new(atomic.Bool)
+	env.Store = refusing{env.Store, crashed}
+	return env, crashed
+}
+
+// refusing is a store that refuses writes once a flag is set.
+type refusing struct {
+	rowstore.Store
+	refuses *atomic.Bool
+}
+
+func (s refusing) Commit(ctx context.Context, tx rowstore.Transaction) (uint64, error) {
+	if s.refuses.Load() {
+		return 0, rowstore.ErrRefused
+	}
+	return s.Store.Commit(ctx, tx)
+}
+
 // lastingFleet is a deployment of runners whose tasks don't end, on a clock that only
 // the test moves.
 func lastingFleet(t *testing.T, runners int) (*fleet, *rowstore.Memory, Environment, *manualClock) {
@@ -54,8 +75,9 @@
 }
 
 // lastingJob submits a job with one long-running task.
-func lastingJob(t *testing.T, g *gateway.Gateway) jobs.TaskID {
+func lastingJob(t *testing.T, store rowstore.Store, clock *manualClock) jobs.TaskID {
 	t.Helper()
+	g := &gateway.Gateway{Store: store, Clock: clock.now}
 	step := plain(1, 1000)
 	step.LongRunning = true
 	if err := g.Submit(context.Background(), renders, firstID, jobs.Spec{Text: "text", Steps: []jobs.Step{step}}); err != nil {
@@ -114,7 +136,7 @@
 func TestPlannedTakeoverDoesNotWaitAnewForLostRunner(t *testing.T) {
 	f, store, env, clock := lastingFleet(t, 2)
 	stop := lead(env, 1)
-	id := lastingJob(t, &gateway.Gateway{Store: store, Clock: clock.now})
+	id := lastingJob(t, store, clock)
 	f.remove(f.awaitRunner(t, id))
 	clock.advance(env.Lease / 2)
 	stop()
@@ -147,7 +169,7 @@
 	runners := &hanging{fleet: f}
 	env.Runners = runners
 	defer lead(env, 1)()
-	id := lastingJob(t, &gateway.Gateway{Store: store, Clock: clock.now})
+	id := lastingJob(t, store, clock)
 	lost := f.awaitRunner(t, id)
 	runners.lost.Store(lost)
 	f.remove(lost)
--- a/coordinator/roster_test.go
+++ b/coordinator/roster_test.go
@@ -5,11 +5,9 @@
 	"math/rand/v2"
 	"slices"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
-	"bergamotstile/gateway"
 	"bergamotstile/leadership"
 	"bergamotstile/rowstore"
 )
@@ -200,11 +198,9 @@
 // coordinator was killed and stored nothing more.
 func TestCrashDoesNotHideTheExpiryOfALostRunner(t *testing.T) {
 	f, store, env, clock := lastingFleet(t, 2)
-	var crashed atomic.Bool
-	first := env
-	first.Store = refusing{store, &crashed}
+	first, crashed := crashing(env)
 	stop := lead(first, 1)
-	id := lastingJob(t, &gateway.Gateway{Store: store, Clock: clock.now})
+	id := lastingJob(t, store, clock)
 	lost := f.awaitRunner(t, id)
 	f.remove(lost)
 	awaitStored(t, store, clock, lost)
@@ -216,19 +212,6 @@
 	f.awaitRunner(t, id)
 }
 
-// refusing is a store that refuses writes after a time.
-type refusing struct {
-	rowstore.Store
-	refuses *atomic.Bool
-}
-
-func (s refusing) Commit(ctx context.Context, tx rowstore.Transaction) (uint64, error) {
-	if s.refuses.Load() {
-		return 0, rowstore.ErrRefused
-	}
-	return s.Store.Commit(ctx, tx)
-}
-
 // awaitStored moves the clock on until the roster holds a runner's expiry.
 func awaitStored(t *testing.T, store rowstore.Store, clock *manualClock, id string) {
 	t.Helper()
