Split the planner of maintenance waves by job

planner.go held the planner, the state of waves and machines, what is read from machine lists and what follows from answers to calls, below one list of constants for all of them and for plan.go. They are files of their own now: progress.go (wave, member, phase), observe.go (machine lists), answer.go (outcomes of calls); planner.go keeps the planner and its requested waves. Each constant stands in the file that goes by it. The types that callers use stay in wave.go beside the package comment.

The code was moved, not changed: sorted, the lines of the package before and after differ in package, import, const and comment lines only. The test files are untouched.

--- a/maintenance/plan.go
+++ b/maintenance/plan.go
@@ -7,6 +7,18 @@
 	"time"
 )
 
+// Times of drains and orders.
+const (
+	// drainTime is how long running tasks are given to end before the machine
+	// goes down. Stops of checkpointing tasks need minDrain.
+	drainTime = 4 * time.Second
+	minDrain  = 600 * time.Millisecond
+	// cycleMargin is what a machine's turn takes beyond the upkeep itself.
+	cycleMargin = time.Second
+	// maxListAge is the age from which a list is too old to give orders by.
+	maxListAge = 3 * time.Second
+)
+
 // Plan decides what is done next. Load returns what runs on a runner.
 func (p *Planner) Plan(now time.Duration, load func(runner string) Load) {
 	for _, number := range slices.Sorted(maps.Keys(p.waves)) {
