Set the seed of property tests in one place

Go runs the inits of a package in the order of its files' names, so the seed 1 was never in force, although the comment above it said so. Only proptest.Fix is left, as in the other packages.

go test -p 2 -count=1 ./policy ./scheduler ./quota ./quarantine ./qos ./interference passes.

--- a/interference/model_test.go
+++ b/interference/model_test.go
@@ -1,7 +1,6 @@
 package interference
 
 import (
-	"flag"
 	"math"
 	"math/rand/v2"
 	"testing"
@@ -9,9 +8,6 @@
 	"pgregory.net/rapid"
 )
 
-// Property tests run with a fixed seed; -rapid.seed chooses another.
-func init() { _ = flag.Set("rapid.seed", "1") }
-
 // Guards against treating a pair without measurements as harmless.
 func TestUnmeasuredPairIsNotHarmless(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1,7 +1,6 @@
 package policy
 
 import (
-	"flag"
 	"fmt"
 	"testing"
 	"time"
@@ -12,9 +11,6 @@
 	"pgregory.net/rapid"
 )
 
-// Property tests run with a fixed seed; -rapid.seed chooses another.
-func init() { _ = flag.Set("rapid.seed", "1") }
-
 var now = time.Unix(1_700_000_000, 0)
 
 func cores(n int64) structs.Resources {
--- a/qos/controller_test.go
+++ b/qos/controller_test.go
@@ -1,7 +1,6 @@
 package qos
 
 import (
-	"flag"
 	"fmt"
 	"testing"
 	"time"
@@ -10,9 +9,6 @@
 	"pgregory.net/rapid"
 )
 
-// Property tests run with a fixed seed; -rapid.seed chooses another.
-func init() { _ = flag.Set("rapid.seed", "1") }
-
 var start = time.Unix(0, 0)
 
 func drawNeighbours(t *rapid.T) []Neighbour {
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -1,7 +1,6 @@
 package quota
 
 import (
-	"flag"
 	"fmt"
 	"slices"
 	"testing"
@@ -11,9 +10,6 @@
 	"pgregory.net/rapid"
 )
 
-// Property tests run with a fixed seed; -rapid.seed chooses another.
-func init() { _ = flag.Set("rapid.seed", "1") }
-
 var rack = structs.Resources{CPUMilli: 192_000, MemoryMB: 750_000}
 
 func drawItems(t *rapid.T) []Item {
--- a/scheduler/cycle_test.go
+++ b/scheduler/cycle_test.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"flag"
 	"fmt"
 	"testing"
 
@@ -9,9 +8,6 @@
 	"pgregory.net/rapid"
 )
 
-// Property tests run with a fixed seed; -rapid.seed chooses another.
-func init() { _ = flag.Set("rapid.seed", "1") }
-
 func drawWorkers(t *rapid.T) *Snapshot {
 	s := &Snapshot{}
 	for i := range rapid.IntRange(1, 80).Draw(t, "workers") {
