Start the deployment of the idle benchmark as the scenarios do

startIdle in idle_test.go repeated start and applyFirst of scenario_test.go: the same options of the cluster, the same loop until the first declaration is accepted, the same wait until all instances are ready. start takes a testing.TB now and BenchmarkIdleEntry calls it with its domain and the default timings. The waits in faults_test.go look alike only: their times and faults belong to each scenario.

--- a/scenario/idle_test.go
+++ b/scenario/idle_test.go
@@ -20,38 +20,15 @@
 func BenchmarkIdleEntry(b *testing.B) {
 	for _, size := range []struct{ entries, workers, runners int }{{2, 5, 5}, {2, 10, 10}, {2, 40, 10}, {2, 80, 10}, {6, 10, 10}} {
 		b.Run(fmt.Sprintf("entries=%d/workers=%d/runners=%d", size.entries, size.workers, size.runners), func(b *testing.B) {
-			c := startIdle(b, harness.DomainSize{Name: "north", Entries: size.entries, Workers: size.workers, Runners: size.runners})
+			domain := harness.DomainSize{Name: "north", Entries: size.entries, Workers: size.workers, Runners: size.runners}
+			r := start(b, harness.Options{Domains: []harness.DomainSize{domain}, DefaultTimings: true}, 1)
 			for b.Loop() {
-				reportIdle(b, c)
+				reportIdle(b, r.Cluster)
 			}
 		})
 	}
 }
 
-func startIdle(b *testing.B, size harness.DomainSize) *harness.Cluster {
-	c, err := harness.New(harness.Options{Dir: b.TempDir(), Domains: []harness.DomainSize{size}, ServiceMS: 15, WorkerCPUMilli: 8000, Seed: 1, DefaultTimings: true})
-	b.Cleanup(c.Close)
-	if err != nil {
-		b.Fatal(err)
-	}
-	r := &run{Cluster: c}
-	deadline := time.Now().Add(settleLimit)
-	for {
-		_, refusal := r.Apply(b.Context(), c.Entries[0], "operator", 0, r.Deployment())
-		if refusal == nil {
-			break
-		}
-		if time.Now().After(deadline) {
-			b.Fatal(refusal)
-		}
-		time.Sleep(50 * time.Millisecond)
-	}
-	if err := c.WaitReady(settleLimit); err != nil {
-		b.Fatal(err)
-	}
-	return c
-}
-
 // reportIdle reports one window, for the owner of the shard and for another
 // instance.
 func reportIdle(b *testing.B, c *harness.Cluster) {
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -74,7 +74,7 @@
 }
 
 // start runs a deployment until it is ready for load.
-func start(t *testing.T, o harness.Options, seed uint64) *run {
+func start(t testing.TB, o harness.Options, seed uint64) *run {
 	o.Dir, o.Seed = t.TempDir(), seed
 	if o.Domains == nil {
 		o.Domains = []harness.DomainSize{
@@ -101,7 +101,7 @@
 	return r
 }
 
-func (r *run) applyFirst(t *testing.T) {
+func (r *run) applyFirst(t testing.TB) {
 	deadline := time.Now().Add(settleLimit)
 	for {
 		_, refusal := r.Apply(t.Context(), r.Entries[0], "operator", 0, r.Deployment())
