Let a takeover wait for the store while it holds the lease

Cause: takeOver returned at the first read or commit that the store refused or didn't answer.

Now reads are repeated one by one and the fence of a part from its read on, every 100 ms, until 6 s after the takeover began or the lease is lost. A part that is fenced stays fenced, and a page that was read stays read. A later epoch ends the takeover at once, and so does any other error. One line says that the takeover waits, one that it goes on.

Ruled out: repeating a commit alone. The platform's adapter sends no writes after two calls without an answer until a read is answered, so that the commit would be refused for the whole 6 s; and after an unknown outcome only a read tells whether it took effect. The loop of fence that repeated unknown outcomes without a pause is gone for the same reason. Ruled out: one timeout around all calls, which leaves the last call little time. When the takeover is ended from outside, the error names the cause of that and the store's last answer instead of the call that had "no time left".

--- a/coordinator/journal.go
+++ b/coordinator/journal.go
@@ -52,7 +52,8 @@
 }
 
 // fence takes a part over and returns the version from which on no predecessor
-// writes there.
+// writes there. It may be repeated after any error: a fence that took effect without
+// an answer is found in place.
 func (n *journal) fence(ctx context.Context, part string) (uint64, error) {
 	key := rowstore.Key{Table: epochsTable, Part: part, Key: epochKey}
 	for {
@@ -76,7 +77,7 @@
 			Puts:       []rowstore.Put{{Key: key, Value: binary.BigEndian.AppendUint64(nil, n.epoch)}},
 		})
 		var conflict *rowstore.ConflictError
-		if errors.As(err, &conflict) || errors.Is(err, rowstore.ErrUnknown) {
+		if errors.As(err, &conflict) {
 			continue
 		}
 		if err == nil {
--- a/coordinator/takeover.go
+++ b/coordinator/takeover.go
@@ -24,39 +24,41 @@
 type startVersions struct{ jobs, runners uint64 }
 
 // takeOver bars predecessors from the store and rebuilds the state from its
-// rows.
+// rows. While the store refuses calls or does not answer it waits for some seconds.
 func (t *leader) takeOver(ctx context.Context) (startVersions, error) {
 	var from startVersions
-	fence, err := t.fenceAll(ctx)
+	store := newTakeOverStore(t.env.Store, t.env.Clock, t.env.Log)
+	fence, err := t.fenceAll(ctx, store)
 	if err != nil {
 		return from, err
 	}
 	t.core.SetStoreClock(t.env.Clock(), t.env.StoreClock())
 	t.core.Configure(t.env.Queues())
-	if from.jobs, err = t.loadJobs(ctx, fence); err != nil {
+	if from.jobs, err = t.loadJobs(ctx, store, fence); err != nil {
 		return from, err
 	}
-	registry, err := rowstore.ReadAll(ctx, t.env.Store, rowstore.Range{Table: t.env.RunnersTable})
+	registry, err := rowstore.ReadAll(ctx, store, rowstore.Range{Table: t.env.RunnersTable})
 	if err != nil {
-		return from, err
+		return from, fmt.Errorf("load registry: %w", err)
 	}
 	from.runners = registry.Version
-	if err := t.inherit(ctx, registry.Rows); err != nil {
-		return from, err
+	if err := t.inherit(ctx, store, registry.Rows); err != nil {
+		return from, fmt.Errorf("load shared rows: %w", err)
 	}
 	registryEvent{rows: registry.Rows, whole: true}.apply(t)
 	return from, nil
 }
 
-func (t *leader) fenceAll(ctx context.Context) (uint64, error) {
+func (t *leader) fenceAll(ctx context.Context, store *takeOverStore) (uint64, error) {
 	parts := append(gateway.Parts(), sharedPart)
 	versions := make([]uint64, len(parts))
 	group, ctx := errgroup.WithContext(ctx)
 	for i, part := range parts {
 		group.Go(func() error {
-			version, err := t.journal.fence(ctx, part)
-			versions[i] = version
-			return err
+			return store.repeat(ctx, fenceTimeout, func(call context.Context) (err error) {
+				versions[i], err = t.journal.fence(call, part)
+				return err
+			})
 		})
 	}
 	if err := group.Wait(); err != nil {
@@ -71,18 +73,18 @@
 
 // loadJobs reads every job and returns the version from which on changes are to
 // be followed. A predecessor may have started tasks of jobs older than fence.
-func (t *leader) loadJobs(ctx context.Context, fence uint64) (uint64, error) {
+func (t *leader) loadJobs(ctx context.Context, store rowstore.Store, fence uint64) (uint64, error) {
 	parts := gateway.Parts()
 	accepted := make([]rowstore.Result, len(parts))
 	progress := make([]rowstore.Result, len(parts))
 	group, ctx := errgroup.WithContext(ctx)
 	for i, part := range parts {
 		group.Go(func() (err error) {
-			accepted[i], err = rowstore.ReadAll(ctx, t.env.Store, rowstore.Range{Table: gateway.JobsTable, Part: part})
+			accepted[i], err = rowstore.ReadAll(ctx, store, rowstore.Range{Table: gateway.JobsTable, Part: part})
 			return err
 		})
 		group.Go(func() (err error) {
-			progress[i], err = rowstore.ReadAll(ctx, t.env.Store, rowstore.Range{Table: gateway.ProgressTable, Part: part})
+			progress[i], err = rowstore.ReadAll(ctx, store, rowstore.Range{Table: gateway.ProgressTable, Part: part})
 			return err
 		})
 	}
@@ -145,8 +147,8 @@
 
 // inherit notes which runners may run a predecessor's tasks, and what it had
 // learned.
-func (t *leader) inherit(ctx context.Context, registry []rowstore.Row) error {
-	notes, err := rowstore.ReadAll(ctx, t.env.Store, rowstore.Range{Table: rosterKey.Table, Part: sharedPart})
+func (t *leader) inherit(ctx context.Context, store rowstore.Store, registry []rowstore.Row) error {
+	notes, err := rowstore.ReadAll(ctx, store, rowstore.Range{Table: rosterKey.Table, Part: sharedPart})
 	if err != nil {
 		return err
 	}
@@ -158,7 +160,7 @@
 			t.sharedRows[row.Key] = string(row.Value)
 			roster = decodeRoster(string(row.Value))
 		case wavesKey:
-			if err := t.inheritWaves(ctx, row.Value); err != nil {
+			if err := t.inheritWaves(ctx, store, row.Value); err != nil {
 				return err
 			}
 		case learnedKey:
--- a/coordinator/upkeep.go
+++ b/coordinator/upkeep.go
@@ -89,7 +89,7 @@
 
 // inheritWaves takes over a predecessor's record. Waves are left alone where it
 // can't be read: their limit could not be kept.
-func (t *leader) inheritWaves(ctx context.Context, value []byte) error {
+func (t *leader) inheritWaves(ctx context.Context, store rowstore.Store, value []byte) error {
 	if t.upkeep == nil {
 		return nil
 	}
@@ -102,7 +102,7 @@
 	}
 	for _, number := range waves {
 		key := t.upkeep.EncodeStatus(maintenance.Report{Wave: number}).Key
-		res, err := t.env.Store.Read(ctx, rowstore.Range{Table: key.Table, Part: key.Part, From: key.Key, To: key.Key + "\x00"})
+		res, err := store.Read(ctx, rowstore.Range{Table: key.Table, Part: key.Part, From: key.Key, To: key.Key + "\x00"})
 		if err != nil {
 			return fmt.Errorf("status of wave %d: %w", number, err)
 		}
