Apply changes of jobs and of the registry before reports

Cause: all events went through one queue of 1,024. A coordinator short of processor time applied cancels, new jobs and draining runners behind hundreds of reports, so that tasks of cancelled jobs were stopped seconds late.

Events of the two feeds have a queue of their own now, of 16 events. It is emptied before each report or answer is applied, also within a batch, and the orders that follow are sent at once; work of new jobs is placed at the end of the batch.

Reports and answers keep their order among themselves: Core compares when the call of a list left with when the last order for a run was answered (confirmed < Sent), and other orders were not examined. Ends of links (gone, silent) stay in that queue too: ahead of the reports a runner would be given up before an end that it had reported is read, and the task would run again.

The order of feed events and reports does not matter the other way: what the feed brings was accepted after the parts were fenced, so no predecessor can have started it, and a job that is known sooner leaves fewer ends to Core.early and fewer runs to be stopped as unknown. A cancel that overtakes the job's last end makes it cancelled instead of completed; neither had been stored or shown. Order within each feed is kept (a cancel comes after its job).

What the registry can overtake now, and why events carry their link: reports, silences and gone events of a link that ended would be applied to a runner that is registered anew, and "another runner has the address" to a runner that has moved, whose new runs would then be started a second time. Both are ignored. The second could happen before, more rarely.

Ruled out: a round of scheduling after each urgent event. Rounds are what costs most, and a coordinator that is behind would have more of them for the same reports.

TestReportAfterItsLinkWasDroppedLeavesNoRunnerBehind names the dropped link in its event; what it checks is unchanged.

--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -21,15 +21,24 @@
 	storeEvery  = 60 * time.Millisecond
 	eventBuffer = 1024
 	maxBatch    = 128 // events handled between two rounds of scheduling
+	// urgentBuffer is small: the events in it hold many rows each.
+	urgentBuffer = 16
 )
 
 // event is something that happened; apply is called by the loop.
 type event interface{ apply(t *leader) }
 
 type (
-	reportEvent struct{ report Report }
-	silentEvent struct{ runner string }
-	goneEvent   struct{ runner string }
+	reportEvent struct {
+		report Report
+		link   *link
+	}
+	silentEvent struct{ link *link }
+	// goneEvent says that another runner has the address.
+	goneEvent struct {
+		link    *link
+		address string
+	}
 	answerEvent struct{ answer Answer }
 	jobsEvent   struct{ rows []rowstore.Row }
 	storedEvent struct{ acknowledged map[string]Acknowledged }
@@ -53,8 +62,11 @@
 	journal *journal
 	links   map[string]*link
 	events  chan event
-	failed  chan error
-	ctx     context.Context
+	// urgent are the changes of jobs and of the registry. They are applied before
+	// events: a cancel or a draining runner must not wait behind reports.
+	urgent chan event
+	failed chan error
+	ctx    context.Context
 
 	// majorityUntil is until when leases may be granted without renewals, see
 	// noteMajority.
@@ -84,6 +96,7 @@
 		journal:    newJournal(env.Store, term.Epoch, env.Log),
 		links:      map[string]*link{},
 		events:     make(chan event, eventBuffer),
+		urgent:     make(chan event, urgentBuffer),
 		failed:     make(chan error, 1),
 		ctx:        ctx,
 		advising:   make(chan struct{}, 1),
@@ -114,11 +127,19 @@
 
 func (t *leader) post(ctx context.Context, e event) {
 	select {
-	case t.events <- e:
+	case t.queueOf(e) <- e:
 	case <-ctx.Done():
 	}
 }
 
+func (t *leader) queueOf(e event) chan event {
+	switch e.(type) {
+	case jobsEvent, registryEvent:
+		return t.urgent
+	}
+	return t.events
+}
+
 func (t *leader) loop(ctx context.Context) error {
 	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
@@ -132,7 +153,11 @@
 			return err
 		case <-tick.C:
 			t.tick()
+		case e := <-t.urgent:
+			e.apply(t)
+			t.drain()
 		case e := <-t.events:
+			t.applyUrgent()
 			e.apply(t)
 			t.drain()
 		}
@@ -143,6 +168,7 @@
 // drain handles events that wait, so that scheduling sees them together.
 func (t *leader) drain() {
 	for range maxBatch {
+		t.applyUrgent()
 		select {
 		case e := <-t.events:
 			e.apply(t)
@@ -152,6 +178,19 @@
 	}
 }
 
+// applyUrgent handles the urgent events that wait and sends the orders that follow
+// from them, which don't wait for a round of scheduling.
+func (t *leader) applyUrgent() {
+	waiting := len(t.urgent)
+	if waiting == 0 {
+		return
+	}
+	for range waiting {
+		(<-t.urgent).apply(t)
+	}
+	t.sendOrders()
+}
+
 func (t *leader) tick() {
 	now := t.env.Clock()
 	t.core.SetStoreClock(now, t.env.StoreClock())
@@ -175,11 +214,7 @@
 func (t *leader) act() {
 	now := t.env.Clock()
 	t.core.Schedule(now, time.Duration(time.Now().UnixNano()))
-	for _, o := range t.core.TakeOrders() {
-		if l := t.links[o.Runner]; l != nil {
-			go l.send(t.ctx, o)
-		}
-	}
+	t.sendOrders()
 	for _, r := range t.core.TakeRequests() {
 		go t.advise(r)
 	}
@@ -189,6 +224,14 @@
 	}
 }
 
+func (t *leader) sendOrders() {
+	for _, o := range t.core.TakeOrders() {
+		if l := t.links[o.Runner]; l != nil {
+			go l.send(t.ctx, o)
+		}
+	}
+}
+
 // advise asks for advice. The service answers one call of a machine at a time.
 func (t *leader) advise(r AdviceRequest) {
 	select {
@@ -236,17 +279,31 @@
 	}
 }
 
-// apply ignores a report that was queued when its runner left.
+// serves reports whether a link is still the one to its runner. An event that was
+// queued when its runner left says nothing of one that is registered anew.
+func (t *leader) serves(l *link) bool { return t.links[l.runner] == l }
+
 func (e reportEvent) apply(t *leader) {
-	if t.links[e.report.Runner] != nil {
+	if t.serves(e.link) {
 		t.core.Report(e.report, t.env.Clock())
 	}
 }
 
-func (e silentEvent) apply(t *leader) { t.core.RunnerSilent(e.runner) }
+func (e silentEvent) apply(t *leader) {
+	if t.serves(e.link) {
+		t.core.RunnerSilent(e.link.runner)
+	}
+}
+
 func (e answerEvent) apply(t *leader) { t.core.Answered(e.answer, t.env.Clock()) }
 
-func (e goneEvent) apply(t *leader) { t.core.RunnerLapsed(e.runner, t.env.Clock()) }
+// apply ignores what was found at an address that the runner has left since: tasks may
+// have been started at its new one.
+func (e goneEvent) apply(t *leader) {
+	if t.serves(e.link) && e.link.remainsAt(e.address) {
+		t.core.RunnerLapsed(e.link.runner, t.env.Clock())
+	}
+}
 
 // lapse gives up what runs on silent runners once every lease there has lapsed,
 // whether or not a call to them is still waited for.
--- a/coordinator/lease.go
+++ b/coordinator/lease.go
@@ -124,3 +124,15 @@
 	l.gone = true
 	return true
 }
+
+// remainsAt reports whether the runner still has an address at which another one was
+// found. If not, nothing is known to be gone.
+func (l *link) remainsAt(address string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.address == address {
+		return true
+	}
+	l.gone = false
+	return false
+}
--- a/coordinator/link.go
+++ b/coordinator/link.go
@@ -169,17 +169,17 @@
 		}
 		if err != nil {
 			l.t.env.Count("hold_unanswered", 1)
-			l.t.post(ctx, silentEvent{l.runner})
+			l.t.post(ctx, silentEvent{l})
 			l.unanswered(now)
 			if l.replaced(err) {
-				l.t.post(ctx, goneEvent{l.runner})
+				l.t.post(ctx, goneEvent{l, h.Address})
 			}
 			pause(ctx, silentRetry)
 			continue
 		}
 		res.Report.Unleased = !l.answered(res.Report.Incarnation, res.Clock, sent, now)
 		res.Report.Sent = sent
-		l.t.post(ctx, reportEvent{res.Report})
+		l.t.post(ctx, reportEvent{res.Report, l})
 		if len(res.Report.Ended) > 0 {
 			l.awaitStored(ctx)
 		}
--- a/coordinator/recorded_test.go
+++ b/coordinator/recorded_test.go
@@ -127,12 +127,12 @@
 // successor would wait a whole lease for it.
 func TestReportAfterItsLinkWasDroppedLeavesNoRunnerBehind(t *testing.T) {
 	w := newRecordedWorld(t)
-	w.register()
+	l := w.register()
 	w.leader.core.runners[rosterRunner].listed = false
 	w.leader.core.RunnerSilent(rosterRunner)
 	w.leader.core.Watch(w.clock.now())
 	w.leader.dropLinks()
-	reportEvent{Report{Runner: rosterRunner, Incarnation: 1}}.apply(w.leader) // was queued
+	reportEvent{Report{Runner: rosterRunner, Incarnation: 1}, l}.apply(w.leader) // was queued
 	w.clock.advance(time.Minute)
 	w.leader.core.Watch(w.clock.now())
 	w.leader.dropLinks()
