Measure how far behind the coordinator is

Cause: nothing told that a coordinator applied events of seconds ago; its log and its numbers looked current.

Events are stamped when they are posted, on the local clock, also if the queue is full then. The lag is the age of the oldest event of a round. A round without events counts as lag 0 only if none waits: ticks would hide the lag else.

Ruled out: the length of the queue as the measure. What a report costs differs by runner and machine, and a blocked poster is not in the queue.

Tests of the queue receive posted events now; what they check is unchanged.

--- a/coordinator/journal_test.go
+++ b/coordinator/journal_test.go
@@ -174,14 +174,14 @@
 	tn := &leader{
 		env:    Environment{Lease: 8 * time.Second, Runners: replaced{}, Clock: func() time.Duration { return time.Second }, Count: func(string, int64) {}},
 		term:   leadership.NewTerm(1, time.Hour, func() time.Duration { return time.Second }),
-		events: make(chan event, 8),
+		events: make(chan posted, 8),
 	}
 	l := newLink(tn, "a", "", time.Hour)
 	go l.serve(ctx)
 	for {
 		select {
 		case e := <-tn.events:
-			if _, ok := e.(goneEvent); ok {
+			if _, ok := e.event.(goneEvent); ok {
 				return
 			}
 		case <-ctx.Done():
--- /dev/null
+++ b/coordinator/lag.go
@@ -0,0 +1,56 @@
+package coordinator
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// posted is an event with the time at which it was posted.
+type posted struct {
+	event
+	at time.Duration
+}
+
+// take applies an event.
+func (t *leader) take(p posted) {
+	t.oldest = max(t.oldest, t.env.Clock()-p.at)
+	p.apply(t)
+}
+
+// noteLag records how far behind the round was that ends. A round without events says
+// nothing while some wait: it was a tick's.
+func (t *leader) noteLag(now time.Duration) {
+	oldest := t.oldest
+	t.oldest = 0
+	if oldest == 0 && len(t.events) > 0 {
+		return
+	}
+	t.backlog.note(oldest, now)
+	t.logLag(now)
+}
+
+// logLag logs that the coordinator is behind, now and then, and that it has caught up.
+func (t *leader) logLag(now time.Duration) {
+	if t.backlog.lag <= lagLogged {
+		if t.lagLogged {
+			t.env.Log.Info("coordinator has caught up")
+		}
+		t.lagLogged, t.lagLog = false, logThrottle{}
+		return
+	}
+	if !t.lagLog.due(now) {
+		return
+	}
+	t.lagLogged = true
+	t.lagLog.logged(now)
+	t.env.Log.WithFields(logrus.Fields{"lag_ms": t.backlog.lag.Milliseconds(), "queue": len(t.events),
+		"jobs": len(t.core.jobs), "runners": len(t.core.runners)}).Warn("coordinator is behind")
+}
+
+// exportLag sets the gauge of the lag.
+func (t *leader) exportLag(lag time.Duration) {
+	if t.env.Gauge != nil {
+		t.env.Gauge("coordinator_lag_ms", lag.Milliseconds())
+	}
+}
--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -61,10 +61,10 @@
 	core    *Core
 	journal *journal
 	links   map[string]*link
-	events  chan event
+	events  chan posted
 	// urgent are the changes of jobs and of the registry. They are applied before
 	// events: a cancel or a draining runner must not wait behind reports.
-	urgent chan event
+	urgent chan posted
 	failed chan error
 	ctx    context.Context
 
@@ -73,6 +73,11 @@
 	majorityUntil atomic.Int64
 	predecessor   predecessor
 
+	oldest    time.Duration // age of the oldest event of the present round
+	backlog   backlog
+	lagLog    logThrottle
+	lagLogged bool // the log says that the coordinator is behind
+
 	storing        bool
 	lastStore      time.Duration
 	advising       chan struct{} // token of the one request for advice
@@ -95,8 +100,8 @@
 		core:       New(env.Limits, env.Log, env.Count),
 		journal:    newJournal(env.Store, term.Epoch, env.Log),
 		links:      map[string]*link{},
-		events:     make(chan event, eventBuffer),
-		urgent:     make(chan event, urgentBuffer),
+		events:     make(chan posted, eventBuffer),
+		urgent:     make(chan posted, urgentBuffer),
 		failed:     make(chan error, 1),
 		ctx:        ctx,
 		advising:   make(chan struct{}, 1),
@@ -114,6 +119,7 @@
 		"unresolved": t.core.Unresolved(), "took_ms": (env.Clock() - begun).Milliseconds()}).Info("coordinating")
 	go t.followJobs(ctx, versions.jobs)
 	go t.followRunners(ctx, versions.runners)
+	defer t.exportLag(0)
 	return t.loop(ctx)
 }
 
@@ -127,12 +133,12 @@
 
 func (t *leader) post(ctx context.Context, e event) {
 	select {
-	case t.queueOf(e) <- e:
+	case t.queueOf(e) <- posted{e, t.env.Clock()}:
 	case <-ctx.Done():
 	}
 }
 
-func (t *leader) queueOf(e event) chan event {
+func (t *leader) queueOf(e event) chan posted {
 	switch e.(type) {
 	case jobsEvent, registryEvent:
 		return t.urgent
@@ -153,15 +159,16 @@
 			return err
 		case <-tick.C:
 			t.tick()
-		case e := <-t.urgent:
-			e.apply(t)
+		case p := <-t.urgent:
+			t.take(p)
 			t.drain()
-		case e := <-t.events:
+		case p := <-t.events:
 			t.applyUrgent()
-			e.apply(t)
+			t.take(p)
 			t.drain()
 		}
 		t.act()
+		t.noteLag(t.env.Clock())
 	}
 }
 
@@ -170,8 +177,8 @@
 	for range maxBatch {
 		t.applyUrgent()
 		select {
-		case e := <-t.events:
-			e.apply(t)
+		case p := <-t.events:
+			t.take(p)
 		default:
 			return
 		}
@@ -186,7 +193,7 @@
 		return
 	}
 	for range waiting {
-		(<-t.urgent).apply(t)
+		t.take(<-t.urgent)
 	}
 	t.sendOrders()
 }
@@ -195,6 +202,7 @@
 	now := t.env.Clock()
 	t.core.SetStoreClock(now, t.env.StoreClock())
 	t.core.Configure(t.env.Queues())
+	t.exportLag(t.backlog.lag)
 	t.noteMajority()
 	t.lapse(now)
 	t.maintain(now)
--- a/coordinator/platform.go
+++ b/coordinator/platform.go
@@ -75,4 +75,6 @@
 	StoreBounds func(local time.Duration) (earliest, latest time.Duration, known bool)
 	Log         logrus.FieldLogger
 	Count       Counter
+	// Gauge sets a metric; it may be nil.
+	Gauge func(name string, value int64)
 }
--- a/coordinator/queue_test.go
+++ b/coordinator/queue_test.go
@@ -41,7 +41,8 @@
 	w := &queueWorld{recordedWorld: newRecordedWorld(t), orders: make(chan Order, 16), task: task(firstID, 0, 0)}
 	l := w.leader
 	l.env.Runners = obedient{w.orders}
-	l.events, l.urgent = make(chan event, eventBuffer), make(chan event, urgentBuffer)
+	l.env.Queues = func() []jobs.Queue { return []jobs.Queue{renders} }
+	l.events, l.urgent = make(chan posted, eventBuffer), make(chan posted, urgentBuffer)
 	l.core.Configure([]jobs.Queue{renders})
 	w.link = w.register()
 	info := RunnerInfo{ID: rosterRunner, Service: testService, Capacity: structs.Resources{CPUMilli: 4000, MemoryMB: 1 << 20}}
--- a/coordinator/recorded_test.go
+++ b/coordinator/recorded_test.go
@@ -26,7 +26,7 @@
 		Log: silentLog(), Count: func(string, int64) {}}
 	tn := &leader{env: env, core: New(Limits{}, silentLog(), nil), term: leadership.NewTerm(1, 24*time.Hour, clock.now),
 		journal: newJournal(store, 1, silentLog()), links: map[string]*link{}, sharedRows: map[rowstore.Key]string{},
-		expiries: map[string]recordedExpiry{}, events: make(chan event, 16), failed: make(chan error, 1), ctx: t.Context()}
+		expiries: map[string]recordedExpiry{}, events: make(chan posted, 16), failed: make(chan error, 1), ctx: t.Context()}
 	if _, err := tn.journal.fence(t.Context(), sharedPart); err != nil {
 		t.Fatal(err)
 	}
