--- a/jobs/job.go
+++ b/jobs/job.go
@@ -55,19 +55,20 @@
 
 // ParseTaskID is the inverse of String.
 func ParseTaskID(name string) (TaskID, error) {
-	fields := strings.Split(name, ".")
-	if len(fields) != 4 {
-		return TaskID{}, fmt.Errorf("task %q: want four fields", name)
-	}
+	job, rest, _ := strings.Cut(name, ".")
 	var numbers [3]int
-	for i, field := range fields[1:] {
+	for i := range numbers {
+		field, after, found := strings.Cut(rest, ".")
+		if found != (i < len(numbers)-1) {
+			return TaskID{}, fmt.Errorf("task %q: want four fields", name)
+		}
 		n, err := strconv.Atoi(field)
 		if err != nil || n < 0 {
 			return TaskID{}, fmt.Errorf("task %q: field %d is no index", name, i+1)
 		}
-		numbers[i] = n
+		numbers[i], rest = n, after
 	}
-	return TaskID{Job: ID(fields[0]), Occurrence: numbers[0], Step: numbers[1], Index: numbers[2]}, nil
+	return TaskID{Job: ID(job), Occurrence: numbers[0], Step: numbers[1], Index: numbers[2]}, nil
 }
 
 // Task is what is known of one task. Runs that are under way are kept by the
