End the term of a coordinator that stays behind

Cause: a coordinator with too little processor time kept the lease for as long as it could renew it, while what it decided was seconds late.

Lead returns ErrBehind once the lag has been over 1.5 s for 2 s without a break, at the earliest 8 s after it began to coordinate, and after it has handed over the leases of the runners as at a planned stop. Leadership then releases the lease. The parts of the term end before the handover is written: a write of the roster under way would be repeated after it and undo it.

The term goes on while its lease can't be renewed: while the store is away nobody could take the lease, and a coordinator that is behind is better than none.

Ruled out: ending at the first round that is late. An instance that was paused or held up once catches up within a second or two, and a handover costs every runner a new epoch.

Not in here: which instance takes over, and that this one waits before it tries again. Both are leadership's; without them the same instance may take the lease again at once.

The tests are of new names and don't compile on the code before.

--- a/coordinator/backlog_test.go
+++ b/coordinator/backlog_test.go
@@ -1,10 +1,15 @@
 package coordinator
 
 import (
+	"context"
+	"errors"
 	"testing"
 	"time"
 
 	"github.com/sirupsen/logrus/hooks/test"
+
+	"bergamotstile/leadership"
+	"bergamotstile/rowstore"
 )
 
 // Guards against a loop that is called behind after it was held up once, and against
@@ -92,3 +97,97 @@
 		t.Error("a tick counts as having caught up")
 	}
 }
+
+// busyWorld is a leader that has just begun to coordinate, with events each of which
+// takes a time to apply.
+func busyWorld(t *testing.T, events int, each time.Duration) *queueWorld {
+	t.Helper()
+	w := newQueueWorld(t)
+	w.leader.coordinating = w.clock.now()
+	for range events {
+		w.leader.post(t.Context(), probe(func(*leader) { w.clock.advance(each) }))
+	}
+	return w
+}
+
+// steadyWorld is a leader that has just begun to coordinate and applies each event 1 s
+// after it was posted, for 30 s.
+func steadyWorld(t *testing.T) *queueWorld {
+	w := busyWorld(t, 0, 0)
+	const each, queue, total = 10 * time.Millisecond, 100, 3000
+	left := total
+	var again probe
+	again = func(l *leader) {
+		w.clock.advance(each)
+		if left--; left >= queue {
+			l.post(t.Context(), again)
+		}
+	}
+	for range queue {
+		w.leader.post(t.Context(), again)
+	}
+	return w
+}
+
+// runLoop runs the leader's loop and returns why it ended. It is stopped at the first
+// tick that finds no lag.
+func (w *queueWorld) runLoop() error {
+	ctx, cancel := context.WithCancel(w.t.Context())
+	defer cancel()
+	w.leader.ctx, w.leader.cancel = ctx, cancel
+	w.leader.env.Gauge = func(_ string, lag int64) {
+		if lag == 0 && len(w.leader.events) == 0 {
+			cancel()
+		}
+	}
+	return w.leader.loop(ctx)
+}
+
+// Guards against a coordinator without processor time that keeps the lease: cancels and
+// draining runners wait for seconds behind its reports.
+func TestCoordinatorThatStaysBehindEndsItsTerm(t *testing.T) {
+	w := busyWorld(t, 1000, 20*time.Millisecond) // rounds of 2.6 s
+	w.link.answered(1, time.Hour, w.clock.now(), w.clock.now())
+	w.link.request()
+	before := w.clock.now()
+	if err := w.runLoop(); !errors.Is(err, ErrBehind) {
+		t.Fatalf("the term ended with %v, want %v", err, ErrBehind)
+	}
+	if after := w.clock.now() - before; after < minTerm || after > minTerm+3*time.Second {
+		t.Errorf("the term ended after %v, want the first round after %v", after, minTerm)
+	}
+	if w.leader.ctx.Err() == nil {
+		t.Error("the parts of the term go on")
+	}
+	res, err := w.store.Read(t.Context(), rowstore.Range{Table: rosterKey.Table, Part: sharedPart, From: rosterKey.Key, To: rosterKey.Key + "\x00"})
+	if err != nil || len(res.Rows) != 1 {
+		t.Fatalf("%d rows of the roster, error %v", len(res.Rows), err)
+	}
+	roster := decodeRoster(string(res.Rows[0].Value))
+	if len(roster) != 1 || roster[0].id != rosterRunner || roster[0].expiry == 0 {
+		t.Errorf("handed over %+v, want the runner with its expiry", roster)
+	}
+}
+
+// Guards against terms that end although the coordinator catches up or has only begun:
+// each handover costs every runner a new epoch.
+func TestCoordinatorThatCatchesUpKeepsItsTerm(t *testing.T) {
+	for name, w := range map[string]*queueWorld{
+		"behind once, catches up":           busyWorld(t, maxBatch+10, 100*time.Millisecond), // 12.9 s, then 0.9 s
+		"behind for 6 s after it took over": busyWorld(t, 300, 20*time.Millisecond),
+		"lag of 1 s for 30 s":               steadyWorld(t),
+	} {
+		if err := w.runLoop(); !errors.Is(err, context.Canceled) {
+			t.Errorf("%s: the term ended with %v", name, err)
+		}
+	}
+}
+
+// Guards against a lease that is given up while the store is away: nobody could take it.
+func TestCoordinatorThatIsBehindKeepsItsTermWithoutTheStore(t *testing.T) {
+	w := busyWorld(t, 1000, 20*time.Millisecond)
+	w.leader.term = leadership.NewTerm(1, w.clock.now(), w.clock.now) // not renewed from here on
+	if err := w.runLoop(); !errors.Is(err, context.Canceled) {
+		t.Errorf("the term ended with %v", err)
+	}
+}
--- a/coordinator/lag.go
+++ b/coordinator/lag.go
@@ -1,11 +1,21 @@
 package coordinator
 
 import (
+	"errors"
+	"fmt"
 	"time"
 
 	"github.com/sirupsen/logrus"
 )
 
+// ErrBehind ends the term of a coordinator that does not keep up with its events, so
+// that another instance takes over.
+var ErrBehind = errors.New("coordinator is behind")
+
+// minTerm is how long a term lasts before it may end with ErrBehind: after a takeover
+// every runner reports at once, and a handover costs all of them a new epoch.
+const minTerm = 8 * time.Second
+
 // posted is an event with the time at which it was posted.
 type posted struct {
 	event
@@ -54,3 +64,12 @@
 		t.env.Gauge("coordinator_lag_ms", lag.Milliseconds())
 	}
 }
+
+// overdue returns ErrBehind if another instance should coordinate. While the lease can't
+// be renewed, nobody could take it.
+func (t *leader) overdue(now time.Duration) error {
+	if now-t.coordinating < minTerm || !t.backlog.behind(now) || !t.term.Exclusive() {
+		return nil
+	}
+	return fmt.Errorf("%w: it applies events of %v ago", ErrBehind, t.backlog.lag)
+}
--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -67,6 +67,9 @@
 	urgent chan posted
 	failed chan error
 	ctx    context.Context
+	cancel context.CancelFunc
+	// coordinating is since when the term has coordinated.
+	coordinating time.Duration
 
 	// majorityUntil is until when leases may be granted without renewals, see
 	// noteMajority.
@@ -91,7 +94,8 @@
 	upkeep         *upkeep                   // nil if waves are left alone
 }
 
-// Lead coordinates until ctx ends or a later coordinator is noticed.
+// Lead coordinates until ctx ends, a later coordinator is noticed or this one is too far
+// behind (ErrBehind).
 func Lead(ctx context.Context, env Environment, term *leadership.Term) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -104,6 +108,7 @@
 		urgent:     make(chan posted, urgentBuffer),
 		failed:     make(chan error, 1),
 		ctx:        ctx,
+		cancel:     cancel,
 		advising:   make(chan struct{}, 1),
 		sharedRows: map[rowstore.Key]string{},
 		expiries:   map[string]recordedExpiry{},
@@ -117,6 +122,7 @@
 	}
 	env.Log.WithFields(logrus.Fields{"epoch": term.Epoch, "jobs": len(t.core.jobs), "runners": len(t.core.runners),
 		"unresolved": t.core.Unresolved(), "took_ms": (env.Clock() - begun).Milliseconds()}).Info("coordinating")
+	t.coordinating = t.env.Clock()
 	go t.followJobs(ctx, versions.jobs)
 	go t.followRunners(ctx, versions.runners)
 	defer t.exportLag(0)
@@ -168,7 +174,14 @@
 			t.drain()
 		}
 		t.act()
-		t.noteLag(t.env.Clock())
+		now := t.env.Clock()
+		t.noteLag(now)
+		if err := t.overdue(now); err != nil {
+			// Nothing may be written beside the handover: it would be undone.
+			t.cancel()
+			t.handOver()
+			return err
+		}
 	}
 }
 
