Let capable instances coordinate, and weak ones hand the lease over

Cause: on deployments with instances of 0.8 and of 0.11 to 0.192 of a core the weak ones became coordinators and fell behind. The delay depended on the own share alone, so a deployment of weak instances waited for nobody.

Now instances register their capacity in the table candidates. A candidate leaves a free lease for 1.2 s to one with at least 1.5 times its capacity; equals don't wait. A capable candidate asks a weak holder for the lease by a request in the row; the holder ends its term at the next renewal and releases the lease, and the row says for whom. A term that ended with an error or on request is followed by a pause of 2 s. The delay by the own share is gone.

A request is no renewal: others go on counting from the last one. They compare the number of the renewal for that, so one that is repeated because its answer was lost now gets a number of its own; it used to have the same, which did no harm while every version counted. A release is repeated if a request or a renewal whose answer was lost is in the row; before, the others waited 3 s.

Ruled out: a delay that grows with the rank (waits for instances that left, once for each); comparing capacities in the holder (it would have to read the table, and it is the one that is short of processor time).

Before and after: the new tests were run on the old leadership.go with stand-ins for the new names that do nothing. Five bound the new rules and hold on the old code, which has no requests; each fails when its rule is taken out of the new code: TestHolderIsNotAskedByItsLike, TestDeposedInstanceDoesNotRest, TestRequestToASuccessorDeposes, TestRequesterPollsFastForABoundedTime, TestRecordsOfEarlierVersions. Now all pass.

--- a/leadership/leadership.go
+++ b/leadership/leadership.go
@@ -1,5 +1,5 @@
-// Package leadership elects one process among equals by a lease that is a row
-// of the store.
+// Package leadership elects one process by a lease that is a row of the store.
+// More capable instances go first.
 package leadership
 
 import (
@@ -45,6 +45,19 @@
 	Epoch    uint64 `cbor:"3,keyasint"`
 	Renewal  uint64 `cbor:"4,keyasint"`
 	Released bool   `cbor:"5,keyasint,omitempty"`
+	// CPUMilli is the holder's capacity, zero if it is not known.
+	CPUMilli int64 `cbor:"6,keyasint,omitempty"`
+	// RequestedBy names the instance that asked the holder for the lease, and
+	// RequesterMilli its capacity. They stay when the lease is released: they say
+	// for whom.
+	RequestedBy    string `cbor:"7,keyasint,omitempty"`
+	RequesterMilli int64  `cbor:"8,keyasint,omitempty"`
+}
+
+// isRequestOn reports whether r is an earlier record with a request added.
+func (r record) isRequestOn(earlier record) bool {
+	earlier.RequestedBy, earlier.RequesterMilli = r.RequestedBy, r.RequesterMilli
+	return r.RequestedBy != "" && r == earlier
 }
 
 // ErrDeposed ends a term because another process took the lease.
@@ -53,6 +66,9 @@
 // ErrExpired ends a term because the lease could not be renewed.
 var ErrExpired = errors.New("lease could not be renewed")
 
+// ErrYielded ends a term because a more capable instance asked for the lease.
+var ErrYielded = errors.New("a more capable instance asked for the lease")
+
 // Term is one tenure of the lease.
 type Term struct {
 	Epoch uint64
@@ -95,11 +111,12 @@
 	// Lead does the holder's work until ctx ends. A returned error gives up
 	// the lease.
 	Lead func(ctx context.Context, term *Term) error
-	// Delay is added to the lease's duration before this candidate takes it,
-	// so that candidates don't all try at once.
-	Delay time.Duration
-	Clock func() time.Duration
-	Log   logrus.FieldLogger
+	// CPUMilli is the instance's processor time in thousandths of a core. Others
+	// go first if they have much more. Zero means that it is not known: the
+	// candidate then neither lets others go first nor asks for the lease.
+	CPUMilli int64
+	Clock    func() time.Duration
+	Log      logrus.FieldLogger
 	// Count counts events by name.
 	Count func(name string, n int64)
 }
@@ -113,23 +130,54 @@
 	// later if the store was away, as the holder could not renew either.
 	patient time.Duration
 	read    time.Duration // when the row was last read
+	// steady is since when every read succeeded, without a long pause.
+	steady     time.Duration
+	epochSince time.Duration // when this holder and epoch were first read
+	// restUntil is until when this candidate leaves the lease to others, after a
+	// term that it gave up.
+	restUntil time.Duration
+	others    others
+	request   ownRequest
+	// waitLogged says that it was logged for this version that others go first.
+	waitLogged bool
+}
+
+// newObserved returns what is known before the first read.
+func newObserved(now time.Duration) observed {
+	return observed{since: now, patient: now, read: now, steady: now, epochSince: now}
 }
 
 // Serve runs until ctx ends. A lease held then is released.
 func (c *Candidate) Serve(ctx context.Context) error {
-	now := c.Clock()
-	seen := observed{since: now, patient: now, read: now}
+	go c.register(ctx)
+	seen := newObserved(c.Clock())
 	for ctx.Err() == nil {
-		if err := c.read(ctx, &seen); err != nil {
-			c.Log.WithError(err).Debug("lease not read")
-		} else if claim, ok := c.mayTake(&seen); ok {
+		if claim, ok := c.poll(ctx, &seen); ok {
 			c.lead(ctx, &seen, claim)
 		}
-		sleep(ctx, pollEvery)
+		sleep(ctx, c.pollPause(&seen))
 	}
 	return ctx.Err()
 }
 
+// poll reads the lease, asks a weak holder for it, and reports whether it may be
+// taken.
+func (c *Candidate) poll(ctx context.Context, seen *observed) (claim, bool) {
+	if err := c.read(ctx, seen); err != nil {
+		seen.steady = c.Clock()
+		c.Log.WithError(err).Debug("lease not read")
+		return claim{}, false
+	}
+	if c.needsOthers(seen) {
+		c.readOthers(ctx, seen)
+	}
+	if c.mayRequest(seen) {
+		c.sendRequest(ctx, seen)
+		return claim{}, false
+	}
+	return c.mayTake(seen)
+}
+
 // claim says why the lease may be taken.
 type claim struct {
 	reason string
@@ -148,9 +196,13 @@
 	now := c.Clock()
 	if now-seen.read > readGap {
 		seen.patient = max(seen.patient, now-Duration+returnTime)
+		seen.steady = now
 	}
 	seen.read = now
 	if len(res.Rows) == 0 {
+		if seen.version != 0 {
+			seen.since, seen.patient, seen.waitLogged = now, now, false
+		}
 		seen.record, seen.version = record{}, 0
 		return nil
 	}
@@ -162,31 +214,71 @@
 	if err := cbor.Unmarshal(row.Value, &r); err != nil {
 		return fmt.Errorf("lease row: %w", err)
 	}
-	seen.record, seen.version, seen.since, seen.patient = r, row.Version, now, now
+	seen.note(r, row.Version, now)
 	return nil
 }
 
-// mayTake reports whether the lease is free. The predecessor's last renewal
-// was before its version was first read here.
+// note takes over a new version of the row.
+func (o *observed) note(r record, version uint64, now time.Duration) {
+	if r.Process != o.Process || r.Epoch != o.Epoch {
+		o.epochSince = now
+	}
+	if r.RequestedBy != o.RequestedBy {
+		o.request.since = now
+	}
+	// A request does not renew the lease: the holder may be gone.
+	if !r.isRequestOn(o.record) {
+		o.since, o.patient = now, now
+	}
+	o.record, o.version, o.waitLogged = r, version, false
+}
+
+// mayTake reports whether this candidate may take the lease now.
 func (c *Candidate) mayTake(seen *observed) (claim, bool) {
+	now := c.Clock()
+	why, since, free := c.free(seen, now)
+	if !free || now < seen.restUntil {
+		return claim{}, false
+	}
+	if why.reason == heldBefore {
+		return why, true
+	}
+	wait := c.precedence(seen)
+	if now-since < wait {
+		if !seen.waitLogged {
+			c.logWait(seen, wait)
+		}
+		seen.waitLogged = true
+		return claim{}, false
+	}
+	return why, true
+}
+
+// heldBefore is the reason for which an instance takes the lease back at once.
+const heldBefore = "held by this instance before"
+
+// free reports whether nobody holds the lease, why and since when. The
+// predecessor's last renewal was before its version was first read here.
+func (c *Candidate) free(seen *observed, now time.Duration) (why claim, since time.Duration, ok bool) {
+	lapse := seen.patient + Duration
 	switch {
 	case seen.version == 0:
-		return claim{reason: "never held"}, true
+		return claim{reason: "never held"}, seen.since, true
 	case seen.Released:
-		return claim{reason: "released"}, true
+		return claim{reason: "released"}, seen.since, true
 	case seen.Holder == c.Holder:
 		// An earlier process of this instance, or a write of this one whose
 		// answer was lost. Neither acts any more.
-		return claim{reason: "held by this instance before"}, true
-	case c.Clock()-seen.patient >= Duration+c.Delay:
-		return claim{reason: "not renewed", renewed: seen.since, gone: seen.since + Grace}, true
+		return claim{reason: heldBefore}, seen.since, true
+	case now >= lapse:
+		return claim{reason: "not renewed", renewed: seen.since, gone: seen.since + Grace}, lapse, true
 	}
-	return claim{}, false
+	return claim{}, 0, false
 }
 
 // lead takes the lease and holds it for one term.
 func (c *Candidate) lead(ctx context.Context, seen *observed, why claim) {
-	next := record{Holder: c.Holder, Process: c.Process, Epoch: seen.Epoch + 1}
+	next := record{Holder: c.Holder, Process: c.Process, Epoch: seen.Epoch + 1, CPUMilli: c.CPUMilli}
 	sent := c.Clock()
 	version, err := c.write(ctx, next, seen.version)
 	if err != nil {
@@ -211,8 +303,11 @@
 	if !errors.Is(err, ErrDeposed) {
 		c.release(held)
 	}
-	*seen = observed{version: held.version, since: c.Clock(), patient: c.Clock(), read: c.Clock()}
-	seen.Epoch = next.Epoch
+	*seen = newObserved(c.Clock())
+	seen.version, seen.Epoch = held.version, next.Epoch
+	if !errors.Is(err, ErrDeposed) {
+		seen.restUntil = c.Clock() + restTime
+	}
 }
 
 // held is the lease row as this holder last wrote it.
@@ -236,7 +331,7 @@
 		case <-timer.C:
 		}
 		err := c.renew(term, h)
-		if errors.Is(err, ErrDeposed) {
+		if errors.Is(err, ErrDeposed) || errors.Is(err, ErrYielded) {
 			return false, err
 		}
 		if since := c.Clock() - term.Renewed(); err != nil && since > Grace {
@@ -245,18 +340,17 @@
 	}
 }
 
+// renew renews the lease once. It returns ErrYielded if another instance has asked
+// for the lease; the lease is renewed then too, so that the holder's work has time
+// to end.
 func (c *Candidate) renew(term *Term, h *held) error {
-	next := h.record
-	next.Renewal++
-	sent := c.Clock()
-	version, err := c.write(context.Background(), next, h.version)
+	sent, err := c.writeRenewal(h)
 	var conflict *rowstore.ConflictError
 	if errors.As(err, &conflict) {
-		// The row may be from an earlier renewal whose answer was lost. Others
-		// count from then, so it is renewed once more.
-		if h.version, err = c.ownRow(conflict, next); err == nil {
-			sent = c.Clock()
-			version, err = c.write(context.Background(), next, h.version)
+		// The row may be from an earlier renewal whose answer was lost, or have a
+		// request. Others count from the renewal in it, so it is renewed once more.
+		if err = c.adopt(conflict, h); err == nil {
+			sent, err = c.writeRenewal(h)
 		}
 	}
 	if err != nil {
@@ -264,35 +358,70 @@
 		c.Log.WithError(err).Warn("lease not renewed")
 		return err
 	}
-	h.record, h.version = next, version
 	term.renewed.Store(int64(sent))
+	if h.RequestedBy != "" {
+		return fmt.Errorf("%w: %s", ErrYielded, h.RequestedBy)
+	}
 	return nil
 }
 
-// ownRow returns the version of the row if this process wrote it.
-func (c *Candidate) ownRow(conflict *rowstore.ConflictError, mine record) (uint64, error) {
+// writeRenewal writes the next renewal and returns when it was sent.
+func (c *Candidate) writeRenewal(h *held) (time.Duration, error) {
+	next := h.record
+	next.Renewal++
+	sent := c.Clock()
+	version, err := c.write(context.Background(), next, h.version)
+	if err != nil {
+		return 0, err
+	}
+	h.record, h.version = next, version
+	return sent, nil
+}
+
+// adopt takes over the present row if it is of this term: an earlier renewal, or a
+// request. The next renewal gets a number above the one in the row: others take a
+// row with the same number for one that was not renewed.
+func (c *Candidate) adopt(conflict *rowstore.ConflictError, h *held) error {
 	row, ok := conflict.Find(Row)
 	if !ok {
-		return 0, ErrDeposed
+		return ErrDeposed
 	}
 	var r record
 	if err := cbor.Unmarshal(row.Value, &r); err != nil {
-		return 0, fmt.Errorf("%w: row unreadable: %v", ErrDeposed, err)
+		return fmt.Errorf("%w: row unreadable: %v", ErrDeposed, err)
+	}
+	if r.Process != h.Process || r.Epoch != h.Epoch {
+		return fmt.Errorf("%w: %s holds epoch %d", ErrDeposed, r.Holder, r.Epoch)
 	}
-	if r.Process != mine.Process || r.Epoch != mine.Epoch {
-		return 0, fmt.Errorf("%w: %s holds epoch %d", ErrDeposed, r.Holder, r.Epoch)
+	if r.RequestedBy != "" && h.RequestedBy == "" {
+		log := c.Log.WithFields(logrus.Fields{"epoch": h.Epoch, "requester": r.RequestedBy, "requester_milli": r.RequesterMilli, "cpu_milli": c.CPUMilli})
+		log.Info("lease requested by a more capable instance")
 	}
-	return row.Version, nil
+	h.record, h.version = r, row.Version
+	return nil
 }
 
 func (c *Candidate) release(h *held) {
-	next := h.record
-	next.Released = true
-	if _, err := c.write(context.Background(), next, h.version); err != nil {
+	err := c.writeRelease(h)
+	var conflict *rowstore.ConflictError
+	if errors.As(err, &conflict) {
+		// A request, or a renewal whose answer was lost, may be in the row.
+		if err = c.adopt(conflict, h); err == nil {
+			err = c.writeRelease(h)
+		}
+	}
+	if err != nil {
 		c.Log.WithError(err).Info("lease not released")
 	}
 }
 
+func (c *Candidate) writeRelease(h *held) error {
+	next := h.record
+	next.Released = true
+	_, err := c.write(context.Background(), next, h.version)
+	return err
+}
+
 func (c *Candidate) write(ctx context.Context, r record, version uint64) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
