--- a/coordinator/grant_test.go
+++ b/coordinator/grant_test.go
@@ -235,20 +235,9 @@
 // epoch twice: the first answers have been passed on then.
 func (f *fleet) awaitReached(t *testing.T, epoch uint64, runners int) {
 	t.Helper()
-	for until := time.Now().Add(patience); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
-		reached := 0
-		f.mu.Lock()
-		for _, r := range f.runners {
-			if r.epoch == epoch && r.holds > 1 {
-				reached++
-			}
-		}
-		f.mu.Unlock()
-		if reached >= runners {
-			return
-		}
+	if !f.await(func() bool { return f.obeying(epoch, 2) >= runners }) {
+		t.Fatalf("fewer than %d runners obey epoch %d", runners, epoch)
 	}
-	t.Fatalf("fewer than %d runners obey epoch %d", runners, epoch)
 }
 
 // Guards against a bound that is too early for the slowest clock that a runner may
--- a/coordinator/handover_test.go
+++ b/coordinator/handover_test.go
@@ -86,21 +86,36 @@
 	return task(firstID, 0, 0)
 }
 
+// await polls a condition, with the fleet locked, and reports whether it came to hold
+// in time.
+func (f *fleet) await(condition func() bool) bool {
+	for until := time.Now().Add(patience); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
+		f.mu.Lock()
+		holds := condition()
+		f.mu.Unlock()
+		if holds {
+			return true
+		}
+	}
+	return false
+}
+
 // awaitRunner returns the runner on which a task runs.
 func (f *fleet) awaitRunner(t *testing.T, id jobs.TaskID) string {
 	t.Helper()
-	for until := time.Now().Add(patience); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
-		f.mu.Lock()
+	found := ""
+	runs := func() bool {
 		for name, r := range f.runners {
 			if r.runs[id] != nil && !r.gone {
-				f.mu.Unlock()
-				return name
+				found = name
 			}
 		}
-		f.mu.Unlock()
+		return found != ""
 	}
-	t.Fatalf("task %v runs nowhere", id)
-	return ""
+	if !f.await(runs) {
+		t.Fatalf("task %v runs nowhere", id)
+	}
+	return found
 }
 
 // remove takes a runner away for good, with all that it runs.
@@ -115,20 +130,24 @@
 	clear(r.runs)
 }
 
+// obeying counts the runners that obey the coordinator of an epoch and have been called
+// by it for their lists at least a number of times.
+func (f *fleet) obeying(epoch uint64, calls int) int {
+	n := 0
+	for _, r := range f.runners {
+		if r.epoch == epoch && r.holds >= calls {
+			n++
+		}
+	}
+	return n
+}
+
 // awaitEpoch waits until a runner has obeyed the coordinator of an epoch.
 func (f *fleet) awaitEpoch(t *testing.T, epoch uint64) {
 	t.Helper()
-	for until := time.Now().Add(patience); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
-		f.mu.Lock()
-		for _, r := range f.runners {
-			if r.epoch == epoch {
-				f.mu.Unlock()
-				return
-			}
-		}
-		f.mu.Unlock()
+	if !f.await(func() bool { return f.obeying(epoch, 0) > 0 }) {
+		t.Fatalf("no runner obeys epoch %d", epoch)
 	}
-	t.Fatalf("no runner obeys epoch %d", epoch)
 }
 
 // Guards against a long-running task of a lost runner that stands still for the
