--- a/configuration/capacity_test.go
+++ b/configuration/capacity_test.go
@@ -4,11 +4,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"testing"
 
 	"github.com/jonboulle/clockwork"
-	"github.com/sirupsen/logrus"
 
 	"bergamotstile/declaration"
 	"bergamotstile/peer"
@@ -92,9 +90,7 @@
 			for i := range instances {
 				peers.instances = append(peers.instances, structs.Member{Name: fmt.Sprintf("entry-%04d", i), Address: "10.11.12.13:7301"})
 			}
-			log := logrus.New()
-			log.SetOutput(io.Discard)
-			s := New(Options{Name: "entry-0000", Peers: peers, View: peers, Clock: clockwork.NewRealClock(), Log: log})
+			s := New(Options{Name: "entry-0000", Peers: peers, View: peers, Clock: clockwork.NewRealClock(), Log: silentLog()})
 			req := peer.PushRequest{Changes: []peer.ConfigChange{{Version: 1, Value: make([]byte, 1024)}}, Relay: s.peerNames()}
 			start := procstat.CPU()
 			for b.Loop() {
--- a/configuration/fake_test.go
+++ b/configuration/fake_test.go
@@ -289,13 +289,17 @@
 	return c
 }
 
-// restart replaces the store by a fresh one, as a new process would.
-func (i *instance) restart() {
+func silentLog() *logrus.Logger {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
+	return log
+}
+
+// restart replaces the store by a fresh one, as a new process would.
+func (i *instance) restart() {
 	store := New(Options{
 		Name: i.name, Table: i.link, Objects: i.link, Peers: i, View: i.c, Clock: clockwork.NewRealClock(),
-		Poll: testPoll, Limits: declaration.DefaultLimits(), Log: log,
+		Poll: testPoll, Limits: declaration.DefaultLimits(), Log: silentLog(),
 	})
 	store.snapshotEvery, store.keepChanges = 3, 6
 	i.c.mu.Lock()
--- a/coordinator/leader_test.go
+++ b/coordinator/leader_test.go
@@ -5,14 +5,11 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"sync"
 	"testing"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"bergamotstile/gateway"
 	"bergamotstile/jobs"
 	"bergamotstile/leadership"
@@ -175,8 +172,6 @@
 			t.Fatal(err)
 		}
 	}
-	log := logrus.New()
-	log.SetOutput(io.Discard)
 	started := time.Now()
 	clock := func() time.Duration { return time.Since(started) + time.Minute }
 	return store, Environment{
@@ -190,7 +185,7 @@
 			return []jobs.Queue{renders}
 		},
 		Lease: 8 * time.Second, Retention: time.Minute, Clock: clock, StoreClock: clock, StoreBounds: sameClock,
-		Log: log, Count: func(string, int64) {},
+		Log: silentLog(), Count: func(string, int64) {},
 	}
 }
 
