--- a/command/client.go
+++ b/command/client.go
@@ -23,6 +23,13 @@
 // client connects to the address that the operator named and to no other.
 var client = &http.Client{Transport: &http.Transport{Proxy: nil}}
 
+// entryOption is the option of every command that calls an entry instance.
+type entryOption struct {
+	Entry string `arg:"--entry,required" placeholder:"ADDRESS" help:"caller address of an entry instance"`
+}
+
+func (o entryOption) checkEntry() error { return checkAddress("--entry", o.Entry) }
+
 // call sends one request to an entry instance and decodes its answer. An
 // instance's refusal, and a call whose outcome is not known, are errors.
 func call(ctx context.Context, address, method, path string, headers map[string]string, body, answer any) error {
--- a/command/operate.go
+++ b/command/operate.go
@@ -51,8 +51,8 @@
 }
 
 type applyCommand struct {
-	File     string `arg:"positional,required" placeholder:"FILE" help:"declaration"`
-	Entry    string `arg:"--entry,required" placeholder:"ADDRESS" help:"caller address of an entry instance"`
+	File string `arg:"positional,required" placeholder:"FILE" help:"declaration"`
+	entryOption
 	Operator string `arg:"--operator,required" placeholder:"NAME" help:"who applies it"`
 	Base     uint64 `arg:"--base" placeholder:"VERSION" help:"version that the file started from; the one in force if left out"`
 }
@@ -60,7 +60,7 @@
 // run leaves the check to the instance, whose settings may differ from the
 // defaults; only a file that cannot be decoded is refused here.
 func (c *applyCommand) run(ctx context.Context, _ Registry, out io.Writer) error {
-	if err := checkAddress("--entry", c.Entry); err != nil {
+	if err := c.checkEntry(); err != nil {
 		return err
 	}
 	if c.Operator == "" {
@@ -86,12 +86,12 @@
 }
 
 type statusCommand struct {
-	ID    string `arg:"positional" placeholder:"ID" help:"work item; the instance if left out"`
-	Entry string `arg:"--entry,required" placeholder:"ADDRESS" help:"caller address of an entry instance"`
+	ID string `arg:"positional" placeholder:"ID" help:"work item; the instance if left out"`
+	entryOption
 }
 
 func (c *statusCommand) run(ctx context.Context, _ Registry, out io.Writer) error {
-	if err := checkAddress("--entry", c.Entry); err != nil {
+	if err := c.checkEntry(); err != nil {
 		return err
 	}
 	path := "/v1/status"
@@ -106,12 +106,12 @@
 }
 
 type cancelCommand struct {
-	ID    string `arg:"positional,required" placeholder:"ID" help:"work item"`
-	Entry string `arg:"--entry,required" placeholder:"ADDRESS" help:"caller address of an entry instance"`
+	ID string `arg:"positional,required" placeholder:"ID" help:"work item"`
+	entryOption
 }
 
 func (c *cancelCommand) run(ctx context.Context, _ Registry, out io.Writer) error {
-	if err := checkAddress("--entry", c.Entry); err != nil {
+	if err := c.checkEntry(); err != nil {
 		return err
 	}
 	var answer structs.WorkStatus
--- a/command/submit.go
+++ b/command/submit.go
@@ -11,7 +11,7 @@
 )
 
 type submitCommand struct {
-	Entry         string `arg:"--entry,required" placeholder:"ADDRESS" help:"caller address of an entry instance"`
+	entryOption
 	Team          string `arg:"--team,required" help:"team that the work is for"`
 	Key           string `arg:"--key,required" help:"idempotency key; a repeated submit with the same key is the same work item"`
 	Job           string `arg:"--job,required" help:"declared kind of job"`
@@ -58,7 +58,7 @@
 }
 
 func (c *submitCommand) check() error {
-	if err := checkAddress("--entry", c.Entry); err != nil {
+	if err := c.checkEntry(); err != nil {
 		return err
 	}
 	if c.Team == "" || c.Key == "" || c.Job == "" {
