Load settings and declarations by one function

loadSettings (run.go) and loadDeclaration (operate.go) both read a file, decode it, check it, and tell a file that can't be read from one that is refused. loadFile in input.go, beside readInput, does that now; the two say which decoder and which check. apply still decodes on its own: it leaves the check to the instance.

--- a/command/input.go
+++ b/command/input.go
@@ -8,7 +8,9 @@
 	"os"
 	"slices"
 
+	"bergamotstile/declaration"
 	"bergamotstile/httpserver"
+	"bergamotstile/settings"
 )
 
 // readInput reads a file that the server would accept by size.
@@ -28,6 +30,32 @@
 	return data, nil
 }
 
+// loadFile reads, decodes and checks a file. Its errors tell a file that cannot be
+// read from one that is refused.
+func loadFile[T any](path string, decode func([]byte) (*T, error), check func(*T) error) (*T, error) {
+	data, err := readInput(path)
+	if err != nil {
+		return nil, err
+	}
+	content, err := decode(data)
+	if err == nil {
+		err = check(content)
+	}
+	if err != nil {
+		return nil, refused("%s is refused:\n%v", path, err)
+	}
+	return content, nil
+}
+
+func loadSettings(path string) (*settings.Settings, error) {
+	return loadFile(path, settings.Decode, (*settings.Settings).Check)
+}
+
+func loadDeclaration(path string, limits declaration.Limits) (*declaration.Deployment, error) {
+	check := func(d *declaration.Deployment) error { return d.Check(limits) }
+	return loadFile(path, declaration.Decode, check)
+}
+
 // checkAddress refuses host names: processes are addressed by IP numbers.
 func checkAddress(option, address string) error {
 	if _, err := netip.ParseAddrPort(address); err != nil {
--- a/command/operate.go
+++ b/command/operate.go
@@ -35,21 +35,6 @@
 	return nil
 }
 
-func loadDeclaration(path string, limits declaration.Limits) (*declaration.Deployment, error) {
-	data, err := readInput(path)
-	if err != nil {
-		return nil, err
-	}
-	d, err := declaration.Decode(data)
-	if err == nil {
-		err = d.Check(limits)
-	}
-	if err != nil {
-		return nil, refused("%s is refused:\n%v", path, err)
-	}
-	return d, nil
-}
-
 type applyCommand struct {
 	File string `arg:"positional,required" placeholder:"FILE" help:"declaration"`
 	entryOption
--- a/command/run.go
+++ b/command/run.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"io"
-
-	"bergamotstile/settings"
 )
 
 type entryCommand struct {
@@ -33,22 +31,6 @@
 	return runPart(ctx, "serve", r.Serve, *c, out)
 }
 
-// loadSettings tells a file that cannot be read from one that is refused.
-func loadSettings(path string) (*settings.Settings, error) {
-	data, err := readInput(path)
-	if err != nil {
-		return nil, err
-	}
-	s, err := settings.Decode(data)
-	if err == nil {
-		err = s.Check()
-	}
-	if err != nil {
-		return nil, refused("%s is refused:\n%v", path, err)
-	}
-	return s, nil
-}
-
 // part is a function of the Registry that takes the options of its subcommand.
 type part[Options any] = func(ctx context.Context, o Options, out io.Writer) error
 
