Fill in the settings of a router by one function

setDuration and setInt were the same function for two types, and withDefaults wrote it out again for the settings of admission and retry. setDefault is generic and serves all four. defaults.Set, which lifecycle, ownership and membership use, was ruled out: it replaces negative values too, which a router takes as they are.

--- a/routing/settings.go
+++ b/routing/settings.go
@@ -77,52 +77,45 @@
 }
 
 func (s Settings) withDefaults() Settings {
-	setDuration(&s.RequestTimeoutMax, 1500*time.Millisecond)
-	setDuration(&s.Lease, 3*time.Second)
-	setDuration(&s.AnswerRetention, 10*time.Second)
-	setDuration(&s.Settle, 100*time.Millisecond)
-	setDuration(&s.Overrun, 5*time.Second)
-	setDuration(&s.WaitGrace, 50*time.Millisecond)
-	setDuration(&s.LeaseWait, 200*time.Millisecond)
-	setDuration(&s.LeasePoll, 20*time.Millisecond)
-	setDuration(&s.Tick, 100*time.Millisecond)
-	setDuration(&s.RunnersMaxAge, 20*time.Millisecond)
-	setDuration(&s.BusyPause, 20*time.Millisecond)
-	setDuration(&s.UnreachablePause, 500*time.Millisecond)
-	setDuration(&s.LeavingPause, 3*time.Second)
-	setDuration(&s.TableTimeout, time.Second)
-	setDuration(&s.ClaimRetry, 20*time.Millisecond)
-	setDuration(&s.ClaimRetryMax, time.Second)
-	setDuration(&s.OutcomeGiveUp, 30*time.Second)
-	setInt(&s.DefaultSlots, 8)
-	setInt(&s.DefaultConnections, 64)
-	setInt(&s.ReservedConnections, 2)
-	setInt(&s.MaxHops, 3)
-	setInt(&s.MaxForwards, 48)
-	setInt(&s.MaxKeys, 1<<16)
-	setInt(&s.MaxRememberedBytes, 8<<20)
-	setInt(&s.ClaimRing, 4096)
-	setInt(&s.ClaimGroup, 64)
-	setInt(&s.InlineAnswerBytes, 64<<10)
+	setDefault(&s.RequestTimeoutMax, 1500*time.Millisecond)
+	setDefault(&s.Lease, 3*time.Second)
+	setDefault(&s.AnswerRetention, 10*time.Second)
+	setDefault(&s.Settle, 100*time.Millisecond)
+	setDefault(&s.Overrun, 5*time.Second)
+	setDefault(&s.WaitGrace, 50*time.Millisecond)
+	setDefault(&s.LeaseWait, 200*time.Millisecond)
+	setDefault(&s.LeasePoll, 20*time.Millisecond)
+	setDefault(&s.Tick, 100*time.Millisecond)
+	setDefault(&s.RunnersMaxAge, 20*time.Millisecond)
+	setDefault(&s.BusyPause, 20*time.Millisecond)
+	setDefault(&s.UnreachablePause, 500*time.Millisecond)
+	setDefault(&s.LeavingPause, 3*time.Second)
+	setDefault(&s.TableTimeout, time.Second)
+	setDefault(&s.ClaimRetry, 20*time.Millisecond)
+	setDefault(&s.ClaimRetryMax, time.Second)
+	setDefault(&s.OutcomeGiveUp, 30*time.Second)
+	setDefault(&s.DefaultSlots, 8)
+	setDefault(&s.DefaultConnections, 64)
+	setDefault(&s.ReservedConnections, 2)
+	setDefault(&s.MaxHops, 3)
+	setDefault(&s.MaxForwards, 48)
+	setDefault(&s.MaxKeys, 1<<16)
+	setDefault(&s.MaxRememberedBytes, 8<<20)
+	setDefault(&s.ClaimRing, 4096)
+	setDefault(&s.ClaimGroup, 64)
+	setDefault(&s.InlineAnswerBytes, 64<<10)
 	// A key must not be forgotten while its dispatch may still run.
 	s.AnswerRetention = max(s.AnswerRetention, s.RequestTimeoutMax+s.Settle)
-	if s.Admission == (admission.Settings{}) {
-		s.Admission = admission.DefaultSettings()
-	}
-	if s.Retry == (retry.Settings{}) {
-		s.Retry = retry.DefaultSettings()
-	}
+	setDefault(&s.Admission, admission.DefaultSettings())
+	setDefault(&s.Retry, retry.DefaultSettings())
 	return s
 }
 
-func setDuration(d *time.Duration, value time.Duration) {
-	if *d == 0 {
-		*d = value
-	}
-}
-
-func setInt(n *int, value int) {
-	if *n == 0 {
-		*n = value
+// setDefault replaces a setting that was left out. Unlike defaults.Set it leaves
+// negative ones as they are.
+func setDefault[T comparable](setting *T, value T) {
+	var leftOut T
+	if *setting == leftOut {
+		*setting = value
 	}
 }
