Check a name and that it is new in one place

Worker shapes, domains, services, kinds of requests and teams each called checkName and then checkUnique with the same path and name. checkNewName does both. Left as they are: the loops around them, which check different things, and the kinds of jobs, where the two checks report in the other order.

Behaviour is the same: for 18 declarations with a repeated, an empty and a malformed name in each list (the kinds of batch jobs and of requests too), "check" prints the same bytes as before. go test -p 2 -count=1 ./declaration ./command ./configuration passes.

--- a/declaration/check.go
+++ b/declaration/check.go
@@ -119,6 +119,12 @@
 	seen[name] = path
 }
 
+// checkNewName checks a name that may stand in its list only once.
+func (c *checker) checkNewName(seen map[string]string, path, name string) {
+	c.checkName(path, name)
+	c.checkUnique(seen, path, name)
+}
+
 func (c *checker) checkShapes() {
 	if len(c.d.WorkerShapes) == 0 {
 		c.Addf("worker_shapes", "must not be empty")
@@ -126,8 +132,7 @@
 	seen := map[string]string{}
 	for i, shape := range c.d.WorkerShapes {
 		at := strictjson.Index("worker_shapes", i)
-		c.checkName(at+".name", shape.Name)
-		c.checkUnique(seen, at+".name", shape.Name)
+		c.checkNewName(seen, at+".name", shape.Name)
 		c.checkSize(at+".capacity", shape.Capacity)
 	}
 }
@@ -139,8 +144,7 @@
 	seen := map[string]string{}
 	for i, domain := range c.d.Domains {
 		at := strictjson.Index("domains", i)
-		c.checkName(at+".name", domain.Name)
-		c.checkUnique(seen, at+".name", domain.Name)
+		c.checkNewName(seen, at+".name", domain.Name)
 		for k, group := range domain.Workers {
 			c.checkGroup(strictjson.Index(at+".workers", k), group)
 		}
@@ -159,8 +163,7 @@
 	seen := map[string]string{}
 	for i, service := range c.d.Services {
 		at := strictjson.Index("services", i)
-		c.checkName(at+".name", service.Name)
-		c.checkUnique(seen, at+".name", service.Name)
+		c.checkNewName(seen, at+".name", service.Name)
 		c.checkRunners(at, service)
 		c.checkRequests(at, service)
 	}
@@ -193,8 +196,7 @@
 	seen := map[string]string{}
 	for k, request := range s.Requests {
 		at := strictjson.Index(path+".requests", k)
-		c.checkName(at+".kind", request.Kind)
-		c.checkUnique(seen, at+".kind", request.Kind)
+		c.checkNewName(seen, at+".kind", request.Kind)
 		c.checkClass(at+".class", request.Class, false)
 		if request.TimeoutMS < 1 || request.TimeoutMS > c.limits.RequestTimeoutMaxMS {
 			c.Addf(at+".timeout_ms", "must be between 1 and request_timeout_max_ms (%d), not %d",
--- a/declaration/checkwork.go
+++ b/declaration/checkwork.go
@@ -101,8 +101,7 @@
 	seen := map[string]string{}
 	for i, team := range c.d.Teams {
 		at := strictjson.Index("teams", i)
-		c.checkName(at+".name", team.Name)
-		c.checkUnique(seen, at+".name", team.Name)
+		c.checkNewName(seen, at+".name", team.Name)
 		if !(team.Weight > 0) || math.IsInf(team.Weight, 0) {
 			c.Addf(at+".weight", "must be above 0, not %v", team.Weight)
 		}
