--- a/coordinator/grant_test.go
+++ b/coordinator/grant_test.go
@@ -10,7 +10,6 @@
 
 	"bergamotstile/jobs"
 	"bergamotstile/leadership"
-	"bergamotstile/rowstore"
 )
 
 // successionWorld is a coordinator that can't renew its lease any more, the one that
@@ -57,7 +56,7 @@
 
 func (w *successionWorld) leader(epoch uint64, term *leadership.Term) *leader {
 	env := Environment{Lease: 8 * time.Second, Clock: w.clock, Log: silentLog(), Count: func(string, int64) {}}
-	t := &leader{env: env, core: New(Limits{}, silentLog(), nil), term: term, links: map[string]*link{}, sharedRows: map[rowstore.Key]string{}, expiries: map[string]recordedExpiry{}}
+	t := steppedLeader(env, term)
 	w.reaches[t] = map[string]bool{}
 	return t
 }
--- a/coordinator/handover_test.go
+++ b/coordinator/handover_test.go
@@ -41,6 +41,13 @@
 	}
 }
 
+// steppedLeader returns a leader without its loop, for tests that call its steps
+// themselves.
+func steppedLeader(env Environment, term *leadership.Term) *leader {
+	return &leader{env: env, core: New(Limits{}, silentLog(), nil), term: term,
+		links: map[string]*link{}, sharedRows: map[rowstore.Key]string{}, expiries: map[string]recordedExpiry{}}
+}
+
 // crashing returns a copy of an environment and a flag. Once the flag is set, the copy's
 // store refuses writes, as if its coordinator had crashed.
 func crashing(env Environment) (Environment, *atomic.Bool) {
--- a/coordinator/recorded_test.go
+++ b/coordinator/recorded_test.go
@@ -24,9 +24,9 @@
 	store := rowstore.NewMemory()
 	env := Environment{Store: store, Lease: 8 * time.Second, Clock: clock.now, StoreClock: clock.now, StoreBounds: sameClock,
 		Log: silentLog(), Count: func(string, int64) {}}
-	tn := &leader{env: env, core: New(Limits{}, silentLog(), nil), term: leadership.NewTerm(1, 24*time.Hour, clock.now),
-		journal: newJournal(store, 1, silentLog()), links: map[string]*link{}, sharedRows: map[rowstore.Key]string{},
-		expiries: map[string]recordedExpiry{}, events: make(chan event, 16), failed: make(chan error, 1), ctx: t.Context()}
+	tn := steppedLeader(env, leadership.NewTerm(1, 24*time.Hour, clock.now))
+	tn.journal = newJournal(store, 1, silentLog())
+	tn.events, tn.failed, tn.ctx = make(chan event, 16), make(chan error, 1), t.Context()
 	if _, err := tn.journal.fence(t.Context(), sharedPart); err != nil {
 		t.Fatal(err)
 	}
--- a/coordinator/roster_test.go
+++ b/coordinator/roster_test.go
@@ -68,8 +68,8 @@
 	w.epoch++
 	w.below, w.above = time.Duration(w.random.Int64N(int64(clockError))), time.Duration(w.random.Int64N(int64(clockError)))
 	env := Environment{Store: rowstore.NewMemory(), Lease: 8 * time.Second, Clock: w.clock, StoreBounds: w.bounds, Log: silentLog()}
-	w.leader = &leader{env: env, core: New(Limits{}, silentLog(), nil), term: leadership.NewTerm(w.epoch, w.now, w.clock),
-		journal: newJournal(env.Store, w.epoch, silentLog()), links: map[string]*link{}, sharedRows: map[rowstore.Key]string{}, expiries: map[string]recordedExpiry{}}
+	w.leader = steppedLeader(env, leadership.NewTerm(w.epoch, w.now, w.clock))
+	w.leader.journal = newJournal(env.Store, w.epoch, silentLog())
 	if _, err := w.leader.journal.fence(context.Background(), sharedPart); err != nil {
 		w.t.Fatal(err)
 	}
