Share the set-up of an excluded worker in the tests of quarantine

Three tests wrote out the same three failures that exclude a worker. bookWithExcluded does that. The tests of items that fail everywhere and of a worker that fails everything look alike only: they draw their failures.

No check changed. go test -p 2 -count=1 ./quarantine passes.

--- a/quarantine/book_test.go
+++ b/quarantine/book_test.go
@@ -13,6 +13,16 @@
 
 func item(i int) structs.WorkID { return structs.WorkID(fmt.Sprintf("item-%d", i)) }
 
+// bookWithExcluded returns a book in which a worker is excluded since start: it failed
+// three items.
+func bookWithExcluded(worker string) *Book {
+	b := New(DefaultSettings())
+	for i := range 3 {
+		b.Failed(worker, item(i), start)
+	}
+	return b
+}
+
 // Guards against excluding healthy workers because of items that fail
 // everywhere.
 func TestItemsThatNeverRunDoNotExcludeWorkers(t *testing.T) {
@@ -58,10 +68,7 @@
 // Guards against a repaired worker that stays excluded, and against a second
 // probe while the first is running.
 func TestOneProbeReadmitsARepairedWorker(t *testing.T) {
-	b := New(DefaultSettings())
-	for i := range 3 {
-		b.Failed("w", item(i), start)
-	}
+	b := bookWithExcluded("w")
 	later := start.Add(DefaultSettings().ProbeAfter)
 	if b.State("w", later) != Probe {
 		t.Fatal("no probe is due")
@@ -79,10 +86,7 @@
 // Guards against a repaired worker that runs a single probe for the whole
 // length of a job, and against readmission by work other than the probe.
 func TestProbeThatRunsLongEnoughReadmits(t *testing.T) {
-	b := New(DefaultSettings())
-	for i := range 3 {
-		b.Failed("w", item(i), start)
-	}
+	b := bookWithExcluded("w")
 	later := start.Add(DefaultSettings().ProbeAfter)
 	b.Placed("w", item(9))
 	b.Ran("w", item(8), time.Hour)
@@ -98,10 +102,7 @@
 
 // Guards against probing a broken worker at a constant rate for ever.
 func TestProbesBackOff(t *testing.T) {
-	b := New(DefaultSettings())
-	for i := range 3 {
-		b.Failed("w", item(i), start)
-	}
+	b := bookWithExcluded("w")
 	now, previous := start, time.Duration(0)
 	for i := range 8 {
 		from := now
