--- a/lifecycle/scenario_test.go
+++ b/lifecycle/scenario_test.go
@@ -48,19 +48,45 @@
 	return item
 }
 
+// submitRunning submits an item that fills a worker, waits until it runs and returns
+// its worker.
+func (w *world) submitRunning() (id structs.WorkID, worker string) {
+	id = w.submitSpec(structs.WorkSpec{Key: "k", Size: fullWorker, Idempotent: true})
+	w.pass(3*time.Second, 500*time.Millisecond)
+	return id, w.expect(id, structs.StateRunning, 1).Worker
+}
+
+// submitBeforeStart submits an item that fills a worker and goes on until the call that
+// starts it is the next of its owner.
+func (w *world) submitBeforeStart() (structs.WorkID, *instance) {
+	id := w.submitSpec(structs.WorkSpec{Key: "k", Size: fullWorker, Idempotent: true})
+	in := w.owner()
+	for len(in.calls) == 0 || in.calls[0].name != "start" {
+		w.clock.Advance(100 * time.Millisecond)
+		in.leases.Step(context.Background(), testShard)
+		w.halfPumpUntil(in, "start")
+	}
+	return id, in
+}
+
+// halfPumpUntil performs calls until one of the name is next.
+func (w *world) halfPumpUntil(in *instance, name string) {
+	w.tick(in)
+	for len(in.calls) > 0 && in.calls[0].name != name {
+		w.perform(in, 0)
+		for len(in.results) > 0 {
+			w.deliver(in, 0)
+		}
+	}
+}
+
 var fullWorker = structs.Resources{CPUMilli: 4000, MemoryMB: 4096, Accelerators: 2}
 
 // Guards against a start that a paused owner's process sends long after its
 // shard was taken over and its worker left the list.
 func TestLateStartIsRefused(t *testing.T) {
 	scenario(t, func(w *world) {
-		id := w.submitSpec(structs.WorkSpec{Key: "k", Size: fullWorker, Idempotent: true})
-		in := w.owner()
-		for len(in.calls) == 0 || in.calls[0].name != "start" {
-			w.clock.Advance(100 * time.Millisecond)
-			in.leases.Step(context.Background(), testShard)
-			w.halfPumpUntil(in, "start")
-		}
+		id, in := w.submitBeforeStart()
 		in.frozen = true
 		placed := w.table.item(testShard, id).Worker
 		w.toggleListed(placed)
@@ -75,17 +101,6 @@
 	})
 }
 
-// halfPumpUntil performs calls until one of the name is next.
-func (w *world) halfPumpUntil(in *instance, name string) {
-	w.tick(in)
-	for len(in.calls) > 0 && in.calls[0].name != name {
-		w.perform(in, 0)
-		for len(in.results) > 0 {
-			w.deliver(in, 0)
-		}
-	}
-}
-
 // Guards against evicted work that starts over, resumes twice, or resumes
 // from a checkpoint that is not in the object store.
 func TestEvictionResumesFromItsCheckpoint(t *testing.T) {
@@ -243,13 +258,7 @@
 // The property test found this with seed 47390981, after 9735 runs.
 func TestNoStartAfterTheWorkerLeft(t *testing.T) {
 	scenario(t, func(w *world) {
-		id := w.submitSpec(structs.WorkSpec{Key: "k", Size: fullWorker, Idempotent: true})
-		in := w.owner()
-		for len(in.calls) == 0 || in.calls[0].name != "start" {
-			w.clock.Advance(100 * time.Millisecond)
-			in.leases.Step(context.Background(), testShard)
-			w.halfPumpUntil(in, "start")
-		}
+		id, in := w.submitBeforeStart()
 		in.results = append(in.results, in.calls[0].run(canceled())) // never arrives
 		in.calls = in.calls[1:]
 		w.toggleListed(w.table.item(testShard, id).Worker)
@@ -265,9 +274,7 @@
 // owners are restarted in turn: each of them waited a whole task lease anew.
 func TestLostWorkersTaskResumesDuringRestarts(t *testing.T) {
 	scenario(t, func(w *world) {
-		id := w.submitSpec(structs.WorkSpec{Key: "k", Size: fullWorker, Idempotent: true})
-		w.pass(3*time.Second, 500*time.Millisecond)
-		lost := w.expect(id, structs.StateRunning, 1).Worker
+		id, lost := w.submitRunning()
 		w.cut[lost] = true
 		w.toggleListed(lost)
 		for range 6 {
@@ -289,9 +296,7 @@
 // worker's task would run in two places.
 func TestReleaseHandsOverNoAbsenceOfAWorkerWithALease(t *testing.T) {
 	scenario(t, func(w *world) {
-		id := w.submitSpec(structs.WorkSpec{Key: "k", Size: fullWorker, Idempotent: true})
-		w.pass(3*time.Second, 500*time.Millisecond)
-		placed := w.expect(id, structs.StateRunning, 1).Worker
+		id, placed := w.submitRunning()
 		in := w.owner()
 		w.toggleStale(in)
 		w.toggleListed(placed)
@@ -309,9 +314,7 @@
 func TestGrantsAfterAHandoverCount(t *testing.T) {
 	for _, planned := range []bool{false, true} {
 		scenario(t, func(w *world) {
-			id := w.submitSpec(structs.WorkSpec{Key: "k", Size: fullWorker, Idempotent: true})
-			w.pass(3*time.Second, 500*time.Millisecond)
-			placed := w.expect(id, structs.StateRunning, 1).Worker
+			id, placed := w.submitRunning()
 			w.toggleListed(placed)
 			w.pass(10*time.Second, 500*time.Millisecond)
 			first := w.owner()
