--- a/coordinator/grant_test.go
+++ b/coordinator/grant_test.go
@@ -10,7 +10,6 @@
 
 	"bergamotstile/jobs"
 	"bergamotstile/leadership"
-	"bergamotstile/rowstore"
 )
 
 // successionWorld is a coordinator that can't renew its lease any more, the one that
@@ -57,7 +56,7 @@
 
 func (w *successionWorld) leader(epoch uint64, term *leadership.Term) *leader {
 	env := Environment{Lease: 8 * time.Second, Clock: w.clock, Log: silentLog(), Count: func(string, int64) {}}
-	t := &leader{env: env, core: New(Limits{}, silentLog(), nil), term: term, links: map[string]*link{}, sharedRows: map[rowstore.Key]string{}, expiries: map[string]recordedExpiry{}}
+	t := steppedLeader(env, term)
 	w.reaches[t] = map[string]bool{}
 	return t
 }
@@ -235,20 +234,9 @@
 // epoch twice: the first answers have been passed on then.
 func (f *fleet) awaitReached(t *testing.T, epoch uint64, runners int) {
 	t.Helper()
-	for until := time.Now().Add(patience); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
-		reached := 0
-		f.mu.Lock()
-		for _, r := range f.runners {
-			if r.epoch == epoch && r.holds > 1 {
-				reached++
-			}
-		}
-		f.mu.Unlock()
-		if reached >= runners {
-			return
-		}
+	if !f.await(func() bool { return f.obeying(epoch, 2) >= runners }) {
+		t.Fatalf("fewer than %d runners obey epoch %d", runners, epoch)
 	}
-	t.Fatalf("fewer than %d runners obey epoch %d", runners, epoch)
 }
 
 // Guards against a bound that is too early for the slowest clock that a runner may
