Replay a lease whose terms fail one after the other

The test replays 38 candidates on 20 seeds: no weak one takes the lease within 1.2 s and none has two terms. What is left: each of the 8 capable instances still has one term, as a failed term does not say whether the cause is the instance or the store.

--- a/leadership/capacity_test.go
+++ b/leadership/capacity_test.go
@@ -92,14 +92,7 @@
 	for seed := range uint64(20) {
 		random := rand.New(rand.NewPCG(seed, 17))
 		store, now := rowstore.NewMemory(), &clock{now: time.Minute}
-		var all []*Candidate
-		for i := range 38 {
-			milli := int64(strongMilli)
-			if i >= 8 {
-				milli = weakMilli + random.Int64N(middleMilli-weakMilli)
-			}
-			all = append(all, registered(t, store, fmt.Sprint("front-", i), milli, now))
-		}
+		all := mixedDeployment(t, store, now, random)
 		released(t, store, now)
 		if c := firstTaker(all, now, random); c.CPUMilli != strongMilli {
 			t.Errorf("seed %d: %s with %d thousandths of a core takes the lease", seed, c.Holder, c.CPUMilli)
@@ -107,27 +100,93 @@
 	}
 }
 
+// mixedDeployment returns 8 capable and 30 weak candidates.
+func mixedDeployment(t *testing.T, store rowstore.Store, now *clock, random *rand.Rand) []*Candidate {
+	t.Helper()
+	var all []*Candidate
+	for i := range 38 {
+		milli := int64(strongMilli)
+		if i >= 8 {
+			milli = weakMilli + random.Int64N(middleMilli-weakMilli)
+		}
+		all = append(all, registered(t, store, fmt.Sprint("front-", i), milli, now))
+	}
+	return all
+}
+
 // firstTaker lets candidates poll, each at its own phase.
 func firstTaker(all []*Candidate, now *clock, random *rand.Rand) *Candidate {
-	begun := now.now
-	next := make([]time.Duration, len(all))
-	seen := make([]*observed, len(all))
-	for i := range all {
-		next[i] = begun + time.Duration(random.Int64N(int64(pollEvery)))
-		seen[i] = begins(now)
-	}
+	p := newPollers(all, now, random)
 	for {
-		first := 0
-		for i := range next {
-			if next[i] < next[first] {
-				first = i
+		i := p.next()
+		if polls(all[i], p.seen[i]) {
+			return all[i]
+		}
+	}
+}
+
+// pollers are candidates that poll in turn.
+type pollers struct {
+	now  *clock
+	due  []time.Duration
+	seen []*observed
+}
+
+func newPollers(all []*Candidate, now *clock, random *rand.Rand) *pollers {
+	p := &pollers{now: now}
+	for range all {
+		p.due = append(p.due, now.now+time.Duration(random.Int64N(int64(pollEvery))))
+		p.seen = append(p.seen, begins(now))
+	}
+	return p
+}
+
+// next moves the clock to the next poll and returns whose it is.
+func (p *pollers) next() int {
+	first := 0
+	for i := range p.due {
+		if p.due[i] < p.due[first] {
+			first = i
+		}
+	}
+	p.now.now = max(p.now.now, p.due[first])
+	p.due[first] = p.now.now + pollEvery
+	return first
+}
+
+// Guards against a lease that goes round all instances: while one part of the store
+// answered 503 ten instances took it one after the other in 0.8 s and gave it up after
+// 30 ms each.
+func TestLeaseOfFailingTermsDoesNotGoRound(t *testing.T) {
+	const failsAfter = 30 * time.Millisecond
+	for seed := range uint64(20) {
+		random := rand.New(rand.NewPCG(seed, 18))
+		store, now := rowstore.NewMemory(), &clock{now: time.Minute}
+		all := mixedDeployment(t, store, now, random)
+		released(t, store, now)
+		terms := map[string]int{}
+		for _, c := range all {
+			c.Lead = func(context.Context, *Term) error {
+				terms[c.Holder]++
+				if c.CPUMilli != strongMilli {
+					t.Errorf("seed %d: %s with %d thousandths of a core takes the lease", seed, c.Holder, c.CPUMilli)
+				}
+				now.now += failsAfter
+				return errors.New("take over: status 503")
 			}
 		}
-		now.now = next[first]
-		if polls(all[first], seen[first]) {
-			return all[first]
+		p := newPollers(all, now, random)
+		for end := now.now + capacityWait; now.now < end; {
+			i := p.next()
+			if why, ok := all[i].poll(context.Background(), p.seen[i]); ok {
+				all[i].lead(context.Background(), p.seen[i], why)
+			}
+		}
+		for holder, count := range terms {
+			if count > 1 {
+				t.Errorf("seed %d: %s has %d terms within %v", seed, holder, count, capacityWait)
+			}
 		}
-		next[first] += pollEvery
 	}
 }
 
