Soak instances of different capacity

The soak had equal instances only, so no hand-over ran under faults. A second test gives them 0.11, 0.8, 0.16 and 0.11 of a core by their settings (a claim only, they are not slowed) and logs the number of hand-overs.

--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -80,7 +80,9 @@
 	return l.Addr().String(), nil
 }
 
-func deploy(dir string, seed uint64, instances, runners int) (*deployment, error) {
+// deploy starts a deployment. The shares of a core are given to the instances in
+// turn; none stands for equal instances.
+func deploy(dir string, seed uint64, instances, runners int, shares []float64) (*deployment, error) {
 	d := &deployment{dir: dir, store: hostedtest.NewStore(seed), recorder: hostedtest.NewRecorder(runnerMilli, attempts)}
 	server, address, err := listen(d.store)
 	if err != nil {
@@ -94,7 +96,11 @@
 	}
 	d.store.Configure(configVersion, route)
 	for i := range instances {
-		if err := d.addInstance(i, address); err != nil {
+		share := 0.0
+		if len(shares) > 0 {
+			share = shares[i%len(shares)]
+		}
+		if err := d.addInstance(i, address, share); err != nil {
 			return d, err
 		}
 	}
@@ -125,7 +131,7 @@
 	d.store.Register(hostedtest.Entry{ID: r.ID, Service: route.Service, Address: r.proxy.Address(), CPUMilli: runnerMilli, Draining: draining})
 }
 
-func (d *deployment) addInstance(i int, store string) error {
+func (d *deployment) addInstance(i int, store string, share float64) error {
 	in := &instance{name: fmt.Sprint("entry-", i), settings: filepath.Join(d.dir, fmt.Sprintf("entry-%d.toml", i))}
 	d.instances = append(d.instances, in)
 	var err error
@@ -139,7 +145,7 @@
 	if in.ready, err = freeAddress(address); err != nil {
 		return err
 	}
-	settings := hostedtest.Settings{Instance: in.name, Front: in.front, Readiness: in.ready, Store: in.toStore.Address()}
+	settings := hostedtest.Settings{Instance: in.name, Front: in.front, Readiness: in.ready, Store: in.toStore.Address(), CPUShare: share}
 	if err := settings.Write(in.settings); err != nil {
 		return err
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -11,6 +11,9 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -61,7 +64,7 @@
 	for seed := range run {
 		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
 			t.Parallel()
-			soak(t, seed, *length)
+			soak(t, seed, *length, nil)
 		})
 	}
 }
@@ -69,12 +72,26 @@
 // Guards against a backlog of many jobs that is worked off too slowly, as runners on
 // which tasks have failed get no new ones (seed 302).
 func TestSoakBacklogOfManyJobs(t *testing.T) {
-	soak(t, 302, 15*time.Second)
+	soak(t, 302, 15*time.Second, nil)
 }
 
-func soak(t *testing.T, seed uint64, length time.Duration) {
+// mixedShares are shares of a core of which the largest is to coordinate.
+var mixedShares = []float64{0.11, 0.8, 0.16, 0.11}
+
+// Guards against promises that are broken while weak instances hand the lease over,
+// with faults meanwhile.
+func TestSoakOfMixedInstances(t *testing.T) {
+	for seed := *firstSeed + 400; seed < *firstSeed+400+*seeds; seed++ {
+		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
+			t.Parallel()
+			soak(t, seed, 2**length, mixedShares)
+		})
+	}
+}
+
+func soak(t *testing.T, seed uint64, length time.Duration, shares []float64) {
 	dir := t.TempDir()
-	d, err := deploy(dir, seed, *size, *fleet)
+	d, err := deploy(dir, seed, *size, *fleet, shares)
 	defer d.close()
 	if err != nil {
 		keep(t, dir, seed, nil)
@@ -104,7 +121,7 @@
 	for _, v := range d.recorder.Violations() {
 		t.Error(v)
 	}
-	t.Logf("%d jobs, %d faults", len(c.jobs), len(injected))
+	t.Logf("%d jobs, %d faults, %d hand-overs", len(c.jobs), len(injected), logLines(t, dir, "lease requested by a more capable instance"))
 	if t.Failed() {
 		keep(t, dir, seed, injected)
 	}
@@ -135,6 +152,23 @@
 }
 
 // keep copies the logs of a failed run to where they outlast it.
+// logLines counts the lines of the instances' logs with a message.
+func logLines(t *testing.T, dir, message string) int {
+	files, err := filepath.Glob(filepath.Join(dir, "*.log"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	count := 0
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		count += strings.Count(string(text), strconv.Quote(message))
+	}
+	return count
+}
+
 func keep(t *testing.T, dir string, seed uint64, injected []string) {
 	kept, err := os.MkdirTemp("", fmt.Sprintf("soak-%d-", seed))
 	if err != nil {
