--- a/leadership/capacity_test.go
+++ b/leadership/capacity_test.go
@@ -155,7 +155,7 @@
 }
 
 // Guards against a lease that goes round all instances: while one part of the store
-// answered 503 ten instances, most of them weak, took it in 0.8 s and gave it up after
+// answered 503 ten instances took it one after the other in 0.8 s and gave it up after
 // 30 ms each.
 func TestLeaseOfFailingTermsDoesNotGoRound(t *testing.T) {
 	const failsAfter = 30 * time.Millisecond
