Let a test of expiries switch the store's refusals without a race

The hook stays now and asks an atomic flag. What is checked is unchanged: without the rule that it guards (linkTo taking over a recorded expiry) it fails with "a lease is extended while the store holds the expiry".

After: go test -race ./coordinator passes (one run, 76 s).

--- a/coordinator/recorded_test.go
+++ b/coordinator/recorded_test.go
@@ -105,8 +105,10 @@
 	w.leader.core.runners[rosterRunner].listed = false
 	w.leader.core.RunnerLapsed(rosterRunner, w.clock.now())
 	w.leader.dropLinks()
+	var refusing atomic.Bool
+	refusing.Store(true)
 	w.store.Fail = func(call string) error { // the next write is not carried out
-		if call == "commit" {
+		if call == "commit" && refusing.Load() {
 			return rowstore.ErrRefused
 		}
 		return nil
@@ -115,7 +117,7 @@
 	again := w.register()
 	again.answered(1, time.Hour+10*time.Second, w.clock.now(), w.clock.now())
 	w.checkGrant(again.request().Deadline)
-	w.store.Fail = nil
+	refusing.Store(false)
 	w.awaitEvent()
 	(<-w.leader.events).apply(w.leader)
 	if again.request().Deadline == 0 {
