Ask a runner for its list again only once the last one is applied

Cause: each runner was called again as soon as its report was queued, so that a coordinator that was behind was sent more reports, which repeat what waits already. Rounds of scheduling followed each batch of events, however long the last one had taken, and every answer to a change of pace, of which nothing follows, went through the queue. Class: no feedback from a consumer that is behind to its producers.

Now a link calls its runner again once its last report is applied, or after 1 s, so that leases are extended; one report then tells of several ends. Answers to paces are not posted.

Tests without the change: 'TestRunnerIsAskedAgainOnceItsReportIsApplied: 7 calls, want 1 while a report waits', 'TestAnswerToAPaceIsNotPosted: 2 answers wait, want that to the stop only'.

--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -82,7 +82,10 @@
 	predecessor   predecessor
 
 	// jobsAsOf is the time of the store's clock up to which accepted jobs are known.
-	jobsAsOf  time.Duration
+	jobsAsOf   time.Duration
+	rounds     roundPacer
+	roundTimer *time.Timer // fires when a round that was put off is due
+
 	oldest    time.Duration // age of the oldest event of the present round
 	backlog   backlog
 	lagLog    logThrottle
@@ -162,6 +165,8 @@
 func (t *leader) loop(ctx context.Context) error {
 	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
+	t.roundTimer = time.NewTimer(0)
+	defer t.roundTimer.Stop()
 	t.act()
 	for {
 		select {
@@ -172,6 +177,7 @@
 			return err
 		case <-tick.C:
 			t.tick()
+		case <-t.roundTimer.C:
 		case p := <-t.urgent:
 			t.take(p)
 			t.drain()
@@ -238,10 +244,10 @@
 	}
 }
 
-// act schedules, sends the orders and stores the progress.
+// act schedules if a round is due, sends the orders and stores the progress.
 func (t *leader) act() {
 	now := t.env.Clock()
-	t.core.Schedule(now, time.Duration(time.Now().UnixNano()))
+	t.schedule(now)
 	t.sendOrders()
 	for _, r := range t.core.TakeRequests() {
 		go t.advise(r)
@@ -252,6 +258,16 @@
 	}
 }
 
+func (t *leader) schedule(now time.Duration) {
+	began := time.Now()
+	if wait := t.rounds.wait(began); wait > 0 {
+		t.roundTimer.Reset(wait)
+		return
+	}
+	t.core.Schedule(now, time.Duration(began.UnixNano()))
+	t.rounds.done(began, time.Now())
+}
+
 func (t *leader) sendOrders() {
 	for _, o := range t.core.TakeOrders() {
 		if l := t.links[o.Runner]; l != nil {
@@ -315,6 +331,7 @@
 	if t.serves(e.link) {
 		t.core.Report(e.report, t.env.Clock())
 	}
+	e.link.noteApplied()
 }
 
 func (e silentEvent) apply(t *leader) {
--- a/coordinator/link.go
+++ b/coordinator/link.go
@@ -16,6 +16,9 @@
 	recordedWait = 50 * time.Millisecond
 	// silentRetry is the pause between calls to a runner that does not answer.
 	silentRetry = 250 * time.Millisecond
+	// appliedWait bounds the wait for a report to be applied before the next call.
+	// Leases have to be extended meanwhile.
+	appliedWait = time.Second
 	// storeWait bounds the wait for reported ends to be stored before the next
 	// call, which would list them again.
 	storeWait = 80 * time.Millisecond
@@ -37,6 +40,7 @@
 	runner  string
 	orders  chan struct{} // one token for each order under way
 	stored  chan struct{} // signals progress of acknowledged
+	applied chan struct{} // signals that a report was applied
 	stop    context.CancelFunc
 	mu      sync.Mutex
 	address string
@@ -61,7 +65,7 @@
 // newLink returns the link to a runner on which a predecessor's leases have
 // lapsed at the time inherited.
 func newLink(t *leader, runner, address string, inherited time.Duration) *link {
-	return &link{t: t, runner: runner, address: address, orders: make(chan struct{}, maxOrders), stored: make(chan struct{}, 1),
+	return &link{t: t, runner: runner, address: address, orders: make(chan struct{}, maxOrders), stored: make(chan struct{}, 1), applied: make(chan struct{}, 1),
 		lease: lease{lapsed: inherited}}
 }
 
@@ -180,12 +184,31 @@
 		res.Report.Unleased = !l.answered(res.Report.Incarnation, res.Clock, sent, now)
 		res.Report.Sent = sent
 		l.t.post(ctx, reportEvent{res.Report, l})
+		l.awaitApplied(ctx)
 		if len(res.Report.Ended) > 0 {
 			l.awaitStored(ctx)
 		}
 	}
 }
 
+// awaitApplied waits until the last report was applied. A coordinator that is behind
+// would else be sent reports that repeat what waits already; so each tells more instead.
+func (l *link) awaitApplied(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-l.applied:
+	case <-time.After(appliedWait):
+	}
+}
+
+// noteApplied records that a report was applied.
+func (l *link) noteApplied() {
+	select {
+	case l.applied <- struct{}{}:
+	default:
+	}
+}
+
 func (l *link) awaitStored(ctx context.Context) {
 	select {
 	case <-ctx.Done():
@@ -208,6 +231,8 @@
 		case errors.Is(err, ErrFenced):
 			l.t.fail(ErrFenced)
 			return
+		case err == nil && o.Kind == Pace:
+			return // nothing follows from it
 		case err == nil:
 			l.t.post(ctx, answerEvent{Answer{Order: o, Outcome: outcome, Repeated: repeated}})
 			return
