Send stops at once also when the loop takes the cancel first

Cause: the loop selects from either queue. Where it took the urgent event itself, the orders that follow waited for the end of the batch of up to 128 reports; only urgent events found by applyUrgent had theirs sent at once.

--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -167,6 +167,7 @@
 			t.tick()
 		case p := <-t.urgent:
 			t.take(p)
+			t.sendOrders()
 			t.drain()
 		case p := <-t.events:
 			t.applyUrgent()
--- a/coordinator/queue_test.go
+++ b/coordinator/queue_test.go
@@ -43,6 +43,7 @@
 	l.env.Runners = obedient{w.orders}
 	l.env.Queues = func() []jobs.Queue { return []jobs.Queue{renders} }
 	l.events, l.urgent = make(chan posted, eventBuffer), make(chan posted, urgentBuffer)
+	l.ended = map[jobs.ID]time.Duration{}
 	l.core.Configure([]jobs.Queue{renders})
 	w.link = w.register()
 	info := RunnerInfo{ID: rosterRunner, Service: testService, Capacity: structs.Resources{CPUMilli: 4000, MemoryMB: 1 << 20}}
@@ -105,6 +106,29 @@
 	}
 }
 
+// Guards against a stop that waits for a batch of reports because the loop, which takes
+// from either queue, took the cancel first.
+func TestStopIsSentBeforeReportsWhicheverQueueIsTakenFirst(t *testing.T) {
+	for range 10 {
+		w := newQueueWorld(t)
+		reports, late := 0, 0
+		for range maxBatch / 2 {
+			w.leader.post(t.Context(), w.report())
+			w.leader.post(t.Context(), probe(func(l *leader) {
+				reports++
+				if l.core.jobs[firstID] != nil && l.core.jobs[firstID].State != jobs.Cancelled || len(l.core.orders) > 0 {
+					late++
+				}
+			}))
+		}
+		w.cancel()
+		_ = w.runLoop()
+		if reports != maxBatch/2 || late > 0 {
+			t.Errorf("%d of %d reports were applied before the stop was sent", late, reports)
+		}
+	}
+}
+
 // Guards against a cancel that comes during a batch and waits for the batch to end.
 func TestCancelIsAppliedWithinABatch(t *testing.T) {
 	w := newQueueWorld(t)
