--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -180,6 +180,7 @@
 		case <-t.roundTimer.C:
 		case p := <-t.urgent:
 			t.take(p)
+			t.sendOrders()
 			t.drain()
 		case p := <-t.events:
 			t.applyUrgent()
