Let a successor count with the holder before an unsettled term

A candidate that takes a lapsed lease and ends before it has begun to coordinate (the store refuses it) releases the row. The next one took 'released' for: no predecessor acts any more. The same after a restart of the instance whose term failed.

Class: evidence that is kept in a process and lost at a takeover. The row says now that its holder has not settled; whoever takes it then counts as after a lapse. A coordinator settles once its state is rebuilt. Ruled out: leaving such a row unreleased (3 s without a coordinator each time).

TestUnsettledTermDoesNotHideItsPredecessor without the rule fails for another instance and for the same one: 'claim {reason:released renewed:0 gone:0}'.

--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -132,6 +132,7 @@
 	}
 	env.Log.WithFields(logrus.Fields{"epoch": term.Epoch, "jobs": len(t.core.jobs), "runners": len(t.core.runners),
 		"unresolved": t.core.Unresolved(), "took_ms": (env.Clock() - begun).Milliseconds()}).Info("coordinating")
+	term.Settle()
 	t.coordinating = t.env.Clock()
 	go t.followJobs(ctx, versions.jobs)
 	go t.followRunners(ctx, versions.runners)
--- a/leadership/leadership.go
+++ b/leadership/leadership.go
@@ -52,6 +52,9 @@
 	// for whom.
 	RequestedBy    string `cbor:"7,keyasint,omitempty"`
 	RequesterMilli int64  `cbor:"8,keyasint,omitempty"`
+	// Unsettled is set while the holder has not settled and a predecessor of its may
+	// still act, see Term.Settle. It stays when the lease is released.
+	Unsettled bool `cbor:"9,keyasint,omitempty"`
 }
 
 // isRequestOn reports whether r is an earlier record with a request added.
@@ -79,9 +82,15 @@
 	// at the latest.
 	PredecessorRenewed time.Duration
 	renewed            atomic.Int64
+	settled            atomic.Bool
 	clock              func() time.Duration
 }
 
+// Settle records that the holder's work has begun with all that a predecessor may still
+// do accounted for. If a term ends before that, its successor counts with that
+// predecessor as well.
+func (t *Term) Settle() { t.settled.Store(true) }
+
 // NewTerm returns a tenure whose lease was renewed at a time of the clock.
 func NewTerm(epoch uint64, renewed time.Duration, clock func() time.Duration) *Term {
 	t := &Term{Epoch: epoch, clock: clock}
@@ -260,6 +269,16 @@
 // free reports whether nobody holds the lease, why and since when. The
 // predecessor's last renewal was before its version was first read here.
 func (c *Candidate) free(seen *observed, now time.Duration) (why claim, since time.Duration, ok bool) {
+	why, since, ok = c.vacant(seen, now)
+	if ok && seen.Unsettled {
+		// The holder before this one was not renewed later than the row was first read.
+		why.renewed, why.gone = seen.since, seen.since+Grace
+	}
+	return why, since, ok
+}
+
+// vacant is free without regard to the holders before the last one.
+func (c *Candidate) vacant(seen *observed, now time.Duration) (why claim, since time.Duration, ok bool) {
 	lapse := seen.patient + Duration
 	switch {
 	case seen.version == 0:
@@ -278,7 +297,7 @@
 
 // lead takes the lease and holds it for one term.
 func (c *Candidate) lead(ctx context.Context, seen *observed, why claim) {
-	next := record{Holder: c.Holder, Process: c.Process, Epoch: seen.Epoch + 1, CPUMilli: c.CPUMilli}
+	next := record{Holder: c.Holder, Process: c.Process, Epoch: seen.Epoch + 1, CPUMilli: c.CPUMilli, Unsettled: why.gone > 0}
 	sent := c.Clock()
 	version, err := c.write(ctx, next, seen.version)
 	if err != nil {
@@ -301,6 +320,7 @@
 	c.count("lease_lost")
 	c.Log.WithError(err).WithField("epoch", next.Epoch).Info("lease given up")
 	if !errors.Is(err, ErrDeposed) {
+		held.Unsettled = held.Unsettled && !term.settled.Load()
 		c.release(held)
 	}
 	*seen = newObserved(c.Clock())
@@ -344,12 +364,14 @@
 // for the lease; the lease is renewed then too, so that the holder's work has time
 // to end.
 func (c *Candidate) renew(term *Term, h *held) error {
+	h.Unsettled = h.Unsettled && !term.settled.Load()
 	sent, err := c.writeRenewal(h)
 	var conflict *rowstore.ConflictError
 	if errors.As(err, &conflict) {
 		// The row may be from an earlier renewal whose answer was lost, or have a
 		// request. Others count from the renewal in it, so it is renewed once more.
 		if err = c.adopt(conflict, h); err == nil {
+			h.Unsettled = h.Unsettled && !term.settled.Load()
 			sent, err = c.writeRenewal(h)
 		}
 	}
--- a/leadership/leadership_test.go
+++ b/leadership/leadership_test.go
@@ -181,3 +181,47 @@
 		t.Errorf("stopped %v, row %+v", stopped, seen)
 	}
 }
+
+// Guards against a successor that takes a predecessor for gone because a term between
+// them ended before it had begun to coordinate: that predecessor was not renewed, and may
+// act for its grace. Its leases on runners would be counted too short.
+func TestUnsettledTermDoesNotHideItsPredecessor(t *testing.T) {
+	for _, c := range []struct {
+		name            string
+		settles         bool
+		second, process string // the instance that takes the lease after the unsettled term
+	}{
+		{"another instance", false, "c", "3"},
+		{"the same instance, restarted", false, "b", "4"},
+		{"another instance after a settled term", true, "c", "3"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			store, now := rowstore.NewMemory(), &clock{now: time.Minute}
+			holds(t, candidate(store, "a", "1", now), 1, 0)
+			first := candidate(store, "b", "2", now)
+			first.Lead = func(_ context.Context, term *Term) error {
+				if c.settles {
+					term.Settle()
+				}
+				return errors.New("no rows")
+			}
+			var seen observed
+			look(t, first, &seen)
+			now.now += Duration
+			claim, ok := first.mayTake(&seen)
+			if !ok || claim.gone <= now.now {
+				t.Fatalf("claim %+v, free %v: the lease has lapsed, its holder may act", claim, ok)
+			}
+			first.lead(t.Context(), &seen, claim)
+			next := candidate(store, c.second, c.process, now)
+			var found observed
+			if err := next.read(t.Context(), &found); err != nil {
+				t.Fatal(err)
+			}
+			got, ok := next.mayTake(&found)
+			if !ok || (got.gone > now.now) == c.settles {
+				t.Errorf("claim %+v, free %v", got, ok)
+			}
+		})
+	}
+}
