--- a/coordinator/health.go
+++ b/coordinator/health.go
@@ -12,7 +12,10 @@
 	// after which a runner gets no new tasks for a while.
 	distrustFailures = 2
 	distrustTime     = 4 * time.Second
-	refusedPause     = time.Second
+	// avoidedShare bounds the runners of a service that are avoided for failures at a
+	// time, as one of so many: tasks that fail by themselves would else leave none.
+	avoidedShare = 3
+	refusedPause = time.Second
 	// recentFailure is how long a failure counts against a runner when another
 	// could take the task.
 	recentFailure = 6 * time.Second
@@ -61,10 +64,25 @@
 			h.failures++
 		}
 		h.lastJob, h.lastFailed = x.job, now
-		if h.failures >= distrustFailures {
+		if h.failures >= distrustFailures && c.mayAvoid(x.runner, now) {
 			h.avoidUntil = max(h.avoidUntil, now+distrustTime)
 			c.counters("runners_distrusted", 1)
 			c.log.WithFields(logrus.Fields{"runner": x.runner.ID, "failures": h.failures}).Warn("runner gets no new tasks for a while")
 		}
 	}
 }
+
+// mayAvoid reports whether a runner may be avoided beside those of its service that are.
+func (c *Core) mayAvoid(r *runner, now time.Duration) bool {
+	all, avoided := 0, 0
+	for _, o := range c.runners {
+		if o.Service != r.Service || !o.listed {
+			continue
+		}
+		all++
+		if o != r && o.health.avoided(now) {
+			avoided++
+		}
+	}
+	return avoidedShare*(avoided+1) <= all
+}
