Drop reports from before a lapse, end a term before queued events, bound rounds

TestReportFromBeforeALapseIsIgnored without the check: '1 runs after a report from before the lapse'. - The end of a term, by a fence or a stop, was one of several ready cases of a select, so that a coordinator that is behind ended late, after its lease was no longer renewed. TestEndOfATermGoesBeforeQueuedEvents fails without the check. - The pause after a round was as long as the round, also if the machine was suspended in it. It is 200 ms at most (a case of TestRoundsAreSpaced). - The queues in force were worked out anew for each accepted job, at a cost of all jobs each time; now once for each event. - The time as of which jobs are known stays as it is if an answer leaves changes out.

--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -170,12 +170,21 @@
 	defer t.roundTimer.Stop()
 	t.act()
 	for {
+		// The end of the term goes before events, of which some always wait while the
+		// coordinator is behind.
 		select {
 		case <-ctx.Done():
 			t.handOver()
 			return ctx.Err()
 		case err := <-t.failed:
 			return err
+		default:
+		}
+		select {
+		case <-ctx.Done():
+			continue
+		case err := <-t.failed:
+			return err
 		case <-tick.C:
 			t.tick()
 		case <-t.roundTimer.C:
@@ -330,7 +339,7 @@
 func (t *leader) serves(l *link) bool { return t.links[l.runner] == l }
 
 func (e reportEvent) apply(t *leader) {
-	if t.serves(e.link) {
+	if t.serves(e.link) && e.report.Sent >= e.link.lapsedAt {
 		t.core.Report(e.report, t.env.Clock())
 	}
 	e.link.noteApplied()
@@ -361,6 +370,7 @@
 	}
 	for id, l := range t.links {
 		if l.lapses(now) {
+			l.lapsedAt = now
 			t.core.RunnerLapsed(id, now)
 		}
 	}
@@ -392,6 +402,7 @@
 
 func (e jobsEvent) apply(t *leader) {
 	t.jobsAsOf = max(t.jobsAsOf, e.asOf)
+	t.core.Configure(t.env.Queues())
 	for _, row := range e.rows {
 		t.noteJob(row, false)
 	}
@@ -417,7 +428,6 @@
 		t.env.Log.WithError(err).Error("job not taken on")
 		return
 	}
-	t.core.Configure(t.env.Queues())
 	t.core.Accept(j, inherited, time.Duration(time.Now().UnixNano()))
 }
 
--- a/coordinator/link.go
+++ b/coordinator/link.go
@@ -42,11 +42,14 @@
 	stored  chan struct{} // signals progress of acknowledged
 	applied chan struct{} // signals that a report was applied
 	stop    context.CancelFunc
-	mu      sync.Mutex
-	address string
-	lease   lease
-	silent  bool
-	heard   time.Duration // when the last call was sent that was answered
+	// lapsedAt is when the runs were given up because every lease had lapsed. Reports
+	// of calls before that may still be queued. Only the loop uses it.
+	lapsedAt time.Duration
+	mu       sync.Mutex
+	address  string
+	lease    lease
+	silent   bool
+	heard    time.Duration // when the last call was sent that was answered
 	// silentSince is since when the runner has not answered, if it does not.
 	silentSince time.Duration
 	// gone is set once nothing runs there any more, as far as is known.
--- a/coordinator/queue_test.go
+++ b/coordinator/queue_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"time"
 
 	"bergamotstile/gateway"
 	"bergamotstile/jobs"
+	"bergamotstile/leadership"
 	"bergamotstile/rowstore"
 	"bergamotstile/structs"
 )
@@ -199,3 +201,42 @@
 		t.Error("the leases of a runner that moved and is silent don't lapse")
 	}
 }
+
+// Guards against a run that is brought back by a report from before the lapse of its
+// runner's leases: nothing would end it any more, and its task would stand still.
+func TestReportFromBeforeALapseIsIgnored(t *testing.T) {
+	w := newQueueWorld(t)
+	before := w.report()
+	w.clock.advance(time.Minute)
+	w.link.unanswered(w.clock.now())
+	w.leader.term = leadership.NewTerm(1, 24*time.Hour, w.clock.now)
+	w.leader.lapse(w.clock.now())
+	if n := len(w.leader.core.jobs[firstID].runs[w.task]); n != 0 {
+		t.Fatalf("%d runs after the lapse", n)
+	}
+	before.apply(w.leader)
+	if n := len(w.leader.core.jobs[firstID].runs[w.task]); n != 0 {
+		t.Errorf("%d runs after a report from before the lapse", n)
+	}
+	w.clock.advance(time.Second)
+	w.report().apply(w.leader)
+	if n := len(w.leader.core.jobs[firstID].runs[w.task]); n != 1 {
+		t.Errorf("%d runs after a report from after the lapse", n)
+	}
+}
+
+// Guards against a term whose end waits behind queued events: nothing renews the lease
+// meanwhile, and it would lapse instead of being released.
+func TestEndOfATermGoesBeforeQueuedEvents(t *testing.T) {
+	for range 20 {
+		w := newQueueWorld(t)
+		applied := 0
+		for range 64 {
+			w.leader.post(t.Context(), probe(func(*leader) { applied++ }))
+		}
+		w.leader.fail(ErrFenced)
+		if err := w.leader.loop(t.Context()); !errors.Is(err, ErrFenced) || applied > 0 {
+			t.Fatalf("%d events applied before the end of the term, error %v", applied, err)
+		}
+	}
+}
--- a/coordinator/rounds.go
+++ b/coordinator/rounds.go
@@ -7,6 +7,10 @@
 // each waiting step, whatever has happened.
 const roundGap = 5 * time.Millisecond
 
+// maxRoundGap bounds the pause after a round that took long, as after a suspension of
+// the machine.
+const maxRoundGap = 200 * time.Millisecond
+
 // roundPacer spaces rounds of scheduling so that they take at most half of the time: a
 // loop that only schedules would not get to the events that free room.
 type roundPacer struct {
@@ -18,5 +22,6 @@
 
 // done records a round.
 func (p *roundPacer) done(began, ended time.Time) {
-	p.next = began.Add(max(roundGap, 2*ended.Sub(began)))
+	pause := max(roundGap-ended.Sub(began), min(ended.Sub(began), maxRoundGap))
+	p.next = ended.Add(pause)
 }
--- a/coordinator/rounds_test.go
+++ b/coordinator/rounds_test.go
@@ -18,6 +18,7 @@
 		{time.Millisecond, 4 * time.Millisecond, 0},
 		{40 * time.Millisecond, 10 * time.Millisecond, 30 * time.Millisecond},
 		{40 * time.Millisecond, time.Second, 0},
+		{10 * time.Second, 0, maxRoundGap}, // the machine was suspended
 	} {
 		var p roundPacer
 		began := time.Unix(100, 0)
--- a/coordinator/takeover.go
+++ b/coordinator/takeover.go
@@ -190,7 +190,11 @@
 		if !t.term.Exclusive() {
 			return false
 		}
-		t.post(ctx, jobsEvent{rows: res.Rows, asOf: res.Now})
+		event := jobsEvent{rows: res.Rows, asOf: res.Now}
+		if res.More {
+			event.asOf = 0 // there are changes that the answer leaves out
+		}
+		t.post(ctx, event)
 		return true
 	})
 }
