Let the fault soak check the numbers of pending jobs

A client now asks an instance ten times a second during the faults and compares the answer with the jobs that were accepted over 5 s before and have begun on no runner: less than half is a violation. The stand-ins' settings say how long an accepted job may take to show.

A doc comment that a merge had put on the wrong function is back in its place.

--- a/soak/clients_test.go
+++ b/soak/clients_test.go
@@ -39,8 +39,9 @@
 	id        jobs.ID
 	outcome   outcome
 	lasting   bool
-	cancelled bool // the cancel was acknowledged
-	asked     bool // a cancel was sent
+	cancelled bool      // the cancel was acknowledged
+	asked     bool      // a cancel was sent
+	at        time.Time // when it was accepted
 }
 
 // clients hand in jobs until they are stopped.
@@ -119,7 +120,7 @@
 		answer := c.client.Submit(c.front(random), j.id, spec)
 		switch {
 		case answer.Accepted:
-			j.outcome = accepted
+			j.outcome, j.at = accepted, time.Now()
 		case !answer.Refused: // it may have been accepted
 			j.outcome = unknown
 		case !answer.RetryAfter:
@@ -140,7 +141,9 @@
 }
 
 func (c *clients) cancel(j *submitted, random *rand.Rand) {
+	c.mu.Lock()
 	j.asked = true
+	c.mu.Unlock()
 	for range tries {
 		if answer := c.client.Cancel(c.front(random), j.id); answer.Accepted || answer.Gone {
 			j.cancelled = true
@@ -149,6 +152,35 @@
 	}
 }
 
+// pendingAge is how long after its acceptance a job has to be counted as pending: 3 s
+// until it shows, and 2 s that the number may be old.
+const pendingAge = 5 * time.Second
+
+// watchPending compares the numbers of pending jobs that instances tell with the jobs
+// none of whose tasks has started, until ctx ends.
+func (c *clients) watchPending(ctx context.Context, random *rand.Rand) {
+	for ; ctx.Err() == nil; sleep(ctx, pollPause) {
+		asked := time.Now()
+		told, ok := c.client.Pending(c.front(random)).Pending()
+		if waiting := c.waiting(asked.Add(-pendingAge)); ok && 2*told < waiting {
+			c.d.recorder.Violate("%d jobs are told to be pending, %d have waited for %v", told, waiting, pendingAge)
+		}
+	}
+}
+
+// waiting returns how many jobs were accepted before a time and have not begun.
+func (c *clients) waiting(before time.Time) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	count := 0
+	for _, j := range c.jobs {
+		if j.outcome == accepted && !j.asked && j.at.Before(before) && !c.d.recorder.Begun(string(j.id)) {
+			count++
+		}
+	}
+	return count
+}
+
 // check compares a job's state with what the runners did, and reports whether it
 // has come to its end.
 func (c *clients) check(j *submitted, random *rand.Rand) bool {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -112,6 +112,8 @@
 		random := rand.New(rand.NewPCG(seed, uint64(10+i)))
 		working.Go(func() { c.run(ctx, random) })
 	}
+	pending := rand.New(rand.NewPCG(seed, 2))
+	working.Go(func() { c.watchPending(ctx, pending) })
 	newFaults(d, rand.New(rand.NewPCG(seed, 1)), note).run(ctx)
 	working.Wait()
 	left := settle(c, rand.New(rand.NewPCG(seed, 3)))
@@ -151,7 +153,6 @@
 	return left
 }
 
-// keep copies the logs of a failed run to where they outlast it.
 // logLines counts the lines of the instances' logs with a message.
 func logLines(t *testing.T, dir, message string) int {
 	files, err := filepath.Glob(filepath.Join(dir, "*.log"))
@@ -169,6 +170,7 @@
 	return count
 }
 
+// keep copies the logs of a failed run to where they outlast it.
 func keep(t *testing.T, dir string, seed uint64, injected []string) {
 	kept, err := os.MkdirTemp("", fmt.Sprintf("soak-%d-", seed))
 	if err != nil {
