Read the configuration again within its bound after one lost response

Callers could see an older configuration for longer than converge-ms (2 s) after a single lost response: a request for changes was given up after 2.0 s, a pause of 0.15 s followed, and only then the table was read. The coordinator's feeds of jobs and runners gave up after 3.2 s, longer than the 2 s after which no task may start on a draining runner. The bounds of the waits had been chosen without regard to the bounds of what is read by them.

--- a/coordinator/takeover.go
+++ b/coordinator/takeover.go
@@ -14,12 +14,8 @@
 	"bergamotstile/rowstore"
 )
 
-// Times of the reading of changes.
-const (
-	// changesWait is how long the store may wait for a change before it answers.
-	changesWait       = 2 * time.Second
-	changesRetryPause = 100 * time.Millisecond
-)
+// changesRetryPause is the pause after a failed request for changes.
+const changesRetryPause = 100 * time.Millisecond
 
 // followVersions holds, for each table whose changes the coordinator follows after a takeover,
 // the version after which it reads the changes.
@@ -248,7 +244,7 @@
 func (coord *coordinator) followTable(ctx context.Context, table string, after uint64, reread func(context.Context) (rowstore.Result, error), handle func(res rowstore.Result, isSnapshot bool) bool) {
 	outage := logging.Outage{Log: coord.env.Log.WithField("table", table), Lost: "table changes not read, retrying", Regained: "table changes read again"}
 	for ctx.Err() == nil {
-		res, err := coord.env.Store.Changes(ctx, table, after, changesWait)
+		res, err := coord.env.Store.Changes(ctx, table, after, rowstore.ChangesWait)
 		isSnapshot := errors.Is(err, rowstore.ErrHistoryGone)
 		if isSnapshot {
 			coord.env.Count("history_gone", 1)
--- a/rowstore/rowstore.go
+++ b/rowstore/rowstore.go
@@ -64,6 +64,11 @@
 	MaxTransactionBytes   = 1 << 20
 )
 
+// ChangesWait is the time for which readers of Changes let the store wait for a change.
+// A lost response is noticed only after that time, so it bounds how late a change is read
+// then.
+const ChangesWait = 800 * time.Millisecond
+
 // Range selects the rows of one part with From <= key < To. If To is empty, the
 // range has no upper bound.
 type Range struct {
