Discard unused connections to a server after a call without an answer

After a call whose answer may have been lost, the client discards the unused connections to the same server. It does not do so when the caller has cancelled the call, as that says nothing about the connections.

TestOtherConnectionsAreNotUsedAfterLostAnswer failed before (the call after the lost answer waits for its whole deadline of 20 s) and passes. TestCancelledCallKeepsOtherConnections guards against new connections for each cancelled call. All tests pass (one run of go test ./...). No deployment of the entry instances was measured.

--- a/httpclient/conn.go
+++ b/httpclient/conn.go
@@ -14,6 +14,8 @@
 // further bytes can be written.
 type conn struct {
 	net.Conn
+	address string // of the server, as it was dialled
+	tracker *connTracker
 	// inUse is held by a call until its answer is accepted or rejected. The
 	// transport may give the connection to the next call as soon as the body of
 	// the answer is read. The next call then waits for that decision.
@@ -34,6 +36,12 @@
 	c.writtenBytes = 0
 }
 
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.tracker.remove(c.address, c)
+	return c.Conn.Close()
+}
+
 // Write implements net.Conn. It fails once the connection is discarded.
 func (c *conn) Write(b []byte) (int, error) {
 	if !c.startWrite() {
@@ -64,7 +72,7 @@
 	sent := c.writeInProgress || c.writtenBytes > 0
 	c.discarded = true
 	c.mu.Unlock()
-	_ = c.Conn.Close()
+	_ = c.Close()
 	return sent
 }
 
@@ -101,6 +109,18 @@
 	return cc.conn != nil && cc.conn.discard()
 }
 
+// discardAfterFailure discards the connection like discard after the call has failed with
+// err. If an answer may have been lost, it also discards the unused connections to the same
+// server: what made one connection fail often made the others fail as well, and each would
+// cost a later call its timeout. A call that its caller has cancelled says nothing about them.
+func (cc *callConn) discardAfterFailure(err error) bool {
+	sent := cc.discard()
+	if sent && !errors.Is(err, context.Canceled) {
+		cc.conn.tracker.discardUnused(cc.conn.address)
+	}
+	return sent
+}
+
 // failedUnsent reports whether the call failed because its connection was closed
 // before a byte of the request was written.
 func (cc *callConn) failedUnsent(err error) bool {
--- a/httpclient/httpclient.go
+++ b/httpclient/httpclient.go
@@ -79,13 +79,16 @@
 func New(o Options) *Client {
 	o = o.withDefaults()
 	dialer := &net.Dialer{Timeout: o.DialTimeout}
+	tracker := &connTracker{}
 	transport := &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			raw, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
-			return &conn{Conn: raw}, nil
+			c := &conn{Conn: raw, address: address, tracker: tracker}
+			tracker.add(address, c)
+			return c, nil
 		},
 		MaxConnsPerHost:        o.MaxConnsPerHost,
 		MaxIdleConnsPerHost:    o.MaxConnsPerHost,
@@ -149,12 +152,12 @@
 	}
 	res, err := c.httpClient.Do(httpReq)
 	if err != nil {
-		return &CallError{Sent: cc.discard(), Err: err}
+		return &CallError{Sent: cc.discardAfterFailure(err), Err: err}
 	}
 	defer func() { _ = res.Body.Close() }()
 	response, err := c.readResponse(res)
 	if err != nil {
-		cc.discard()
+		cc.discardAfterFailure(err)
 		return &CallError{Sent: true, Err: err}
 	}
 	if err := accept(response); err != nil {
--- a/httpclient/httpclient_test.go
+++ b/httpclient/httpclient_test.go
@@ -213,3 +213,82 @@
 		expectCallError(t, New(Options{MaxResponseBytes: 100}).Do(context.Background(), postRequest(s), acceptAny), true)
 	}
 }
+
+// Guards against calls that fail one after the other because each uses another kept
+// connection to a server whose connections all went silent at the same time.
+func TestOtherConnectionsAreNotUsedAfterLostAnswer(t *testing.T) {
+	const conns = 4
+	var opened sync.WaitGroup // all first requests have arrived, each on its own connection
+	opened.Add(conns)
+	var silent sync.Map // connections that no longer answer
+	s := startRawServer(t, func(request int, c net.Conn) bool {
+		if request <= conns {
+			opened.Done()
+			opened.Wait()
+			silent.Store(c, true)
+			return respondOK(c)
+		}
+		if _, isSilent := silent.Load(c); isSilent {
+			return true
+		}
+		return respondOK(c)
+	})
+	client := New(Options{})
+	var first sync.WaitGroup
+	for range conns {
+		first.Go(func() {
+			if err := client.Do(t.Context(), postRequest(s), acceptAny); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	first.Wait()
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	expectCallError(t, client.Do(ctx, postRequest(s), acceptAny), true)
+	ctx, cancel = context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	if err := client.Do(ctx, postRequest(s), acceptAny); err != nil {
+		t.Errorf("call after the lost answer: %v", err)
+	}
+}
+
+// Guards against new connections to a server that works each time a caller cancels a call.
+func TestCancelledCallKeepsOtherConnections(t *testing.T) {
+	var opened sync.WaitGroup
+	opened.Add(2)
+	received := make(chan struct{})
+	s := startRawServer(t, func(request int, c net.Conn) bool {
+		if request <= 2 {
+			opened.Done()
+			opened.Wait()
+		}
+		if request == 3 {
+			close(received)
+			return true
+		}
+		return respondOK(c)
+	})
+	client := New(Options{})
+	var first sync.WaitGroup
+	for range 2 {
+		first.Go(func() {
+			if err := client.Do(t.Context(), postRequest(s), acceptAny); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	first.Wait()
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-received
+		cancel()
+	}()
+	expectCallError(t, client.Do(ctx, postRequest(s), acceptAny), true)
+	if err := client.Do(t.Context(), postRequest(s), acceptAny); err != nil {
+		t.Fatal(err)
+	}
+	if _, conns := s.counts(); conns != 2 {
+		t.Errorf("%d connections, want 2", conns)
+	}
+}
