Let the soak silence connections and check which configuration is in force

The soak could not find a configuration that is late: it changed the version, never a route, and looked at none; its proxy could cut, freeze and reset connections, not let the open ones go silent for good while new ones work; and its faults come so densely that an instance is hardly ever undisturbed for 3 s.

The proxy can silence its open connections. Each version of the configuration adds a route, and a checker asks each instance for the route of the newest version that has been applied for 2 s, while neither the instance nor the store has been disturbed for 3 s. The soak with overlapping faults also silences connections, drawn from a source of its own, so that the faults of earlier seeds stay the same. TestSoakOfSilentConnections does only that, after a slow store made the instances open many connections, with a change every 0.3 s.

--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -27,6 +27,7 @@
 type instance struct {
 	name, settingsFile, clientAddress, readinessAddress string
 	storeProxy                                          *standin.Proxy
+	disturbance                                         disturbance // of the process and of its connections
 
 	mu      sync.Mutex // held while a fault stops, pauses, reloads or restarts the process
 	process *harness.Process
@@ -48,6 +49,11 @@
 	recorder    *hostedtest.Recorder
 	runners     []*runner
 	instances   []*instance
+	configs     configHistory
+	// configChecks counts the requests that have checked which configuration is in force.
+	configChecks atomic.Int64
+	// storeDisturbance is that of the store.
+	storeDisturbance disturbance
 }
 
 // startServer serves a handler on a free port of the loopback address, and returns the
@@ -97,7 +103,7 @@
 			return d, err
 		}
 	}
-	d.store.Configure(configVersion, route)
+	d.applyConfig(configVersion)
 	for i := range instances {
 		cpuShare := 0.0
 		if len(cpuShares) > 0 {
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -14,6 +14,7 @@
 // ones are injected, so that faults overlap.
 type faultInjector struct {
 	deployment *deployment
+	seed       uint64
 	random     *rand.Rand
 	logFault   func(format string, args ...any)
 
@@ -25,8 +26,8 @@
 	proxyLocks    map[*standin.Proxy]*sync.Mutex
 }
 
-func newFaultInjector(d *deployment, random *rand.Rand, logFault func(string, ...any)) *faultInjector {
-	f := &faultInjector{deployment: d, random: random, logFault: logFault, configVersion: configVersion, proxyLocks: map[*standin.Proxy]*sync.Mutex{}}
+func newFaultInjector(d *deployment, seed uint64, logFault func(string, ...any)) *faultInjector {
+	f := &faultInjector{deployment: d, seed: seed, random: rand.New(rand.NewPCG(seed, 1)), logFault: logFault, configVersion: configVersion, proxyLocks: map[*standin.Proxy]*sync.Mutex{}}
 	for _, inst := range d.instances {
 		f.proxyLocks[inst.storeProxy] = &sync.Mutex{}
 	}
@@ -48,6 +49,38 @@
 	f.running.Wait()
 }
 
+// injectOverlappingFaults injects all kinds of faults. The connections that go silent are
+// drawn from a source of their own, so that the other faults of earlier seeds stay the same.
+func injectOverlappingFaults(ctx context.Context, f *faultInjector) {
+	random := rand.New(rand.NewPCG(f.seed, 4))
+	f.runInBackground(func() {
+		for sleep(ctx, time.Duration(1000+random.IntN(4000))*time.Millisecond); ctx.Err() == nil; sleep(ctx, time.Duration(1000+random.IntN(4000))*time.Millisecond) {
+			f.silence(f.deployment.instances[random.IntN(len(f.deployment.instances))])
+		}
+	})
+	f.run(ctx)
+}
+
+// injectSilence lets all connections between instances and the store go silent some time
+// after a slow store made the instances open many of them. The configuration changes all
+// the time, and nothing else happens.
+func injectSilence(ctx context.Context, f *faultInjector) {
+	const changeInterval = 300 * time.Millisecond
+	for ctx.Err() == nil {
+		f.deployment.store.SetFaults(hostedtest.StoreFaults{Delay: 400 * time.Millisecond})
+		sleep(ctx, f.randomDuration(500*time.Millisecond, 1500*time.Millisecond))
+		f.deployment.store.SetFaults(hostedtest.StoreFaults{})
+		sleep(ctx, f.randomDuration(0, time.Second))
+		for _, inst := range f.deployment.instances {
+			f.silence(inst)
+		}
+		for range f.randomDuration(2*contactBound, 3*contactBound) / changeInterval {
+			f.changeConfig(ctx)
+			sleep(ctx, changeInterval)
+		}
+	}
+}
+
 // runInBackground runs an action of a fault in a goroutine, so that further faults can be
 // injected before the action ends.
 func (f *faultInjector) runInBackground(action func()) {
@@ -85,6 +118,7 @@
 	f.runInBackground(func() {
 		inst.mu.Lock()
 		defer inst.mu.Unlock()
+		defer inst.disturbance.begin()()
 		inst.process.Kill()
 		f.restart(ctx, inst, downtime)
 	})
@@ -110,6 +144,7 @@
 	f.runInBackground(func() {
 		inst.mu.Lock()
 		defer inst.mu.Unlock()
+		defer inst.disturbance.begin()()
 		inst.process.Freeze()
 		sleep(ctx, pause)
 		inst.process.Resume()
@@ -126,6 +161,7 @@
 	f.runInBackground(func() {
 		inst.mu.Lock()
 		defer inst.mu.Unlock()
+		defer inst.disturbance.begin()()
 		inst.process.Terminate()
 		select {
 		case <-inst.process.Done():
@@ -151,7 +187,8 @@
 // or of all instances to one runner: a delay, a cut in one direction, a freeze, or the
 // refusal of new connections. In one of three cases, it also resets the open connections.
 func (f *faultInjector) injectLinkFault(ctx context.Context) {
-	proxy, linkName := f.pickInstance().storeProxy, "an instance's connections to the store"
+	inst := f.pickInstance()
+	proxy, linkName := inst.storeProxy, "an instance's connections to the store"
 	if f.random.IntN(2) == 0 {
 		proxy, linkName = f.pickRunner().proxy, "the connections to a runner"
 	}
@@ -170,6 +207,9 @@
 	f.runInBackground(func() {
 		f.proxyLocks[proxy].Lock()
 		defer f.proxyLocks[proxy].Unlock()
+		if proxy == inst.storeProxy {
+			defer inst.disturbance.begin()()
+		}
 		if reset {
 			proxy.Reset()
 		}
@@ -186,6 +226,7 @@
 	f.runInBackground(func() {
 		f.storeMu.Lock()
 		defer f.storeMu.Unlock()
+		defer f.deployment.storeDisturbance.begin()()
 		f.deployment.store.SetFaults(fault)
 		sleep(ctx, duration)
 		f.deployment.store.SetFaults(hostedtest.StoreFaults{})
@@ -194,6 +235,7 @@
 
 func (f *faultInjector) dropStoreHistory(context.Context) {
 	f.logFault("the store drops its change history")
+	defer f.deployment.storeDisturbance.begin()()
 	f.deployment.store.DropHistory()
 }
 
@@ -229,5 +271,12 @@
 func (f *faultInjector) changeConfig(context.Context) {
 	f.configVersion += 1 + f.random.IntN(3)
 	f.logFault("apply configuration version %d", f.configVersion)
-	f.deployment.store.Configure(f.configVersion, route)
+	f.deployment.applyConfig(f.configVersion)
+}
+
+// silence lets the open connections of an instance to the store go silent.
+func (f *faultInjector) silence(inst *instance) {
+	defer inst.disturbance.begin()()
+	f.logFault("the open connections of %s to the store go silent", inst.name)
+	inst.storeProxy.Silence()
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -64,7 +64,7 @@
 	for seed := range causeBySeed {
 		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
 			t.Parallel()
-			runSoak(t, seed, *faultTime, nil)
+			runSoak(t, soakPlan{seed: seed, duration: *faultTime, inject: injectOverlappingFaults})
 		})
 	}
 }
@@ -72,7 +72,7 @@
 // Guards against a backlog of many jobs that is completed too slowly because runners on
 // which tasks have failed get no new tasks (seed 302).
 func TestSoakBacklogOfManyJobs(t *testing.T) {
-	runSoak(t, 302, 15*time.Second, nil)
+	runSoak(t, soakPlan{seed: 302, duration: 15 * time.Second, inject: injectOverlappingFaults})
 }
 
 // mixedCPUShares are the instances' shares of a core. The instance with the largest share
@@ -85,18 +85,37 @@
 	for seed := *firstSeed + 400; seed < *firstSeed+400+*seedCount; seed++ {
 		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
 			t.Parallel()
-			runSoak(t, seed, 2**faultTime, mixedCPUShares)
+			runSoak(t, soakPlan{seed: seed, duration: 2 * *faultTime, cpuShares: mixedCPUShares, inject: injectOverlappingFaults})
 		})
 	}
 }
 
-// runSoak starts a deployment, submits jobs and injects faults for the duration, and then
-// waits for the jobs to end. It reports each job that has not ended and each violation as
-// an error of the test. cpuShares are the instances' shares of a core; nil selects the
-// default share for all.
-func runSoak(t *testing.T, seed uint64, duration time.Duration, cpuShares []float64) {
-	dir := t.TempDir()
-	d, err := deploy(dir, seed, *instanceCount, *runnerCount, cpuShares)
+// Guards against an instance that serves an old configuration long after its connections to
+// the store have gone silent.
+func TestSoakOfSilentConnections(t *testing.T) {
+	for seed := *firstSeed + 600; seed < *firstSeed+600+*seedCount; seed++ {
+		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
+			t.Parallel()
+			runSoak(t, soakPlan{seed: seed, duration: 2 * *faultTime, inject: injectSilence})
+		})
+	}
+}
+
+// soakPlan describes a soak. cpuShares are the instances' shares of a core; nil selects the
+// default share for all. inject injects faults until its context ends.
+type soakPlan struct {
+	seed      uint64
+	duration  time.Duration
+	cpuShares []float64
+	inject    func(ctx context.Context, f *faultInjector)
+}
+
+// runSoak starts a deployment, submits jobs and injects faults for the duration of the plan,
+// and then waits for the jobs to end. It reports each job that has not ended and each
+// violation as an error of the test.
+func runSoak(t *testing.T, plan soakPlan) {
+	dir, seed := t.TempDir(), plan.seed
+	d, err := deploy(dir, seed, *instanceCount, *runnerCount, plan.cpuShares)
 	defer d.close()
 	if err != nil {
 		preserveRunFiles(t, dir, seed, nil)
@@ -109,7 +128,7 @@
 		defer mu.Unlock()
 		injectedFaults = append(injectedFaults, time.Now().Format("15:04:05.000 ")+fmt.Sprintf(format, args...))
 	}
-	ctx, cancel := context.WithTimeout(t.Context(), duration)
+	ctx, cancel := context.WithTimeout(t.Context(), plan.duration)
 	defer cancel()
 	jobClients := newClients(d)
 	var running sync.WaitGroup
@@ -119,16 +138,20 @@
 	}
 	pendingRandom := rand.New(rand.NewPCG(seed, 2))
 	running.Go(func() { jobClients.watchPending(ctx, pendingRandom) })
-	newFaultInjector(d, rand.New(rand.NewPCG(seed, 1)), recordFault).run(ctx)
-	running.Wait()
+	configCtx, stopConfigCheck := context.WithCancel(t.Context())
+	defer stopConfigCheck()
+	running.Go(func() { d.checkConfigs(configCtx) })
+	plan.inject(ctx, newFaultInjector(d, seed, recordFault))
 	unfinished := awaitJobs(jobClients, rand.New(rand.NewPCG(seed, 3)))
+	stopConfigCheck()
+	running.Wait()
 	for _, j := range unfinished {
 		t.Errorf("job %s has not ended: %+v", j.id, *j)
 	}
 	for _, v := range d.recorder.Violations() {
 		t.Error(v)
 	}
-	t.Logf("%d jobs, %d faults, %d lease hand-overs", len(jobClients.jobs), len(injectedFaults), countLogLines(t, dir, "lease requested by a more capable instance"))
+	t.Logf("%d jobs, %d faults, %d checks of configurations, %d lease hand-overs", len(jobClients.jobs), len(injectedFaults), d.configChecks.Load(), countLogLines(t, dir, "lease requested by a more capable instance"))
 	if t.Failed() {
 		preserveRunFiles(t, dir, seed, injectedFaults)
 	}
--- a/standin/proxy.go
+++ b/standin/proxy.go
@@ -57,10 +57,11 @@
 
 // proxiedConn is one proxied connection: the client's connection to the proxy
 // and the proxy's connection to the target. hasGap is set once a cut has
-// discarded bytes of it.
+// discarded bytes of it, and isSilent once it delivers nothing any more.
 type proxiedConn struct {
 	client, target net.Conn
 	hasGap         bool
+	isSilent       bool
 }
 
 func (c *proxiedConn) close() {
@@ -130,6 +131,16 @@
 	}
 }
 
+// Silence makes all open connections go silent for good: they stay open and deliver
+// nothing, while new connections work.
+func (p *Proxy) Silence() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for conn := range p.conns {
+		conn.isSilent = true
+	}
+}
+
 // OpenConnections returns the number of connections that are forwarded now.
 func (p *Proxy) OpenConnections() int {
 	p.mu.Lock()
@@ -249,6 +260,8 @@
 		switch {
 		case !ok:
 			return
+		case p.isSilent(conn):
+			continue
 		case faults.Cut:
 			p.markGap(conn)
 			continue
@@ -290,17 +303,24 @@
 	}
 }
 
+func (p *Proxy) isSilent(conn *proxiedConn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return conn.isSilent
+}
+
 func (p *Proxy) markGap(conn *proxiedConn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conn.hasGap = true
 }
 
-// Handler serves GET and POST /faults, and POST /reset.
+// Handler serves GET and POST /faults, POST /reset and POST /silence.
 func (p *Proxy) Handler() http.Handler {
 	mux := http.NewServeMux()
 	handleFaults(mux, p.Faults, p.SetFaults)
 	handlePost(mux, "/reset", p.Reset)
+	handlePost(mux, "/silence", p.Silence)
 	return mux
 }
 
--- a/standin/standin_test.go
+++ b/standin/standin_test.go
@@ -2,7 +2,12 @@
 
 import (
 	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
 	"testing"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 
@@ -97,3 +102,60 @@
 		t.Fatal(err)
 	}
 }
+
+// Guards against a proxy whose silent connections still deliver, or that also silences
+// connections which are opened later.
+func TestSilencedConnectionsDeliverNothing(t *testing.T) {
+	echo, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = echo.Close() }()
+	go func() {
+		for {
+			conn, err := echo.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				_, _ = io.Copy(conn, conn)
+			}()
+		}
+	}()
+	proxy, err := standin.StartProxy("127.0.0.1:0", echo.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer proxy.Close()
+	exchange := func(conn net.Conn, timeout time.Duration) error {
+		if _, err := conn.Write([]byte("x")); err != nil {
+			return err
+		}
+		if err := conn.SetReadDeadline(time.Now().Add(timeout)); err != nil {
+			return err
+		}
+		_, err := conn.Read(make([]byte, 1))
+		return err
+	}
+	dial := func() net.Conn {
+		conn, err := net.Dial("tcp", proxy.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+		return conn
+	}
+	const longTimeout = 20 * time.Second
+	before := dial()
+	if err := exchange(before, longTimeout); err != nil {
+		t.Fatal(err)
+	}
+	proxy.Silence()
+	if err := exchange(dial(), longTimeout); err != nil {
+		t.Errorf("new connection: %v", err)
+	}
+	if err := exchange(before, 100*time.Millisecond); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("silent connection: %v", err)
+	}
+}
