Count a slow store as a disturbance in the soak of silent connections

The check of configurations ran while the soak itself made the store slow, when the bound does not hold, so that a busy machine could have failed it.

--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -67,9 +67,11 @@
 func injectSilence(ctx context.Context, f *faultInjector) {
 	const changeInterval = 300 * time.Millisecond
 	for ctx.Err() == nil {
+		endDisturbance := f.deployment.storeDisturbance.begin()
 		f.deployment.store.SetFaults(hostedtest.StoreFaults{Delay: 400 * time.Millisecond})
 		sleep(ctx, f.randomDuration(500*time.Millisecond, 1500*time.Millisecond))
 		f.deployment.store.SetFaults(hostedtest.StoreFaults{})
+		endDisturbance()
 		sleep(ctx, f.randomDuration(0, time.Second))
 		for _, inst := range f.deployment.instances {
 			f.silence(inst)
