Hold both ports of a soak instance until both are known

Both listeners are now held until both ports are known, so they cannot be equal; there is no separate test for that.

--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -78,14 +78,20 @@
 	return fmt.Sprintf("127.91.%d.%d", number/200%250, 1+number%200)
 }
 
-// freeAddress returns an address of the host with a free port.
-func freeAddress(host string) (string, error) {
-	listener, err := net.Listen("tcp", host+":0")
+// freeAddresses returns two addresses of the host with free ports. It holds the first port
+// until it has the second one, so that they differ.
+func freeAddresses(host string) (first, second string, err error) {
+	firstListener, err := net.Listen("tcp", host+":0")
 	if err != nil {
-		return "", err
+		return "", "", err
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String(), nil
+	defer func() { _ = firstListener.Close() }()
+	secondListener, err := net.Listen("tcp", host+":0")
+	if err != nil {
+		return "", "", err
+	}
+	defer func() { _ = secondListener.Close() }()
+	return firstListener.Addr().String(), secondListener.Addr().String(), nil
 }
 
 // deploy starts a deployment and waits until it is ready. The instances get the shares of
@@ -147,11 +153,7 @@
 	if inst.storeProxy, err = standin.StartProxy("127.0.0.1:0", storeAddress); err != nil {
 		return err
 	}
-	host := nextHost()
-	if inst.clientAddress, err = freeAddress(host); err != nil {
-		return err
-	}
-	if inst.readinessAddress, err = freeAddress(host); err != nil {
+	if inst.clientAddress, inst.readinessAddress, err = freeAddresses(nextHost()); err != nil {
 		return err
 	}
 	settings := hostedtest.Settings{Instance: inst.name, ClientAddress: inst.clientAddress, ReadinessAddress: inst.readinessAddress, StoreAddress: inst.storeProxy.Address(), CPUShare: cpuShare}
