Tell a successor which lost runners had no run at a planned stop

Cause: a coordinator that stops as planned stores when the leases on each runner expire, but not whether anything runs there.

The roster now marks a runner as idle if no run can exist there and the end of each earlier run is stored. The successor does not wait for such a runner. The marker stands only beside a stored expiry, while no task can be started on the runner; an older build ignores it and waits as before. Idle runners still count towards the majority that proves that a predecessor has none.

Ruled out: taking the leases there as expired at once, since they do exist and would cover a run that the successor starts.

--- a/coordinator/budget_test.go
+++ b/coordinator/budget_test.go
@@ -167,7 +167,7 @@
 func TestSuccessorCountsUnavailableTasksAsStopped(t *testing.T) {
 	h := newCoreHarness(t, testRunner("a", 3000), testRunner("b", 3000))
 	h.core.limits.UnavailableGrace = 4 * time.Second
-	h.core.SetInheritedRunners([]InheritedRunner{{"unseen", h.now + time.Hour}}, h.now+time.Hour)
+	h.core.SetInheritedRunners([]InheritedRunner{{ID: "unseen", ExpiredAt: h.now + time.Hour}}, h.now+time.Hour)
 	h.addJob(firstID, true, longRunningStep(3, 1))
 	h.checkRuns()
 	h.report(Report{Runner: "a", Incarnation: 1, Running: []RunStatus{
--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -157,10 +157,11 @@
 	// runners.
 	unresolved          map[string]time.Duration
 	otherLeasesExpireAt time.Duration
-	// inheritedRunnerCount is the number of runners that were unresolved at the takeover.
-	// answeredRunnerCount is how many of them have answered this coordinator since.
-	inheritedRunnerCount, answeredRunnerCount int
-	unresolvedLogThrottle                     logThrottle // limits how often the unresolved runners are logged
+	// inheritedRunnerCount is the number of the predecessor's runners at the takeover.
+	// unansweredInherited holds those that have not answered this coordinator since.
+	inheritedRunnerCount  int
+	unansweredInherited   map[string]struct{}
+	unresolvedLogThrottle logThrottle // limits how often the unresolved runners are logged
 	// storeOffset is the store's clock minus the local clock.
 	storeOffset         time.Duration
 	counters            Counter
@@ -191,6 +192,7 @@
 		runners:             map[string]*runner{},
 		unstoredJobs:        map[*job]struct{}{},
 		unresolved:          map[string]time.Duration{},
+		unansweredInherited: map[string]struct{}{},
 		counters:            count,
 		interference:        newInterferenceModel(),
 		failedSearches:      failedSearches{},
--- a/coordinator/core_test.go
+++ b/coordinator/core_test.go
@@ -35,7 +35,7 @@
 // have expired.
 func TestInheritedTasksWaitForUnresolvedRunners(t *testing.T) {
 	h := newCoreHarness(t, testRunner("a", 4000))
-	h.core.SetInheritedRunners([]InheritedRunner{{"unseen", h.now + 10*time.Second}}, h.now+10*time.Second)
+	h.core.SetInheritedRunners([]InheritedRunner{{ID: "unseen", ExpiredAt: h.now + 10*time.Second}}, h.now+10*time.Second)
 	h.addJob(firstID, true, plainStep(1, 1000))
 	h.addJob(secondID, false, plainStep(1, 1000))
 	orders := startOrders(h.schedule())
--- a/coordinator/grant_test.go
+++ b/coordinator/grant_test.go
@@ -82,7 +82,7 @@
 	latest := sim.successor.predecessor.latestExpiry(sim.now)
 	var inherited []InheritedRunner
 	for id := range sim.runners {
-		inherited = append(inherited, InheritedRunner{id, latest})
+		inherited = append(inherited, InheritedRunner{ID: id, ExpiredAt: latest})
 	}
 	sim.successor.core.SetInheritedRunners(inherited, latest)
 	sim.connect(sim.successor)
--- a/coordinator/handover_test.go
+++ b/coordinator/handover_test.go
@@ -214,7 +214,7 @@
 func TestInheritedLeasesExpireOnlyForTheLeaseHolder(t *testing.T) {
 	clock := newManualClock(time.Minute)
 	coord := &coordinator{core: New(Limits{}, discardLog(), nil), term: leadership.NewTerm(1, clock.now(), clock.now)}
-	coord.core.SetInheritedRunners([]InheritedRunner{{"unseen", clock.now() + time.Second}}, clock.now())
+	coord.core.SetInheritedRunners([]InheritedRunner{{ID: "unseen", ExpiredAt: clock.now() + time.Second}}, clock.now())
 	clock.advance(leadership.ExclusiveTime)
 	coord.expireLeases(clock.now())
 	coord.core.Schedule(clock.now(), 0)
--- a/coordinator/hiddenend_test.go
+++ b/coordinator/hiddenend_test.go
@@ -11,7 +11,7 @@
 func newInheritedHarness(t *testing.T) *coreHarness {
 	t.Helper()
 	h := newCoreHarness(t)
-	h.core.SetInheritedRunners([]InheritedRunner{{"a", h.now + time.Hour}, {"gone", h.now + time.Hour}}, h.now+time.Hour)
+	h.core.SetInheritedRunners([]InheritedRunner{{ID: "a", ExpiredAt: h.now + time.Hour}, {ID: "gone", ExpiredAt: h.now + time.Hour}}, h.now+time.Hour)
 	longRunning := plainStep(1, 1000)
 	longRunning.LongRunning = true
 	h.addJob(firstID, true, longRunning)
--- a/coordinator/inherited.go
+++ b/coordinator/inherited.go
@@ -11,35 +11,39 @@
 // runners names.
 const maxLoggedRunners = 6
 
-// InheritedRunner is a runner that may run a predecessor's tasks. ExpiredAt is the time
-// by which the predecessor's leases on it have expired for certain.
+// InheritedRunner is a runner of a predecessor. ExpiredAt is the time by which the
+// predecessor's leases on it have expired for certain. IsIdle is set if none of the
+// predecessor's tasks runs there.
 type InheritedRunner struct {
 	ID        string
 	ExpiredAt time.Duration
+	IsIdle    bool
 }
 
-// SetInheritedRunners sets the runners that may run a predecessor's tasks, and the time
-// by which its leases on any other runner have expired.
+// SetInheritedRunners sets the runners of a predecessor, and the time by which its leases on
+// any other runner have expired.
 func (c *Core) SetInheritedRunners(runners []InheritedRunner, otherLeasesExpireAt time.Duration) {
 	for _, r := range runners {
-		c.unresolved[r.ID] = r.ExpiredAt
+		if !r.IsIdle {
+			c.unresolved[r.ID] = r.ExpiredAt
+		}
+		c.unansweredInherited[r.ID] = struct{}{}
 	}
-	c.inheritedRunnerCount = len(c.unresolved)
+	c.inheritedRunnerCount = len(c.unansweredInherited)
 	c.otherLeasesExpireAt = otherLeasesExpireAt
 }
 
-// haveMostAnswered reports whether at least successorMajorityPercent percent of the runners
-// that were unresolved at the takeover have answered this coordinator.
+// haveMostAnswered reports whether at least successorMajorityPercent percent of the
+// predecessor's runners have answered this coordinator.
 func (c *Core) haveMostAnswered() bool {
-	return c.answeredRunnerCount*100 >= c.inheritedRunnerCount*successorMajorityPercent
+	answered := c.inheritedRunnerCount - len(c.unansweredInherited)
+	return answered*100 >= c.inheritedRunnerCount*successorMajorityPercent
 }
 
 // markAnswered records that a runner has answered, which resolves it: its report lists all of
 // its runs.
 func (c *Core) markAnswered(id string) {
-	if _, ok := c.unresolved[id]; ok {
-		c.answeredRunnerCount++
-	}
+	delete(c.unansweredInherited, id)
 	c.resolveRunner(id)
 }
 
--- a/coordinator/link.go
+++ b/coordinator/link.go
@@ -103,6 +103,13 @@
 	}
 }
 
+// isAcknowledged reports whether the runner's results are stored up to the given one.
+func (l *link) isAcknowledged(result Acknowledgement) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.acknowledged == result
+}
+
 // nextRequest returns the request of the next poll. It does not extend leases on a silent
 // runner: they must expire before the runner's tasks can be started elsewhere. It
 // acknowledges no results to a runner that may have restarted: the new process numbers
--- a/coordinator/roster.go
+++ b/coordinator/roster.go
@@ -28,8 +28,12 @@
 // handoverTimeout bounds the write of the roster when a term ends.
 const handoverTimeout = 500 * time.Millisecond
 
-// answeringMarker ends the line of a runner that was answering when its expiry was stored.
-const answeringMarker = "answering"
+// Markers that follow the expiry in the line of a runner. Readers ignore markers that they
+// do not know.
+const (
+	answeringMarker = "answering" // the runner was answering when its expiry was stored
+	idleMarker      = "idle"      // no run existed on the runner when its expiry was stored
+)
 
 // rosterEntry is the line for one runner in the roster.
 type rosterEntry struct {
@@ -40,6 +44,10 @@
 	// wasAnswering is set if the runner was answering when the expiry was stored, just
 	// before the coordinator stopped.
 	wasAnswering bool
+	// isIdle is set if no run existed on the runner when the expiry was stored, and the end
+	// of every earlier run there was stored. It stays so while the expiry is stored, as no
+	// task is started on the runner meanwhile.
+	isIdle bool
 }
 
 // encodeRoster returns one line for each runner, in the order of their IDs. It rounds
@@ -54,6 +62,9 @@
 			if e.wasAnswering {
 				line += " " + answeringMarker
 			}
+			if e.isIdle {
+				line += " " + idleMarker
+			}
 		}
 		lines = append(lines, line)
 	}
@@ -72,7 +83,8 @@
 		if len(fields) > 1 {
 			if ms, err := strconv.ParseInt(fields[1], 10, 64); err == nil && ms > 0 {
 				e.expiry = time.Duration(ms) * time.Millisecond
-				e.wasAnswering = len(fields) > 2 && fields[2] == answeringMarker
+				e.wasAnswering = slices.Contains(fields[2:], answeringMarker)
+				e.isIdle = slices.Contains(fields[2:], idleMarker)
 			}
 		}
 		entries = append(entries, e)
@@ -106,7 +118,7 @@
 			expiry = min(local, maxExpiry)
 			coord.recordedExpiries[e.id] = recordedExpiry{onLocalClock: expiry, onStoreClock: e.expiry}
 		}
-		inherited = append(inherited, InheritedRunner{ID: e.id, ExpiredAt: expiry})
+		inherited = append(inherited, InheritedRunner{ID: e.id, ExpiredAt: expiry, IsIdle: e.isIdle})
 	}
 	return inherited
 }
@@ -135,7 +147,7 @@
 	for i := range entries {
 		if entries[i].wasAnswering {
 			delete(coord.recordedExpiries, entries[i].id)
-			entries[i].expiry, entries[i].wasAnswering = 0, false
+			entries[i] = rosterEntry{id: entries[i].id}
 			changed = true
 		}
 	}
@@ -161,7 +173,7 @@
 				expiry = previous
 			}
 			expiries[id] = expiry
-			e.expiry, e.wasAnswering = expiry.onStoreClock, isAnswering
+			e.expiry, e.wasAnswering, e.isIdle = expiry.onStoreClock, isAnswering, coord.isIdle(id)
 		}
 		entries = append(entries, e)
 	}
@@ -170,6 +182,17 @@
 	return entries, expiries
 }
 
+// isIdle reports whether no run can exist on a runner and the end of every earlier run there
+// is stored. It may be called only while no lease on the runner is extended, so that no
+// task is started there either.
+func (coord *coordinator) isIdle(id string) bool {
+	l, r := coord.links[id], coord.core.runners[id]
+	if l == nil || r == nil || !r.hasReported || len(r.runs) > 0 || len(r.blockedJobs) > 0 {
+		return false
+	}
+	return r.lastAppliedResult == 0 || l.isAcknowledged(Acknowledgement{r.incarnation, r.lastAppliedResult})
+}
+
 // stopLeaseExtension returns the local time at which every lease on a runner has expired,
 // whether the runner answers, and whether the expiry is to be stored. If it is, no lease on
 // the runner is extended from now on, until clearRecordedExpiry is called on the runner's link.
