Repeat calls on new connections after connections went silent

- Gateway writes were sent once more after 300 ms, but on another kept connection; reads were not repeated.
A repetition now uses a new connection, and a read is repeated once if it gets no answer.
Both are safe: reads change nothing, and the conditions of a write fail once it has taken effect.
- Package peer kept one pool for all peers and dropped only the connection that had failed.
Each peer has a pool of its own now, which is closed as far as it is unused after a call without an answer, but not after a cancelled one.
- Calls to runners: no fault found.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,9 +20,6 @@
 	ErrOutcomeUnknown = errors.New("outcome unknown")
 )
 
-// readTimeout bounds one read of the store.
-const readTimeout = time.Second
-
 // Clock returns the current estimate of the store's clock.
 type Clock func() time.Duration
 
@@ -34,7 +31,7 @@
 	// the stored number of pending jobs. The age counts from PendingCounts.AsOf.
 	MaxPendingAge time.Duration
 
-	writeLatency meanLatency
+	writeLatency, readLatency meanLatency
 }
 
 // Submit records a job in the store. It returns nil once the job is durable, also if
@@ -59,9 +56,7 @@
 
 // readJobRows reads the rows that clients have written for a job.
 func (g *Gateway) readJobRows(ctx context.Context, id jobs.ID) (jobRows, error) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	res, err := g.Store.Read(ctx, JobRange(id))
+	res, err := g.read(ctx, JobRange(id))
 	if err != nil {
 		return jobRows{}, fmt.Errorf("%w: %v", ErrNotAccepted, err)
 	}
@@ -80,10 +75,8 @@
 // readProgress returns the state that the coordinator has stored for the job. If it
 // has stored none, the state is Queued and stored is false.
 func (g *Gateway) readProgress(ctx context.Context, id jobs.ID) (state jobs.State, stored bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
 	key := ProgressKey(id)
-	res, err := g.Store.Read(ctx, rowstore.Range{Table: key.Table, Part: key.Part, From: key.Key, To: key.Key + "\x00"})
+	res, err := g.read(ctx, rowstore.Range{Table: key.Table, Part: key.Part, From: key.Key, To: key.Key + "\x00"})
 	if err != nil {
 		return 0, false, fmt.Errorf("%w: %v", ErrNotAccepted, err)
 	}
--- a/gateway/pending.go
+++ b/gateway/pending.go
@@ -41,10 +41,8 @@
 // Pending returns the number of pending jobs of a queue as the coordinator last stored
 // it. It returns ErrOutdated if the counts are older than MaxPendingAge or missing.
 func (g *Gateway) Pending(ctx context.Context, queue string) (Pending, error) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
 	key := PendingKey
-	res, err := g.Store.Read(ctx, rowstore.Range{Table: key.Table, Part: key.Part, From: key.Key, To: key.Key + "\x00"})
+	res, err := g.read(ctx, rowstore.Range{Table: key.Table, Part: key.Part, From: key.Key, To: key.Key + "\x00"})
 	if err != nil {
 		return Pending{}, fmt.Errorf("%w: %v", ErrNotAccepted, err)
 	}
--- a/gateway/write.go
+++ b/gateway/write.go
@@ -19,12 +19,12 @@
 	// to the client that the outcome is unknown, so that the client can ask another
 	// instance.
 	outcomeTimeout = 1200 * time.Millisecond
-	// minHedgeDelay is the shortest delay after which an unanswered write is sent once
+	// minHedgeDelay is the shortest delay after which an unanswered call is sent once
 	// more. A connection that has lost an answer delivers nothing more, so
 	// waiting longer would not help.
 	minHedgeDelay = 300 * time.Millisecond
 	// hedgeLatencyFactor times the mean latency is the delay after which an unanswered
-	// write is sent once more, if that is longer than minHedgeDelay. Without it, a store
+	// call is sent once more, if that is longer than minHedgeDelay. Without it, a store
 	// that is slow for all clients would receive twice the work.
 	hedgeLatencyFactor = 4
 	// maxAttempts bounds the attempts of one write.
@@ -57,7 +57,7 @@
 	l.mean.Store(mean + (int64(took)-mean)/meanDivisor)
 }
 
-// hedgeDelay returns how long after its first attempt a write is sent once more if one
+// hedgeDelay returns how long after its first attempt a call is sent once more if one
 // attempt is unanswered then.
 func (l *meanLatency) hedgeDelay() time.Duration {
 	return max(minHedgeDelay, hedgeLatencyFactor*time.Duration(l.mean.Load()))
@@ -113,8 +113,12 @@
 	}
 }
 
-// send starts one attempt, which delivers its outcome to results.
+// send starts one attempt, which delivers its outcome to results. An attempt that follows
+// one without an answer uses a new connection.
 func (w *hedgedWrite) send(ctx context.Context) {
+	if w.unanswered > 0 || w.unknownOutcome {
+		ctx = rowstore.WithNewConnection(ctx)
+	}
 	w.attempts++
 	w.unanswered++
 	go func() {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -103,17 +103,14 @@
 
 // Client calls peers by address.
 type Client struct {
-	http *http.Client
+	http  *http.Client
+	pools *connectionPools
 }
 
 // NewClient returns a client with connections of its own.
 func NewClient() *Client {
-	return &Client{http: &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxConnsPerHost:     maxConnsPerPeer,
-		MaxIdleConnsPerHost: maxConnsPerPeer,
-		IdleConnTimeout:     idleConnTimeout,
-	}}}
+	pools := &connectionPools{pools: map[string]*connectionPool{}}
+	return &Client{http: &http.Client{Transport: pools}, pools: pools}
 }
 
 // Close closes idle connections.
@@ -182,6 +179,11 @@
 		connect.WithCodec(newCodec()), connect.WithReadMaxBytes(maxMessageBytes))
 	res, err := client.CallUnary(ctx, connect.NewRequest(m))
 	if err != nil {
+		if !connect.IsWireError(err) && !errors.Is(ctx.Err(), context.Canceled) {
+			// The other connections to the peer may have gone silent as well, and each would
+			// cost a later call its timeout.
+			c.pools.closeUnusedTo(address)
+		}
 		return nil, classifyError(name, address, err)
 	}
 	return res.Msg, nil
--- /dev/null
+++ b/rowstore/newconnection.go
@@ -0,0 +1,19 @@
+package rowstore
+
+import "context"
+
+// newConnectionKey is the key of the context value that WithNewConnection sets.
+type newConnectionKey struct{}
+
+// WithNewConnection returns a context for a call that repeats one without an answer. A Store
+// that keeps connections makes the call on a connection that was open for no other call at
+// the time of that one: the kept connections may have gone silent together.
+func WithNewConnection(ctx context.Context) context.Context {
+	return context.WithValue(ctx, newConnectionKey{}, true)
+}
+
+// WantsNewConnection reports whether ctx comes from WithNewConnection.
+func WantsNewConnection(ctx context.Context) bool {
+	wants, _ := ctx.Value(newConnectionKey{}).(bool)
+	return wants
+}
--- a/rowstore/rowstore.go
+++ b/rowstore/rowstore.go
@@ -16,6 +16,9 @@
 	ErrRefused = errors.New("store refused the call")
 	// ErrOutcomeUnknown means that the call may have taken effect, now or later.
 	ErrOutcomeUnknown = errors.New("outcome of the call unknown")
+	// ErrNoAnswer is added to ErrRefused if a read got no answer. The store may be fine and
+	// only the connection dead.
+	ErrNoAnswer = errors.New("store did not answer")
 	// ErrHistoryGone means that the store has dropped some of the requested
 	// changes. The caller has to read the whole table instead.
 	ErrHistoryGone = errors.New("history no longer kept")
