Let retries of failed tasks pass other late work

A late step that waits only to repeat at most four failed tasks now comes before other late work, after work that can be on time.

--- a/coordinator/precedence.go
+++ b/coordinator/precedence.go
@@ -15,6 +15,9 @@
 	// farTooLateFactor is the multiple of the time from acceptance to objective after which the
 	// completion of a job is not worth anything to its client any more.
 	farTooLateFactor = 3
+	// maxRetryTasks is the largest number of pending tasks with which a late step counts as a
+	// retry. It bounds the work that passes other late work.
+	maxRetryTasks = 4
 )
 
 // rank orders the steps of one priority. Lower ranks are served first.
@@ -23,6 +26,7 @@
 const (
 	rankStarved    rank = iota // no task of the job has run for a while although a large share of the capacity is free
 	rankOnTime                 // the job can still meet its objective, or the step is long-running
+	rankRetry                  // the job will miss its objective, and the step waits only to repeat a few failed tasks
 	rankLate                   // the job will miss its objective
 	rankFarTooLate             // the job will end so late that its completion is worth nothing
 )
@@ -87,6 +91,8 @@
 		p.rank = rankStarved
 	case slack >= 0 || s.step.LongRunning:
 		p.rank = rankOnTime
+	case s.isRetry():
+		p.rank = rankRetry
 	case slack >= -(farTooLateFactor-1)*s.job.allowedTime:
 		p.rank = rankLate
 	default:
@@ -98,6 +104,21 @@
 	return p
 }
 
+// isRetry reports whether the step waits only to repeat a few failed tasks. Such a step passes
+// other late work. Its job may fail in each attempt, and would else wait behind a whole
+// backlog for each of them before its client learns that it can't be done.
+func (s *openStep) isRetry() bool {
+	if len(s.pending) == 0 || len(s.pending) > maxRetryTasks {
+		return false
+	}
+	for _, index := range s.pending {
+		if s.job.Failures(s.taskID(index)) == 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // slack returns the time that would be left until the job's objective if the longest chain
 // of steps from this one on began at the given time of the store's clock.
 func (s *openStep) slack(now time.Duration) time.Duration { return s.job.objective - now - s.chainTime }
