Remember ended jobs until their rows can not be read any more

Cause: the coordinator forgot that a job had ended before its rows were removed.

The versions of removed progress rows are forgotten too; they were kept for the whole term.

--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -385,7 +385,7 @@
 // MarkFinished records a job that ended before this coordinator took over.
 func (c *Core) MarkFinished(id jobs.ID) { c.finishedJobs[id] = struct{}{} }
 
-// ForgetFinished forgets an ended job whose rows are being removed from the store.
+// ForgetFinished forgets an ended job whose rows are removed from the store.
 func (c *Core) ForgetFinished(id jobs.ID) { delete(c.finishedJobs, id) }
 
 // removeJob removes a job that has ended. Its runs stay in the state of their runners until
--- a/coordinator/journal.go
+++ b/coordinator/journal.go
@@ -237,3 +237,10 @@
 	_, err := j.store.Commit(ctx, tx)
 	return err
 }
+
+// forgetVersion forgets the version of a row that was removed.
+func (j *journal) forgetVersion(key rowstore.Key) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	delete(j.versions, key)
+}
--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -69,8 +69,8 @@
 	nextSharedRowsWrite time.Duration
 	nextModelWrite      time.Duration
 	nextJobRemoval      time.Duration
-	endedJobs           map[jobs.ID]time.Duration // when jobs ended whose rows are still stored, on the store's clock
-	waveManager         *waveManager              // nil if this term ignores maintenance waves
+	endedJobs           map[jobs.ID]*endedJob
+	waveManager         *waveManager // nil if this term ignores maintenance waves
 }
 
 // Lead takes over from the predecessor and coordinates. It returns when ctx ends, when
@@ -92,7 +92,7 @@
 		adviceSlot:       make(chan struct{}, 1),
 		sharedRows:       map[rowstore.Key]string{},
 		recordedExpiries: map[string]recordedExpiry{},
-		endedJobs:        map[jobs.ID]time.Duration{},
+		endedJobs:        map[jobs.ID]*endedJob{},
 		waveManager:      newWaveManager(env.Maintenance, env.Log),
 	}
 	startedAt := env.Clock()
@@ -211,7 +211,7 @@
 	}
 	if now >= coord.nextJobRemoval {
 		coord.nextJobRemoval = now + jobRemovalInterval
-		coord.removeExpiredJobRows()
+		coord.removeExpiredJobRows(now)
 	}
 }
 
@@ -275,7 +275,7 @@
 	}
 	for _, write := range writes {
 		if write.Job.State.IsTerminal() {
-			coord.endedJobs[write.Job.ID] = coord.env.StoreClock()
+			coord.endedJobs[write.Job.ID] = &endedJob{endedAt: coord.env.StoreClock()}
 		}
 	}
 	coord.isStoringProgress, coord.lastProgressStore = true, now
--- a/coordinator/loop_test.go
+++ b/coordinator/loop_test.go
@@ -46,7 +46,7 @@
 	coord.env.Runners = acceptingRunners{h.orders}
 	coord.env.Queues = func() []jobs.Queue { return []jobs.Queue{testQueue} }
 	coord.events, coord.urgentEvents = make(chan queuedEvent, eventBufferSize), make(chan queuedEvent, urgentBufferSize)
-	coord.endedJobs = map[jobs.ID]time.Duration{}
+	coord.endedJobs = map[jobs.ID]*endedJob{}
 	coord.core.Configure([]jobs.Queue{testQueue})
 	h.link = h.register()
 	info := RunnerInfo{ID: testRunnerID, Service: testService, Capacity: structs.Resources{CPUMilli: 4000, MemoryMB: 1 << 20}}
--- /dev/null
+++ b/coordinator/retention_test.go
@@ -0,0 +1,110 @@
+package coordinator
+
+import (
+	"testing"
+	"time"
+
+	"bergamotstile/gateway"
+	"bergamotstile/jobs"
+	"bergamotstile/rowstore"
+)
+
+// retentionHarness is a coordinator with one ended job whose rows are due to be removed.
+type retentionHarness struct {
+	*loopHarness
+	t     *testing.T
+	store *rowstore.Memory
+	// acceptedRow is the job's row as it was read before the removal.
+	acceptedRow rowstore.Row
+}
+
+const endedID = jobs.ID("00000000000000ee")
+
+func newRetentionHarness(t *testing.T) *retentionHarness {
+	t.Helper()
+	h := &retentionHarness{loopHarness: newLoopHarness(t), t: t, store: rowstore.NewMemory()}
+	coord := h.coordinator
+	coord.ctx = t.Context()
+	coord.journal = newJournal(h.store, 1, discardLog())
+	if _, err := coord.journal.fence(t.Context(), gateway.PartOf(endedID)); err != nil {
+		t.Fatal(err)
+	}
+	value, err := jobs.EncodeAccepted(testQueue, jobs.Spec{Text: "text", Steps: []jobs.Step{plainStep(1, 1000)}}, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	key := gateway.AcceptedKey(endedID)
+	if _, err := h.store.Commit(t.Context(), rowstore.Transaction{Puts: []rowstore.Put{{Key: key, Value: value}}}); err != nil {
+		t.Fatal(err)
+	}
+	h.acceptedRow = rowstore.Row{Key: key, Value: value, Version: 1}
+	coord.endedJobs[endedID] = &endedJob{endedAt: 0}
+	coord.core.MarkFinished(endedID)
+	coord.env.StoreClock = func() time.Duration { return coord.env.Retention + retentionMargin + time.Hour }
+	return h
+}
+
+// removeRows starts a removal and applies its outcome.
+func (h *retentionHarness) removeRows() {
+	h.t.Helper()
+	h.coordinator.removeExpiredJobRows(h.clock.now())
+	select {
+	case queued := <-h.coordinator.events:
+		h.coordinator.applyEvent(queued)
+	case <-time.After(awaitTimeout):
+		h.t.Fatal("no outcome of the removal")
+	}
+}
+
+// expectNotAccepted fails the test if the job's row makes the coordinator accept it.
+func (h *retentionHarness) expectNotAccepted(when string) {
+	h.t.Helper()
+	jobsEvent{rows: []rowstore.Row{h.acceptedRow}}.apply(h.coordinator)
+	if h.coordinator.core.HasJob(endedID) {
+		h.t.Fatalf("an ended job is accepted again %s", when)
+	}
+}
+
+// Guards against an ended job that is accepted and run once more because its rows could not be
+// removed and the store has dropped its history, so that all rows are read again.
+func TestEndedJobIsNotAcceptedAgainAfterItsRowsCouldNotBeRemoved(t *testing.T) {
+	h := newRetentionHarness(t)
+	h.store.BeforeCall = func(string) error { return rowstore.ErrRefused }
+	h.removeRows()
+	h.expectNotAccepted("after a removal that failed")
+	h.store.BeforeCall = nil
+	h.removeRows()
+	res, err := h.store.Read(t.Context(), gateway.JobRange(endedID))
+	if err != nil || len(res.Rows) != 0 {
+		t.Errorf("%d rows after the removal was repeated, error %v", len(res.Rows), err)
+	}
+}
+
+// Guards against an ended job that is accepted once more from rows that were read before they
+// were removed, and against jobs that are remembered for good.
+func TestEndedJobIsForgottenOnlyOnceItsRowsCanNotBeReadAnyMore(t *testing.T) {
+	h := newRetentionHarness(t)
+	h.coordinator.removeExpiredJobRows(h.clock.now())
+	h.expectNotAccepted("while its rows are being removed")
+	h.coordinator.applyEvent(<-h.coordinator.events)
+	h.expectNotAccepted("just after its rows were removed")
+	h.clock.advance(forgetDelay)
+	h.coordinator.removeExpiredJobRows(h.clock.now())
+	if len(h.coordinator.endedJobs) != 0 || len(h.coordinator.core.finishedJobs) != 0 {
+		t.Errorf("%d ended jobs are remembered", len(h.coordinator.endedJobs))
+	}
+}
+
+// Guards against a lost answer to a removal after which the job is taken as still stored, and
+// never removed.
+func TestRemovalIsRepeatedAfterALostAnswer(t *testing.T) {
+	h := newRetentionHarness(t)
+	h.store.AfterCommit = func(string) error { return rowstore.ErrOutcomeUnknown }
+	h.removeRows()
+	h.store.AfterCommit = nil
+	h.removeRows()
+	h.expectNotAccepted("after its rows were removed")
+	if h.coordinator.endedJobs[endedID].removedAt == 0 {
+		t.Error("the job counts as stored after its rows were removed")
+	}
+}
--- a/coordinator/takeover.go
+++ b/coordinator/takeover.go
@@ -145,7 +145,7 @@
 	}
 	if j.State.IsTerminal() {
 		_, ended, err := jobs.DecodeState(record)
-		coord.endedJobs[id] = ended
+		coord.endedJobs[id] = &endedJob{endedAt: ended}
 		coord.core.MarkFinished(id)
 		return err
 	}
