--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -169,10 +169,8 @@
 	changes             changeLog
 	serviceReservations serviceReservations // by service, the capacity kept for plain tasks (neither serving nor best-effort)
 	// nextPreemption is when runs may next be preempted.
-	nextPreemption time.Duration
-	// nextDisplacedReservation is when capacity may next be reserved for displaced tasks.
-	nextDisplacedReservation time.Duration
-	durationEstimators       map[string]*durations.Estimator // by name of the queue
+	nextPreemption     time.Duration
+	durationEstimators map[string]*durations.Estimator // by name of the queue
 }
 
 // Counter adds n to the counter of a name.
--- a/coordinator/schedule.go
+++ b/coordinator/schedule.go
@@ -52,7 +52,6 @@
 			unplaced = append(unplaced, s)
 		}
 	}
-	c.reserveForDisplaced(unplaced, now)
 	if c.limits.Preempt {
 		c.preempt(unplaced, now)
 	}
