Leave room for displaced tasks when new long-running work starts

While 34 runners were silent with 292 tasks, 34 more tasks of new jobs were started. About 100 displaced tasks then waited up to 10 s, most runners being full of long-running tasks; at 30.05 s the room of a job cancelled just then was found free for 0.1 s to 0.5 s beside them.

New long-running work now also leaves free what displaced tasks need: those that wait, and those on runners that are not usable at present.

--- a/coordinator/schedule.go
+++ b/coordinator/schedule.go
@@ -38,7 +38,7 @@
 		}
 		if s.precedence.newLongRunning > 0 && !c.serviceReservations.tryReserveForLongRunning(s) {
 			// Plain work is neither serving nor best-effort.
-			c.logWait(s, "capacity is reserved for plain work", now)
+			c.logWait(s, "capacity is reserved for plain work and displaced tasks", now)
 			continue
 		}
 		if s.waitingSince == 0 {
--- a/coordinator/schedule_test.go
+++ b/coordinator/schedule_test.go
@@ -158,3 +158,34 @@
 		t.Error("not all runners are compared again after fullScanInterval")
 	}
 }
+
+// Guards against new long-running work that takes the last capacity while tasks of other
+// long-running jobs are about to lose their runner, or wait after they have lost it (hunt,
+// runner-lost-with-coordinator seed 990052579520: 34 tasks of new jobs were started while 292
+// tasks were on runners that had gone silent, and 100 of these waited for up to 10 s).
+func TestNewLongRunningWorkLeavesCapacityForDisplacedTasks(t *testing.T) {
+	h := newCoreHarness(t, testRunner("lost", 6000))
+	long := plainStep(1, 6000)
+	long.LongRunning = true
+	h.startJob(firstID, long)
+	h.core.UpdateRunner(testRunner("other", 8000), h.now)
+	h.report(Report{Runner: "other", Incarnation: 1})
+	h.core.MarkRunnerSilent("lost")
+	added := plainStep(1, 4000)
+	added.LongRunning = true
+	h.addJob(secondID, false, added)
+	if n := len(startOrders(h.schedule())); n != 0 {
+		t.Fatal("new work takes the capacity that the tasks of a silent runner may need")
+	}
+	h.core.ExpireRunnerLeases("lost", h.now)
+	orders := startOrders(h.schedule())
+	if len(orders) != 1 || orders[0].Task.Job != firstID {
+		t.Fatalf("orders %+v, want the displaced task", orders)
+	}
+	h.answer(orders[0], Accepted, false)
+	h.core.UpdateRunner(testRunner("third", 8000), h.now)
+	h.report(Report{Runner: "third", Incarnation: 1})
+	if n := len(startOrders(h.schedule())); n != 1 {
+		t.Errorf("%d starts of new work once no task is displaced, want 1", n)
+	}
+}
--- a/coordinator/servicereservation.go
+++ b/coordinator/servicereservation.go
@@ -10,14 +10,17 @@
 const peakDecayTime = 12 * time.Second
 
 // serviceReservation is a capacity reservation in one service for plain work, whose demand
-// rises and falls. New long-running work, which would keep the capacity for good, must leave
-// it free.
+// rises and falls, and for displaced long-running tasks. New long-running work, which would
+// keep the capacity for good, must leave it free.
 // Values are in thousandths of a processor.
 type serviceReservation struct {
 	peakMilli   float64 // decaying peak of demandMilli
 	demandMilli float64 // asked for by plain tasks that run or wait
-	freeMilli   float64 // not held by any run
-	totalMilli  float64
+	// displacedMilli is asked for by long-running tasks of begun jobs that wait, or whose
+	// runner is not usable, so that they may soon have to run elsewhere.
+	displacedMilli float64
+	freeMilli      float64 // not held by any run
+	totalMilli     float64
 }
 
 // largeFreeShare is the free share of a service's capacity, from 0 to 1, above which a waiting
@@ -46,20 +49,25 @@
 	decay := math.Exp(-float64(now-c.serviceReservations.updatedAt) / float64(peakDecayTime))
 	c.serviceReservations.updatedAt = now
 	for _, res := range c.serviceReservations.services {
-		res.demandMilli, res.freeMilli, res.totalMilli = 0, 0, 0
+		res.demandMilli, res.displacedMilli, res.freeMilli, res.totalMilli = 0, 0, 0, 0
 	}
 	for _, r := range c.runners {
+		res := c.serviceReservations.forService(r.Service)
 		if !r.isUsable() {
+			res.displacedMilli += float64(r.longRunningMilli())
 			continue
 		}
-		res := c.serviceReservations.forService(r.Service)
 		res.demandMilli += float64(r.plainCPUMilli)
 		res.totalMilli += float64(r.Capacity.CPUMilli)
 		res.freeMilli += float64(max(0, r.Capacity.CPUMilli-r.held.CPUMilli))
 	}
 	for _, s := range c.waitingSteps {
-		if !s.step.LongRunning && !s.step.BestEffort {
-			c.serviceReservations.forService(s.job.queue.Service).demandMilli += float64(len(s.pending)) * float64(s.step.Resources.CPUMilli)
+		res := c.serviceReservations.forService(s.job.queue.Service)
+		switch {
+		case s.step.LongRunning && s.job.started:
+			res.displacedMilli += float64(len(s.pending)) * float64(s.step.Reserved().CPUMilli)
+		case !s.step.LongRunning && !s.step.BestEffort:
+			res.demandMilli += float64(len(s.pending)) * float64(s.step.Resources.CPUMilli)
 		}
 	}
 	for _, res := range c.serviceReservations.services {
@@ -67,12 +75,25 @@
 	}
 }
 
+// longRunningMilli returns the processors, in thousandths, that long-running tasks hold on the
+// runner.
+func (r *runner) longRunningMilli() int64 {
+	var sum int64
+	for run := range r.runs {
+		if run.step.LongRunning {
+			sum += run.step.Reserved().CPUMilli
+		}
+	}
+	return sum
+}
+
 // tryReserveForLongRunning reports whether a new long-running step leaves free the capacity
-// that plain work needed recently. If so, it counts the step's tasks as placed.
+// that plain work needed recently and that displaced tasks need. If so, it counts the step's
+// tasks as placed.
 func (reservations *serviceReservations) tryReserveForLongRunning(s *openStep) bool {
 	res := reservations.forService(s.job.queue.Service)
 	needed := float64(len(s.pending)) * float64(s.step.Reserved().CPUMilli)
-	if res.freeMilli-needed < res.peakMilli-res.demandMilli {
+	if res.freeMilli-needed < res.peakMilli-res.demandMilli+res.displacedMilli {
 		return false
 	}
 	res.freeMilli -= needed
