--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -66,11 +66,10 @@
 	}
 	for _, c := range cases {
 		store := rowstore.NewMemory()
-		attempt := 0
+		var attempts atomic.Int32 // two attempts of one write may be sent at the same time
 		store.BeforeCall = func(string) error {
-			err := c.errs[min(attempt, len(c.errs)-1)]
-			attempt++
-			return err
+			attempt := int(attempts.Add(1)) - 1
+			return c.errs[min(attempt, len(c.errs)-1)]
 		}
 		if err := newGateway(store).Submit(shortContext(t), queue, id, spec); !errors.Is(err, c.want) {
 			t.Errorf("%s: %v, want %v", c.name, err, c.want)
