Store pending counts of queues with pending jobs only

Cause, found by reading for configurations that grow by many routes: the row of pending counts listed every configured queue each second, so that some thousands of routes exceed the size of a row (64 KB), the write is refused and the coordinator's term ends. Readers take a queue without an entry as one without pending jobs. Also, each tick rebuilt the map of queues; it now does so only if the queues have changed.

--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -134,7 +134,9 @@
 	limits Limits
 	log    logrus.FieldLogger
 	queues map[string]jobs.Queue
-	jobs   map[jobs.ID]*job
+	// configured holds the queues as Configure was last given them.
+	configured []jobs.Queue
+	jobs       map[jobs.ID]*job
 	// finishedJobs holds the ended jobs that were removed from jobs or that ended under
 	// a predecessor.
 	finishedJobs   map[jobs.ID]struct{}
@@ -199,8 +201,12 @@
 	}
 }
 
-// Configure replaces the configured queues.
+// Configure replaces the configured queues. It costs little if they have not changed.
 func (c *Core) Configure(queues []jobs.Queue) {
+	if c.configured != nil && slices.Equal(queues, c.configured) {
+		return
+	}
+	c.configured = append([]jobs.Queue{}, queues...)
 	clear(c.queues)
 	for _, queue := range queues {
 		c.queues[queue.Name] = queue
@@ -401,13 +407,10 @@
 	return orders
 }
 
-// PendingJobs returns, for each queue, the number of its jobs none of whose tasks has
-// started. Scheduled jobs are not counted.
+// PendingJobs returns, for each queue that has any, the number of its jobs none of whose
+// tasks has started. Scheduled jobs are not counted.
 func (c *Core) PendingJobs() map[string]int {
-	counts := make(map[string]int, len(c.queues))
-	for name := range c.queues {
-		counts[name] = 0
-	}
+	counts := map[string]int{}
 	for _, j := range c.jobs {
 		if !j.started && j.Spec.Repeats == 0 && !j.State.IsTerminal() {
 			counts[j.Queue.Name]++
--- a/coordinator/pending_test.go
+++ b/coordinator/pending_test.go
@@ -1,8 +1,10 @@
 package coordinator
 
 import (
+	"fmt"
 	"testing"
 
+	"bergamotstile/gateway"
 	"bergamotstile/jobs"
 )
 
@@ -59,3 +61,36 @@
 		})
 	}
 }
+
+// Guards against a row of pending jobs that grows with the configured queues: at a few
+// thousand routes it would exceed the size of a row, and the coordinator's term would end.
+func TestStoredPendingCountsGrowWithTheWorkOnly(t *testing.T) {
+	h := newCoreHarness(t)
+	queues := []jobs.Queue{testQueue}
+	for i := range 10_000 {
+		queues = append(queues, jobs.Queue{Name: fmt.Sprintf("route-%d", i), Service: testService})
+	}
+	h.core.Configure(queues)
+	h.addJob(firstID, false, plainStep(1, 1000))
+	value, err := gateway.PendingCounts{Jobs: h.core.PendingJobs()}.Encode()
+	if err != nil || len(value) > 100 {
+		t.Errorf("the counts of one job and %d queues take %d bytes, error %v", len(queues), len(value), err)
+	}
+	h.checkPendingJobs(1, "beside many queues")
+}
+
+// Guards against a changed configuration that is taken for the previous one.
+func TestChangedQueueIsConfigured(t *testing.T) {
+	h := newCoreHarness(t)
+	changed := testQueue
+	changed.MaxAttempts++
+	h.core.Configure([]jobs.Queue{testQueue})
+	h.core.Configure([]jobs.Queue{changed})
+	if got := h.core.queues[testQueue.Name]; got != changed {
+		t.Errorf("queue %+v, want %+v", got, changed)
+	}
+	h.core.Configure(nil)
+	if len(h.core.queues) != 0 {
+		t.Error("a removed queue is still configured")
+	}
+}
