--- a/rowstore/newconnection.go
+++ b/rowstore/newconnection.go
@@ -6,8 +6,8 @@
 type newConnectionKey struct{}
 
 // WithNewConnection returns a context for a call that repeats one without an answer. A Store
-// that keeps connections makes the call on a connection that was open for no other call at
-// the time of that one: the kept connections may have gone silent together.
+// that keeps connections drops the unused ones before it makes the call, since they may have
+// gone silent together with that of the earlier call.
 func WithNewConnection(ctx context.Context) context.Context {
 	return context.WithValue(ctx, newConnectionKey{}, true)
 }
