--- a/coordinator/drain_test.go
+++ b/coordinator/drain_test.go
@@ -134,3 +134,27 @@
 		t.Errorf("load of a silent runner: %+v", got)
 	}
 }
+
+// Guards against more tasks that are stopped on a draining runner than another runner has room
+// for: they wait for seconds although their runner would have let them work on (hunt, unanswered
+// on grown Lavigne: 18 LOST).
+func TestDrainMovesOnlyTasksForWhichThereIsRoom(t *testing.T) {
+	h := newCoreHarness(t, testRunner("draining", 8000))
+	step := plainStep(2, 4000)
+	step.LongRunning = true
+	orders := h.startJob(firstID, step)
+	h.core.UpdateRunner(testRunner("other", 4000), h.now)
+	h.report(Report{Runner: "other", Incarnation: 1})
+	info := testRunner("draining", 8000)
+	info.Draining, info.Remaining = true, 10*time.Second
+	h.core.UpdateRunner(info, h.now)
+	var running []RunStatus
+	for _, order := range orders {
+		running = append(running, RunStatus{Task: order.Task, Run: order.Run, Percent: fullPace})
+	}
+	h.report(Report{Runner: "draining", Incarnation: 1, Running: running})
+	h.core.CheckRuns(h.now)
+	if n := len(ordersOfKind(h.core.TakeOrders(), Stop)); n != 1 {
+		t.Errorf("%d tasks are stopped, want 1: the other runner has room for one", n)
+	}
+}
