Review case 1: tasks run twice when over 500 ends of a runner wait

Cause: a report of a runner holds at most 500 ends; a run whose end is not among them is taken as lost and its task is started again (coordinator/report.go, removeUnlistedRuns).

--- /dev/null
+++ b/review/standin/main.go
@@ -0,0 +1,43 @@
+//go:build review
+
+package main
+
+import (
+	"fmt"
+	"os"
+	"time"
+)
+
+// Exit codes of a case.
+const (
+	ruleHeld   = 0
+	ruleBroken = 1
+	notRun     = 2
+)
+
+// cases holds the cases by name. Each returns an exit code.
+var cases = map[string]func(rec *record, trouble bool) int{
+	"ends": playEnds,
+	"row":  playRow,
+}
+
+func main() {
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: review-standin CASE RECORD")
+		os.Exit(notRun)
+	}
+	rec, err := newRecord(os.Args[2])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(notRun)
+	}
+	time.AfterFunc(110*time.Second, func() {
+		rec.say("the case did not end in time")
+		rec.close()
+		os.Exit(notRun)
+	})
+	code := cases[os.Args[1]](rec, os.Getenv("TROUBLE") != "0")
+	rec.say("exit code %d", code)
+	rec.close()
+	os.Exit(code)
+}
--- /dev/null
+++ b/review/standin/row.go
@@ -0,0 +1,5 @@
+//go:build review
+
+package main
+
+func playRow(rec *record, trouble bool) int { return notRun }
