--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -140,7 +140,15 @@
 
 // register writes a runner's entry into the registry.
 func (d *deployment) register(r *runner) {
-	d.store.Register(hostedtest.RunnerEntry{ID: r.id, Service: r.service, Address: r.address, CPUMilli: r.cpu})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.isCutOff {
+		return
+	}
+	r.sequence++
+	entry, _ := json.Marshal(map[string]any{"service": r.service, "address": r.address, "zone": "ogbomoso", "version": "1", "slots": 8, "state": "ready",
+		"sequence": r.sequence, "born": r.born.UnixMilli(), "capacity": map[string]any{"cpu": r.cpu, "mem-mb": r.memory, "gpu": 0}, "labels": []string{r.kind, "r-1"}})
+	d.store.RegisterRaw(r.id, entry)
 }
 
 func (d *deployment) startInstance(name string) error {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -19,6 +19,7 @@
 var cases = map[string]func(rec *record, trouble bool) int{
 	"ends": playEnds,
 	"row":  playRow,
+	"kind": playKind,
 }
 
 func main() {
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -42,12 +42,18 @@
 	takes       time.Duration // zero: it lasts
 	checkpoints bool
 	failsAfter  time.Duration // zero: it does not fail
+	cpu         int64
+	requires    string // label that the runner must have
 }
 
 // runner is a stand-in for a runner. It lists at most endsPerAnswer ends in an answer.
 type runner struct {
 	id, service, address string
-	cpu, memory          int64
+	cpu, memory          int64  // guarded by mu once it has been started
+	kind                 string // label; guarded by mu
+	isCutOff             bool   // it does not reach the store; guarded by mu
+	violations           []string
+	sequence             int // of its entry in the registry
 	rec                  *record
 	plan                 func(task, spec string) work
 	server               *http.Server
@@ -72,7 +78,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &runner{id: id, service: service, address: listener.Addr().String(), cpu: cpu, memory: memory, rec: rec, plan: plan,
+	r := &runner{id: id, service: service, address: listener.Addr().String(), kind: "a", cpu: cpu, memory: memory, rec: rec, plan: plan,
 		born: time.Now(), running: map[string]*run{}, highest: map[string]int{}, changed: make(chan struct{})}
 	r.server = &http.Server{Handler: r}
 	go func() { _ = r.server.Serve(listener) }()
@@ -228,9 +234,35 @@
 	r.running[body.Task] = t
 	r.all = append(r.all, t)
 	r.rec.add("%s: start of task %s run %d", r.id, t.task, t.number)
+	var used int64
+	for _, other := range r.running {
+		used += r.plan(other.task, "").cpu
+	}
+	if used > r.cpu {
+		r.violations = append(r.violations, fmt.Sprintf("LIMIT: %s: start of task %s run %d at %.3f s brings the use of cpu to %d, the capacity is %d", r.id, t.task, t.number, time.Since(r.rec.started).Seconds(), used, r.cpu))
+	}
+	if w.requires != "" && w.requires != r.kind {
+		r.violations = append(r.violations, fmt.Sprintf("ROUTE: %s: start of task %s run %d at %.3f s, which requires the label %s; the runner has %s", r.id, t.task, t.number, time.Since(r.rec.started).Seconds(), w.requires, r.kind))
+	}
 	return ""
 }
 
+// crash ends everything that runs on the runner. It starts again at once, under the id and
+// at the address that it had, and as another kind of runner.
+func (r *runner) crash(kind string, cpu int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, t := range r.running {
+		t.endedAt, t.how = time.Now(), "crashed"
+	}
+	r.rec.say("%s: crashes with %d runs and starts again, as kind %s with cpu %d", r.id, len(r.running), kind, cpu)
+	r.born, r.epoch, r.leaseUntil, r.isLapsed, r.lastEnd = time.Now(), 0, 0, false, 0
+	r.running, r.highest, r.ended = map[string]*run{}, map[string]int{}, nil
+	r.kind, r.cpu = kind, cpu
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
 // lists returns what runs and the oldest ends. The caller holds mu.
 func (r *runner) lists() (running, ended [][]any) {
 	running, ended = [][]any{}, [][]any{}
