--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -17,9 +17,11 @@
 
 // cases holds the cases by name. Each returns an exit code.
 var cases = map[string]func(rec *record, trouble bool) int{
-	"ends": playEnds,
-	"row":  playRow,
-	"kind": playKind,
+	"ends":     playEnds,
+	"row":      playRow,
+	"kind":     playKind,
+	"standing": playStanding,
+	"hangup":   playHangup,
 }
 
 func main() {
--- /dev/null
+++ b/review/standin/standing.go
@@ -0,0 +1,103 @@
+//go:build review
+
+package main
+
+import (
+	"fmt"
+	"time"
+)
+
+// playStanding submits a job whose tasks last to an almost idle fleet. With trouble, many
+// small jobs come at once just before it.
+func playStanding(rec *record, trouble bool) int {
+	const (
+		fleet, runnerCPU  = 4, 32000
+		burst             = 80 // jobs that come at once
+		tasks, taskCPU    = 6, 2300
+		standingTasks     = 6
+		standingCPU       = 6400
+		taskTime          = time.Second
+		finish            = 14 * time.Second // finish_s
+		allowed           = 3 * time.Second  // without a run although there is room
+		watched           = 60 * time.Second // at most, after the end of the traffic
+		standing, ordinal = 999, 0
+	)
+	standingID := jobID(standing)
+	isStanding := func(task string) bool { return len(task) > 16 && task[:16] == standingID }
+	d, err := startDeployment(rec, 3, fleet, runnerCPU, 64000, 3, func(task, _ string) work {
+		if isStanding(task) {
+			return work{cpu: standingCPU}
+		}
+		return work{takes: taskTime, cpu: taskCPU}
+	})
+	defer d.stop()
+	if err != nil {
+		rec.say("not run: %v", err)
+		return notRun
+	}
+	proof := map[string]any{"spec": "proof", "steps": []any{map[string]any{"count": tasks, "cpu": taskCPU, "mem-mb": 64, "estimate-ms": taskTime.Milliseconds()}}}
+	watch := map[string]any{"spec": "watch", "steps": []any{map[string]any{"count": standingTasks, "cpu": standingCPU, "mem-mb": 64, "long-running": true}}}
+	n := 1
+	if trouble {
+		n = burst
+		rec.say("%d jobs of %d tasks come at once", n, tasks)
+	}
+	accepted := make(chan bool, n)
+	for i := range n {
+		go func() { accepted <- d.submit(jobID(ordinal+i), proof) }()
+	}
+	for range n {
+		if !<-accepted {
+			rec.say("not run: a job was not accepted")
+			return notRun
+		}
+	}
+	if !d.submit(standingID, watch) {
+		rec.say("not run: the standing job was not accepted")
+		return notRun
+	}
+	trafficEnd := time.Now()
+	rec.say("the standing job is accepted; the traffic has ended")
+	var idleSince time.Time // since when the standing job could run and did not, later than finish
+	var longest, startedAfter time.Duration
+	var idleFrom time.Duration
+	for time.Since(trafficEnd) < watched && startedAfter == 0 {
+		time.Sleep(20 * time.Millisecond)
+		used, places, isRunning := int64(0), int64(0), false
+		for _, r := range d.runners {
+			r.mu.Lock()
+			var here int64
+			for task := range r.running {
+				here += r.plan(task, "").cpu
+				isRunning = isRunning || isStanding(task)
+			}
+			r.mu.Unlock()
+			used += here
+			places += (runnerCPU - here) / standingCPU
+		}
+		now := time.Since(trafficEnd)
+		switch {
+		case isRunning:
+			startedAfter = now
+		case places < 2*standingTasks || 2*used >= fleet*runnerCPU:
+			idleSince = time.Time{}
+		default:
+			if idleFrom == 0 && used == 0 {
+				idleFrom = now
+			}
+			if now > finish && idleSince.IsZero() {
+				idleSince = time.Now()
+			}
+			if !idleSince.IsZero() {
+				longest = max(longest, time.Since(idleSince))
+			}
+		}
+	}
+	rec.say("all runners were idle from %v after the end of the traffic; the standing job's first task started after %v (0 s: not at all)", idleFrom.Round(time.Millisecond), startedAfter.Round(time.Millisecond))
+	rec.say("state of the standing job: %s", d.state(standingID))
+	rec.say("LOST: later than %v after the traffic it had nothing running for %v although there was room for it twice over and under half of the capacity was in use (%v allowed)", finish, fmt.Sprint(longest.Round(time.Millisecond)), allowed)
+	if longest > allowed {
+		return ruleBroken
+	}
+	return ruleHeld
+}
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -17,6 +18,9 @@
 const (
 	rowBytes    = 65536 // row-bytes of the settings
 	answerDelay = 4 * time.Millisecond
+	// partWritesPerSecond and txTime are part-writes-s and tx-ms of the settings.
+	partWritesPerSecond = 150
+	txTime              = 8 * time.Millisecond
 )
 
 // store is the repository's stand-in of the store, with row-bytes enforced and an outage
@@ -27,6 +31,30 @@
 	down     atomic.Bool
 	tooLarge atomic.Int64 // transactions refused because of a row over row-bytes
 	rec      *record
+
+	// queueParts makes the transactions of a part wait for each other, part-writes-s.
+	queueParts atomic.Bool
+	mu         sync.Mutex
+	free       map[string]time.Time // by part: when the next transaction may begin
+}
+
+// awaitPart waits for the turn of a transaction in its part. It returns false if more than a
+// second of transactions is waiting.
+func (s *store) awaitPart(part string) bool {
+	s.mu.Lock()
+	turn := s.free[part]
+	if now := time.Now(); turn.Before(now) {
+		turn = now
+	}
+	wait := time.Until(turn)
+	if wait > time.Second {
+		s.mu.Unlock()
+		return false
+	}
+	s.free[part] = turn.Add(time.Second / partWritesPerSecond)
+	s.mu.Unlock()
+	time.Sleep(wait + txTime)
+	return true
 }
 
 func startStore(rec *record) (*store, error) {
@@ -34,7 +62,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &store{Store: hostedtest.NewStore(1), address: listener.Addr().String(), rec: rec}
+	s := &store{Store: hostedtest.NewStore(1), address: listener.Addr().String(), rec: rec, free: map[string]time.Time{}}
 	s.SetFaults(hostedtest.StoreFaults{Delay: answerDelay})
 	go func() { _ = (&http.Server{Handler: s}).Serve(listener) }()
 	return s, nil
@@ -53,6 +81,7 @@
 		var tx struct {
 			Puts []struct {
 				Table string `json:"table"`
+				Part  string `json:"part"`
 				Key   string `json:"key"`
 				Value []byte `json:"value"`
 			} `json:"put"`
@@ -70,6 +99,10 @@
 				return
 			}
 		}
+		if s.queueParts.Load() && len(tx.Puts) > 0 && !s.awaitPart(tx.Puts[0].Part) {
+			w.WriteHeader(http.StatusTooManyRequests)
+			return
+		}
 		r.Body = io.NopCloser(bytes.NewReader(body))
 	}
 	s.Store.ServeHTTP(w, r)
