--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -190,7 +190,8 @@
 			return nil
 		}
 	}
-	return fmt.Errorf("%s is not ready", inst.name)
+	log, _ := os.ReadFile(filepath.Join(d.dir, inst.name+".log"))
+	return fmt.Errorf("%s is not ready; the end of its log: %s", inst.name, log[max(0, len(log)-1000):])
 }
 
 // stop ends all processes that the deployment started.
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -17,11 +17,12 @@
 
 // cases holds the cases by name. Each returns an exit code.
 var cases = map[string]func(rec *record, trouble bool) int{
-	"ends":     playEnds,
-	"row":      playRow,
-	"kind":     playKind,
-	"standing": playStanding,
-	"hangup":   playHangup,
+	"ends":      playEnds,
+	"row":       playRow,
+	"kind":      playKind,
+	"standing":  playStanding,
+	"crashloop": playCrashLoop,
+	"hangup":    playHangup,
 }
 
 func main() {
--- a/review/standin/row.go
+++ b/review/standin/row.go
@@ -63,7 +63,7 @@
 			if t.how == "done" {
 				doneTasks[task] = true
 			}
-			if !t.endedAt.IsZero() && now.Sub(t.endedAt) > ack {
+			if !t.listedAt.IsZero() && now.Sub(t.listedAt) > ack {
 				ends++
 				if t.notedAt.IsZero() {
 					unnoted++
@@ -75,7 +75,7 @@
 		}
 	}
 	rec.say("%d of %d small jobs are not shown as completed %v after the traffic; %d of their tasks have not ended done", notCompleted, before+after, finish, undone)
-	rec.say("%d of %d ends that are older than %v are not taken note of", unnoted, ends, ack)
+	rec.say("%d of %d ends that runners have listed for longer than %v are not taken note of", unnoted, ends, ack)
 	rec.say("the store refused %d transactions because of a row of more than %d bytes", d.store.tooLarge.Load(), rowBytes)
 	rec.say("%d starts after a run had ended done (rule TWICE)", len(d.startsAfterDone()))
 	if unnoted*5 > ends {
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -33,6 +33,7 @@
 	how        string
 	endNumber  int
 	notedAt    time.Time // when seen-upto reached the end; zero before
+	listedAt   time.Time // when an answer first listed the end; zero before
 	epoch      uint64    // fencing token of the start
 	failsAfter time.Duration
 }
@@ -274,6 +275,9 @@
 		running = append(running, []any{t.task, t.number, t.saved, percent, 100})
 	}
 	for _, t := range r.ended[:min(len(r.ended), endsPerAnswer)] {
+		if t.listedAt.IsZero() {
+			t.listedAt = time.Now()
+		}
 		ended = append(ended, []any{t.endNumber, t.task, t.number, t.how, t.saved})
 	}
 	return running, ended
