--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -89,13 +90,19 @@
 	client    *http.Client
 }
 
+// freeAddress returns an address on which nobody listens. Its port is below those that the
+// system gives to outgoing connections, which could take it before the instance does.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	const firstPort, ports, tries = 10_000, 20_000, 50
+	var err error
+	for range tries {
+		var l net.Listener
+		if l, err = net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))); err == nil {
+			address := l.Addr().String()
+			return address, l.Close()
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+	return "", err
 }
 
 func startDeployment(rec *record, instances, runners int, cpu, memory int64, attempts int, plan func(task, spec string) work) (*deployment, error) {
