Review: end the processes of a case that is given up

Cause: the stand-in left its instances running when a case ran out of time or was stopped. Done: it ends them and exits with 2.

--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -14,7 +14,6 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"syscall"
 	"time"
 
 	"bergamotstile/platform/hosted/hostedtest"
@@ -111,6 +110,7 @@
 		return nil, err
 	}
 	d := &deployment{dir: dir, rec: rec, client: &http.Client{Timeout: 3 * time.Second}}
+	started.Store(d)
 	if d.store, err = startStore(rec); err != nil {
 		return d, err
 	}
@@ -205,7 +205,7 @@
 func (d *deployment) stop() {
 	for _, inst := range d.instances {
 		if inst.cmd != nil && inst.cmd.Process != nil {
-			_ = inst.cmd.Process.Signal(syscall.SIGKILL)
+			_ = inst.cmd.Process.Kill()
 			_ = inst.cmd.Wait()
 		}
 	}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -5,6 +5,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -15,6 +18,9 @@
 	notRun     = 2
 )
 
+// started is the deployment of the case, whose processes have to end with the case.
+var started atomic.Pointer[deployment]
+
 // cases holds the cases by name. Each returns an exit code.
 var cases = map[string]func(rec *record, trouble bool) int{
 	"ends":      playEnds,
@@ -35,11 +41,18 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(notRun)
 	}
-	time.AfterFunc(110*time.Second, func() {
-		rec.say("the case did not end in time")
+	giveUp := func(cause string) {
+		rec.say("not run: %s", cause)
+		if d := started.Load(); d != nil {
+			d.stop()
+		}
 		rec.close()
 		os.Exit(notRun)
-	})
+	}
+	time.AfterFunc(110*time.Second, func() { giveUp("the case did not end in time") })
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	go func() { giveUp((<-signals).String()) }()
 	code := cases[os.Args[1]](rec, os.Getenv("TROUBLE") != "0")
 	rec.say("exit code %d", code)
 	rec.close()
