--- a/review/standin/crashloop.go
+++ b/review/standin/crashloop.go
@@ -7,19 +7,26 @@
 	"time"
 )
 
-// playCrashLoop lets small jobs come. With trouble, the tasks of a standing job among them fail
-// soon after each start. Then it asks for the states of the small jobs.
+// playCrashLoop lets small jobs come beside 20 standing jobs. With trouble, the tasks of one of
+// the standing jobs fail soon after each start. Then it asks for the states of the small jobs.
 func playCrashLoop(rec *record, trouble bool) int {
 	const (
 		watched       = 85 * time.Second
 		standingTasks = 48
+		soundStanding = 19 // further standing jobs, whose tasks last
 		pause         = 500 * time.Millisecond
 		finish        = 14 * time.Second // finish_s
 		ack           = 4 * time.Second  // ack-ms
 	)
 	isStanding := func(task string) bool { return strings.HasPrefix(task, jobID(999)) }
+	soundID := func(n int) string { return jobID(900_000 + n) }
+	isSoundStanding := func(task string) bool {
+		return len(task) > 16 && task[:16] >= soundID(0) && task[:16] < soundID(soundStanding)
+	}
 	d, err := startDeployment(rec, 3, 24, 32000, 64000, 3, func(task, _ string) work {
 		switch {
+		case isSoundStanding(task):
+			return work{}
 		case !isStanding(task):
 			return work{takes: time.Second}
 		case trouble:
@@ -41,6 +48,13 @@
 		rec.say("not run: the standing job was not accepted")
 		return notRun
 	}
+	sound := map[string]any{"spec": "standing", "steps": []any{map[string]any{"count": 2, "cpu": 500, "mem-mb": 64, "long-running": true}}}
+	for n := range soundStanding {
+		if !d.submit(soundID(n), sound) {
+			rec.say("not run: a standing job was not accepted")
+			return notRun
+		}
+	}
 	count := 0
 	for until := time.Now().Add(watched); time.Now().Before(until); count++ {
 		if !d.submit(jobID(count), small) {
@@ -72,7 +86,7 @@
 				}
 			}
 		}
-		if !isStanding(task) && !isDone {
+		if !isStanding(task) && !isSoundStanding(task) && !isDone {
 			undone++
 		}
 	}
