Review case 4: keep to the burst that the site sets

Cause: 80 jobs at once are more than the largest burst of the site file, 2.6 times the traffic for 4 s.

--- a/review/standin/standing.go
+++ b/review/standin/standing.go
@@ -4,23 +4,28 @@
 
 import (
 	"fmt"
+	"sync"
+	"sync/atomic"
 	"time"
 )
 
-// playStanding submits a job whose tasks last to an almost idle fleet. With trouble, many
-// small jobs come at once just before it.
+// playStanding lets proofs come at a steady rate and, at the end of the traffic, a job whose
+// tasks last. With trouble, the proofs come at 2.6 times that rate in the last 4 s.
 func playStanding(rec *record, trouble bool) int {
 	const (
 		fleet, runnerCPU  = 4, 32000
-		burst             = 80 // jobs that come at once
+		perSecond         = 6.0 // proofs that come in a second
+		before            = 6 * time.Second
+		burstX            = 2.6
+		burstFor          = 4 * time.Second
 		tasks, taskCPU    = 6, 2300
 		standingTasks     = 6
-		standingCPU       = 6400
+		standingCPU       = 8000
 		taskTime          = time.Second
 		finish            = 14 * time.Second // finish_s
 		allowed           = 3 * time.Second  // without a run although there is room
 		watched           = 60 * time.Second // at most, after the end of the traffic
-		standing, ordinal = 999, 0
+		standing, ordinal = 999, 1000
 	)
 	standingID := jobID(standing)
 	isStanding := func(task string) bool { return len(task) > 16 && task[:16] == standingID }
@@ -37,21 +42,35 @@
 	}
 	proof := map[string]any{"spec": "proof", "steps": []any{map[string]any{"count": tasks, "cpu": taskCPU, "mem-mb": 64, "estimate-ms": taskTime.Milliseconds()}}}
 	watch := map[string]any{"spec": "watch", "steps": []any{map[string]any{"count": standingTasks, "cpu": standingCPU, "mem-mb": 64, "long-running": true}}}
-	n := 1
-	if trouble {
-		n = burst
-		rec.say("%d jobs of %d tasks come at once", n, tasks)
+	var wg sync.WaitGroup
+	var refused atomic.Int64
+	sent := 0
+	send := func(rate float64, length time.Duration) {
+		for began, n := time.Now(), 0; time.Since(began) < length; n++ {
+			wg.Add(1)
+			go func(id string) {
+				defer wg.Done()
+				if !d.submit(id, proof) {
+					refused.Add(1)
+				}
+			}(jobID(ordinal + sent))
+			sent++
+			time.Sleep(time.Until(began.Add(time.Duration(float64(n+1) / rate * float64(time.Second)))))
+		}
 	}
-	accepted := make(chan bool, n)
-	for i := range n {
-		go func() { accepted <- d.submit(jobID(ordinal+i), proof) }()
+	send(perSecond, before)
+	rate := perSecond
+	if trouble {
+		rate = perSecond * burstX
+		rec.say("a burst: %.1f times the traffic for %v", burstX, burstFor)
 	}
-	for range n {
-		if !<-accepted {
-			rec.say("not run: a job was not accepted")
-			return notRun
-		}
+	send(rate, burstFor)
+	wg.Wait()
+	if refused.Load() > 0 {
+		rec.say("not run: a job was not accepted")
+		return notRun
 	}
+	rec.say("%d proofs are accepted", sent)
 	if !d.submit(standingID, watch) {
 		rec.say("not run: the standing job was not accepted")
 		return notRun
