--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -162,8 +162,10 @@
 	misdirectedExpiries map[string]time.Duration
 	// inheritedRunnerCount is the number of the predecessor's runners at the takeover.
 	// unansweredInherited holds those that have not answered this coordinator since.
-	inheritedRunnerCount  int
-	unansweredInherited   map[string]struct{}
+	inheritedRunnerCount int
+	unansweredInherited  map[string]struct{}
+	// inherited holds the predecessor's runners at the takeover.
+	inherited             map[string]struct{}
 	unresolvedLogThrottle logThrottle // limits how often the unresolved runners are logged
 	// storeOffset is the store's clock minus the local clock.
 	storeOffset         time.Duration
@@ -197,6 +199,7 @@
 		unresolved:          map[string]time.Duration{},
 		unansweredInherited: map[string]struct{}{},
 		misdirectedExpiries: map[string]time.Duration{},
+		inherited:           map[string]struct{}{},
 		counters:            count,
 		interference:        newInterferenceModel(),
 		failedSearches:      failedSearches{},
--- a/coordinator/drain.go
+++ b/coordinator/drain.go
@@ -80,7 +80,7 @@
 		_, unresolved := c.unresolved[id]
 		return maintenance.Load{Known: !unresolved}
 	}
-	load := maintenance.Load{Known: r.hasReported && !r.cannotExtendLeases && len(r.blockedJobs) == 0, Runs: len(r.runs), CPUMilli: r.held.CPUMilli}
+	load := maintenance.Load{Known: r.hasReported && !r.isUnfenced && !r.cannotExtendLeases && len(r.blockedJobs) == 0, Runs: len(r.runs), CPUMilli: r.held.CPUMilli}
 	for run := range r.runs {
 		if !run.step.LongRunning {
 			continue
--- a/coordinator/events.go
+++ b/coordinator/events.go
@@ -182,6 +182,9 @@
 	coord.core.UpdateRunner(info, now)
 	if l := coord.links[info.ID]; l != nil {
 		l.setRegistration(info, now)
+		if expiry := l.unansweredExpiry(); expiry > 0 {
+			coord.core.RaiseInheritedExpiry(info.ID, expiry)
+		}
 		return
 	}
 	l := coord.createLink(info, now)
--- a/coordinator/incarnation_test.go
+++ b/coordinator/incarnation_test.go
@@ -1,7 +1,9 @@
 package coordinator
 
 import (
+	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -133,16 +135,27 @@
 // no answer, is carried out by the new process of its runner after that process has reported
 // that it runs nothing.
 func TestRunsAreKeptUntilTheNewProcessRefusesEarlierCalls(t *testing.T) {
-	h := newCoreHarness(t, testRunner("a", 4000))
+	h := newCoreHarness(t, testRunner("a", 4000), testRunner("b", 4000))
 	order := h.startJob(firstID, plainStep(1, 1000))[0]
-	h.report(Report{Runner: "a", Incarnation: 2, Unfenced: true})
-	if orders := startOrders(h.schedule()); len(orders) != 0 {
-		t.Fatalf("%d starts while the runner may carry out earlier calls", len(orders))
+	h.addJob(secondID, false, plainStep(7, 1000))
+	h.report(Report{Runner: order.Runner, Incarnation: 2, Unfenced: true})
+	for _, o := range startOrders(h.schedule()) {
+		if o.Task.Job == firstID || o.Runner == order.Runner {
+			t.Errorf("start of %v on %s while its runner may carry out earlier calls", o.Task, o.Runner)
+		}
 	}
-	h.report(Report{Runner: "a", Incarnation: 2})
-	orders := startOrders(h.schedule())
-	if len(orders) != 1 || orders[0].Run != order.Run+1 || orders[0].Incarnation != 2 {
-		t.Errorf("starts %+v after the new process refuses earlier calls, want one with the next run number", orders)
+	h.report(Report{Runner: order.Runner, Incarnation: 2})
+	again := 0
+	for _, o := range startOrders(h.schedule()) {
+		if o.Task.Job == firstID {
+			again++
+			if o.Run != order.Run+1 || o.Incarnation != 2 {
+				t.Errorf("start %+v, want the next run number on the new process", o)
+			}
+		}
+	}
+	if again != 1 {
+		t.Errorf("%d starts after the new process refuses earlier calls, want one", again)
 	}
 }
 
@@ -192,19 +205,6 @@
 	}
 }
 
-// Guards against a coordinator that ends its term because a runner refuses a call with a token
-// that this coordinator has itself replaced.
-func TestRefusalOfAReplacedTokenDoesNotEndTheTerm(t *testing.T) {
-	h := newRosterHarness(t)
-	l := h.register()
-	before := l.token()
-	l.recordAnswer(1, time.Hour, h.clock.now(), h.clock.now(), before)
-	l.recordAnswer(2, time.Minute, h.clock.now(), h.clock.now(), before)
-	if !l.isSuperseded(before) || l.isSuperseded(l.token()) {
-		t.Error("the token of calls to the earlier process counts as the present one")
-	}
-}
-
 // Guards against a successor that takes the leases on a runner as expired too early because the
 // runner restarted just before the takeover. The predecessor's calls to the earlier process may
 // hold the longest lease of the platform there.
@@ -259,3 +259,112 @@
 		t.Errorf("process %d is settled although it may carry out calls to the earlier one", got)
 	}
 }
+
+// scriptedRunner is a RunnerClient whose answers the test sets.
+type scriptedRunner struct {
+	poll func(PollRequest) (PollResponse, error)
+	send func(Order, uint64) (OrderResponse, error)
+}
+
+func (r scriptedRunner) Poll(_ context.Context, request PollRequest) (PollResponse, error) {
+	return r.poll(request)
+}
+
+func (r scriptedRunner) Send(_ context.Context, order Order, token uint64, _ time.Duration) (OrderResponse, error) {
+	return r.send(order, token)
+}
+
+// Guards against a term that ends because an order of a link that was removed, or a call with a
+// token that was replaced, is refused: the runner has seen a later token of the same coordinator.
+func TestRefusalsOfReplacedTokensDoNotEndTheTerm(t *testing.T) {
+	h := newRosterHarness(t)
+	removed := h.register()
+	var seen uint64
+	h.coordinator.env.Runners = scriptedRunner{send: func(_ Order, token uint64) (OrderResponse, error) {
+		if token < seen {
+			return OrderResponse{}, ErrFenced
+		}
+		return OrderResponse{Outcome: Accepted}, nil
+	}}
+	seen = h.register().token()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	settled := new(atomic.Bool)
+	time.AfterFunc(50*time.Millisecond, func() { settled.Store(true) })
+	removed.sendOrder(ctx, Order{Kind: Stop, Runner: testRunnerID, Settled: settled})
+	seen++ // a later coordinator's
+	if len(h.coordinator.fatalErrors) > 0 {
+		t.Error("the refusal of a replaced token ended the term")
+	}
+	h.register().sendOrder(ctx, Order{Kind: Stop, Runner: testRunnerID, Settled: new(atomic.Bool)})
+	seen = 1 << 60
+	h.register().sendOrder(ctx, Order{Kind: Stop, Runner: testRunnerID, Settled: new(atomic.Bool)})
+	if len(h.coordinator.fatalErrors) != 1 {
+		t.Error("the refusal of the newest token did not end the term")
+	}
+}
+
+// Guards against leases that are granted after a response has shown that the runner's process is
+// another one than the one whose clock was read.
+func TestNoLeaseIsGrantedAfterAReadingOfAnotherClock(t *testing.T) {
+	h := newRosterHarness(t)
+	l := h.register()
+	l.recordAnswer(1, time.Hour, h.clock.now(), h.clock.now(), l.token())
+	reading := time.Hour
+	h.coordinator.env.Runners = scriptedRunner{send: func(Order, uint64) (OrderResponse, error) {
+		return OrderResponse{Outcome: Accepted, Clock: reading}, nil
+	}}
+	order := Order{Kind: Start, Runner: testRunnerID, Incarnation: 1, Settled: new(atomic.Bool)}
+	l.sendOrder(t.Context(), order)
+	if l.nextRequest().Deadline == 0 {
+		t.Fatal("no lease is granted after a reading of the same clock")
+	}
+	reading = time.Minute
+	l.sendOrder(t.Context(), order)
+	if deadline := l.nextRequest().Deadline; deadline != 0 {
+		t.Errorf("a lease until %v is granted on an unknown clock", deadline)
+	}
+	if expiry := l.lease.expiry(); expiry < h.clock.now()+maxCallDelay {
+		t.Errorf("leases are taken as expired at %v although earlier calls may come until %v", expiry, h.clock.now()+maxCallDelay)
+	}
+	l.recordAnswer(1, time.Hour, h.clock.now(), h.clock.now(), l.token())
+	if expiry := l.lease.expiry(); expiry >= h.clock.now()+maxCallDelay {
+		t.Error("a suspicion that turned out wrong still delays the expiry of leases")
+	}
+}
+
+// Guards against a successor that learns only after its takeover that a runner had restarted
+// just before: the predecessor's calls to the earlier process may hold leases there.
+func TestEntryOfAnotherProcessAfterATakeoverDelaysTheExpiry(t *testing.T) {
+	h := newRosterHarness(t)
+	coord := h.coordinator
+	coord.env.MaxLeaseDuration = 10 * time.Second
+	latest := h.clock.now() + time.Second
+	coord.core.SetInheritedRunners(coord.inheritRoster([]rosterEntry{{id: testRunnerID, settledIncarnation: 1}}, latest), latest)
+	l := h.register()
+	l.settledIncarnation, l.registeredIncarnation = 1, 1
+	h.clock.advance(500 * time.Millisecond)
+	coord.registerRunner(RunnerInfo{ID: testRunnerID, Incarnation: 2}, h.clock.now())
+	l.recordUnanswered(h.clock.now())
+	h.clock.advance(10 * time.Second)
+	if l.markExpired(h.clock.now()) || coord.core.InheritedExpiry(testRunnerID) < h.clock.now() {
+		t.Error("the leases on a restarted runner are taken as expired before the longest one has")
+	}
+}
+
+// Guards against the conclusion that nothing runs on a runner which may still carry out calls to
+// its earlier process: maintenance would end its runs, or a successor not wait for it.
+func TestUnfencedRunnerIsNotKnownToBeIdle(t *testing.T) {
+	h := newRosterHarness(t)
+	l := h.register()
+	l.recordAnswer(1, time.Hour, h.clock.now(), h.clock.now(), l.token())
+	for _, unfenced := range []bool{false, true} {
+		h.coordinator.core.ApplyReport(Report{Runner: testRunnerID, Incarnation: 1, Unfenced: unfenced, Sent: h.clock.now()}, h.clock.now())
+		if got := h.coordinator.core.RunnerLoad(testRunnerID).Known; got == unfenced {
+			t.Errorf("unfenced %v: the load is known: %v", unfenced, got)
+		}
+		if got := h.coordinator.isIdle(testRunnerID); got == unfenced {
+			t.Errorf("unfenced %v: the runner is idle: %v", unfenced, got)
+		}
+	}
+}
--- a/coordinator/inherited.go
+++ b/coordinator/inherited.go
@@ -34,11 +34,27 @@
 			c.misdirectedExpiries[r.ID] = r.MisdirectedExpiredAt
 		}
 		c.unansweredInherited[r.ID] = struct{}{}
+		c.inherited[r.ID] = struct{}{}
 	}
 	c.inheritedRunnerCount = len(c.unansweredInherited)
 	c.otherLeasesExpireAt = otherLeasesExpireAt
 }
 
+// isInherited reports whether a predecessor knew the runner.
+func (c *Core) isInherited(id string) bool {
+	_, ok := c.inherited[id]
+	return ok
+}
+
+// RaiseInheritedExpiry raises the time by which a predecessor's leases on an unresolved runner
+// have expired, because the runner has restarted around the takeover.
+func (c *Core) RaiseInheritedExpiry(id string, expiry time.Duration) {
+	if current, ok := c.unresolved[id]; ok {
+		c.misdirectedExpiries[id] = max(expiry, c.misdirectedExpiries[id])
+		c.unresolved[id] = max(current, expiry)
+	}
+}
+
 // haveMostAnswered reports whether at least successorMajorityPercent percent of the
 // predecessor's runners have answered this coordinator.
 func (c *Core) haveMostAnswered() bool {
--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -48,9 +48,8 @@
 	// own lease is not renewed, in nanoseconds of the local clock. Zero means that none
 	// may be granted. See updateMajority.
 	majorityUntil atomic.Int64
-	// lastGeneration is the highest generation of a link, see link.token.
-	lastGeneration atomic.Uint64
-	predecessor    predecessor
+	tokens        tokenIssuer
+	predecessor   predecessor
 
 	// jobsAsOf is the time on the store's clock up to which all accepted jobs are known.
 	jobsAsOf   time.Duration
@@ -354,5 +353,8 @@
 	l.isExpiryRecorded, l.unansweredSince = isRecorded, now
 	l.registeredIncarnation, l.settledIncarnation = info.Incarnation, coord.settledIncarnations[info.ID]
 	l.lease.misdirectedExpiresBy = coord.core.misdirectedExpiries[info.ID]
+	if !coord.core.isInherited(info.ID) && !coord.tokens.hasIssuedBefore(info.ID) {
+		l.settledIncarnation = info.Incarnation // no call has been sent to an earlier process
+	}
 	return l
 }
--- a/coordinator/lease.go
+++ b/coordinator/lease.go
@@ -86,6 +86,17 @@
 	return l.lastAnsweredPollSentAt
 }
 
+// unansweredExpiry returns the expiry of misdirected leases on a runner that has not answered
+// this coordinator, or zero if there can be none or the runner has answered.
+func (l *link) unansweredExpiry() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.incarnation != 0 {
+		return 0
+	}
+	return l.lease.misdirectedExpiresBy
+}
+
 // lowerInheritedExpiry brings forward the time at which a predecessor's leases on the
 // runner have expired, unless the runner has answered this coordinator.
 func (l *link) lowerInheritedExpiry(expiry time.Duration) {
--- a/coordinator/link.go
+++ b/coordinator/link.go
@@ -42,9 +42,10 @@
 	// epoch of the coordinator.
 	generationBits = 24
 	// maxClockDeviation is how far a reading of a runner's clock may be from the one expected,
-	// beyond the drift of the clocks and the time that the call took. A new process starts a new
-	// clock, whose readings are unrelated to those of the earlier one.
-	maxClockDeviation = 300 * time.Millisecond
+	// beyond the drift of the clocks and the time that the call took. It covers the time that the
+	// answer to the last poll took. A new process starts a new clock, whose readings are
+	// unrelated to those of the earlier one.
+	maxClockDeviation = 2 * time.Second
 )
 
 // link is the coordinator's side of the communication with one runner. It holds the state of
@@ -98,6 +99,11 @@
 	// that answered last is not the present one; zero if nothing shows that. No lease is granted
 	// then, because the clock of the present process is not known.
 	restartSuspectedAt time.Duration
+	// misdirectedExpiryBefore is the expiry of misdirected leases before the restart was
+	// suspected. It holds again if the same process answers.
+	misdirectedExpiryBefore time.Duration
+	// restarted signals that a poll under way need not be waited for, since its process has ended.
+	restarted chan struct{}
 	// settledIncarnation identifies a process on which no misdirected call can hold a lease, as
 	// the predecessor knew it; zero if it knew of none.
 	settledIncarnation int64
@@ -107,7 +113,7 @@
 // granted on the runner before have expired at inheritedExpiry, on the local clock.
 func newLink(coord *coordinator, runnerID, address string, inheritedExpiry time.Duration) *link {
 	return &link{coordinator: coord, runnerID: runnerID, address: address, orderSlots: make(chan struct{}, maxOrdersInFlight), storedSignal: make(chan struct{}, 1), appliedSignal: make(chan struct{}, 1),
-		lease: leaseState{expiresBy: inheritedExpiry}, generation: coord.lastGeneration.Add(1)}
+		lease: leaseState{expiresBy: inheritedExpiry}, generation: coord.tokens.nextGeneration(runnerID), restarted: make(chan struct{}, 1)}
 }
 
 // token returns the fencing token of calls to the runner. It is higher than that of each call
@@ -116,11 +122,10 @@
 func (l *link) token() uint64 { return l.coordinator.term.Epoch<<generationBits | l.generation }
 
 // isSuperseded reports whether a token has been replaced by a higher one of this coordinator,
-// so that a call with it may be refused although no later coordinator exists.
+// also by that of a later link to the runner, so that a call with it may be refused although no
+// later coordinator exists.
 func (l *link) isSuperseded(token uint64) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return token < l.token()
+	return token < l.coordinator.term.Epoch<<generationBits|l.coordinator.tokens.newest(l.runnerID)
 }
 
 // setRegistration records the runner's registry entry. An entry of another process than the one
@@ -131,15 +136,33 @@
 	l.address = info.Address
 	changed := info.Incarnation != l.registeredIncarnation
 	l.registeredIncarnation = info.Incarnation
-	if changed && info.Incarnation != 0 && l.incarnation != 0 && info.Incarnation != l.incarnation {
-		l.suspectRestart(now, "registry entry of another process")
+	known := l.incarnation
+	if known == 0 {
+		known = l.settledIncarnation
+	}
+	if !changed || info.Incarnation == 0 || known == 0 || info.Incarnation == known {
+		return
+	}
+	l.suspectRestart(now, "registry entry of another process")
+	l.raiseGeneration()
+	select {
+	case l.restarted <- struct{}{}:
+	default:
 	}
 }
 
+// raiseGeneration makes the next calls carry a higher token. Once the runner has answered one,
+// it refuses all earlier calls. The caller holds mu.
+func (l *link) raiseGeneration() {
+	l.generation = l.coordinator.tokens.nextGeneration(l.runnerID)
+	l.isFenced = false
+}
+
 // suspectRestart records that the process that answered last is not the present one. Calls to it
 // that are under way may be carried out by the present one. The caller holds mu.
 func (l *link) suspectRestart(now time.Duration, evidence string) {
 	if l.restartSuspectedAt == 0 {
+		l.misdirectedExpiryBefore = l.lease.misdirectedExpiresBy
 		l.coordinator.env.Count("restarts_suspected", 1)
 		l.coordinator.env.Log.WithFields(logrus.Fields{"runner": l.runnerID, "evidence": evidence}).Warn("runner may have restarted")
 	}
@@ -229,16 +252,22 @@
 	l.lastAnsweredPollSentAt = sent
 	if l.incarnation != 0 && l.incarnation != incarnation {
 		l.lease.resetForNewProcess(now)
-		l.generation = l.coordinator.lastGeneration.Add(1)
-		l.isFenced, l.restartSuspectedAt = false, 0
+		if token == l.token() {
+			l.raiseGeneration()
+		}
+		l.restartSuspectedAt = 0
 		l.lease.allowMisdirectedCalls(now+maxCallDelay, l.coordinator.env.MaxLeaseDuration)
 	}
 	l.incarnation = incarnation
 	l.recordFencing(token, now)
 	l.lease.clockReading, l.lease.receivedAt = clockReading, now
 	l.isSilent, l.mayHaveRestarted, l.isGone = false, false, false
-	if sent >= l.restartSuspectedAt {
+	if l.restartSuspectedAt > 0 && sent >= l.restartSuspectedAt {
+		// The process is the one that answered before.
 		l.restartSuspectedAt = 0
+		if l.isFenced {
+			l.lease.misdirectedExpiresBy = l.misdirectedExpiryBefore
+		}
 	}
 	return pollAnswer{canExtend: l.newLeaseEnd() > 0, unfenced: !l.isFenced}
 }
@@ -328,12 +357,18 @@
 	for ctx.Err() == nil {
 		request := l.nextRequest()
 		sent := l.coordinator.env.Clock()
-		response, err := l.coordinator.env.Runners.Poll(ctx, request)
+		response, err := l.poll(ctx, request)
 		now := l.coordinator.env.Clock()
+		if ctx.Err() != nil {
+			return
+		}
 		if errors.Is(err, ErrFenced) && !l.isSuperseded(request.Token) {
 			l.coordinator.fail(ErrFenced)
 			return
 		}
+		if errors.Is(err, errPollAbandoned) {
+			continue
+		}
 		if err != nil {
 			l.coordinator.env.Count("hold_unanswered", 1)
 			l.coordinator.post(ctx, runnerSilentEvent{l})
@@ -355,6 +390,29 @@
 	}
 }
 
+// errPollAbandoned means that the process to which a poll was sent has ended.
+var errPollAbandoned = errors.New("runner has restarted")
+
+// poll sends a poll and waits for the answer, but not for that of a process which has ended: its
+// connections may stay silent until the timeout.
+func (l *link) poll(ctx context.Context, request PollRequest) (PollResponse, error) {
+	type result struct {
+		response PollResponse
+		err      error
+	}
+	answered := make(chan result, 1)
+	go func() {
+		response, err := l.coordinator.env.Runners.Poll(ctx, request)
+		answered <- result{response, err}
+	}()
+	select {
+	case r := <-answered:
+		return r.response, r.err
+	case <-l.restarted:
+		return PollResponse{}, errPollAbandoned
+	}
+}
+
 // awaitReportApplied waits until the loop has applied the last report, for maxAppliedWait at
 // most. Without the wait, a coordinator that is behind would queue reports that repeat those
 // which already wait. With it, fewer reports arrive and each contains more changes.
--- a/coordinator/roster.go
+++ b/coordinator/roster.go
@@ -137,7 +137,8 @@
 // expiry may be later than that: the predecessor may itself have waited for leases that an
 // earlier coordinator granted.
 func (coord *coordinator) inheritRoster(entries []rosterEntry, latest time.Duration) []InheritedRunner {
-	maxExpiry := coord.env.Clock() + maxExpiryWait(coord.env.LeaseDuration)
+	maxWait := max(maxExpiryWait(coord.env.LeaseDuration), misdirectedExpiry(maxCallDelay, coord.env.MaxLeaseDuration))
+	maxExpiry := coord.env.Clock() + maxWait
 	inherited := make([]InheritedRunner, 0, len(entries))
 	for _, e := range entries {
 		expiry := latest
@@ -220,7 +221,7 @@
 // task is started there either.
 func (coord *coordinator) isIdle(id string) bool {
 	l, r := coord.links[id], coord.core.runners[id]
-	if l == nil || r == nil || !r.hasReported || len(r.runs) > 0 || len(r.blockedJobs) > 0 {
+	if l == nil || r == nil || !r.hasReported || r.isUnfenced || len(r.runs) > 0 || len(r.blockedJobs) > 0 {
 		return false
 	}
 	return r.lastAppliedResult == 0 || l.isAcknowledged(Acknowledgement{r.incarnation, r.lastAppliedResult})
--- a/coordinator/takeover.go
+++ b/coordinator/takeover.go
@@ -187,7 +187,9 @@
 			inherited = append(inherited, InheritedRunner{ID: id, ExpiredAt: latest})
 		}
 	}
-	coord.setMisdirectedExpiries(inherited, registered)
+	if coord.term.Epoch > 1 {
+		coord.setMisdirectedExpiries(inherited, registered)
+	}
 	coord.core.SetInheritedRunners(inherited, latest)
 	return coord.removeAnsweringExpiries(ctx, roster)
 }
@@ -207,7 +209,7 @@
 // process the predecessor did not know as settled. The predecessor may have sent calls to an
 // earlier process of such a runner for as long as it acted.
 func (coord *coordinator) setMisdirectedExpiries(inherited []InheritedRunner, registered map[string]RunnerInfo) {
-	expiry := misdirectedExpiry(max(coord.env.Clock(), coord.predecessor.actingUntil), coord.env.MaxLeaseDuration)
+	expiry := misdirectedExpiry(max(coord.env.Clock(), coord.predecessor.actingUntil)+maxCallDelay, coord.env.MaxLeaseDuration)
 	for i, r := range inherited {
 		info, isRegistered := registered[r.ID]
 		if isRegistered && info.Incarnation != 0 && info.Incarnation != coord.settledIncarnations[r.ID] {
