--- a/coordinator/types.go
+++ b/coordinator/types.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"bergamotstile/jobs"
+	"bergamotstile/rowstore"
 	"bergamotstile/structs"
 )
 
@@ -144,7 +145,9 @@
 // ProgressWrite is a job with its encoded progress, to be stored.
 type ProgressWrite struct {
 	Job   *jobs.Job
-	Value []byte
+	Value []byte // of the job's row of progress
+	// Parts holds, by number, the values of all further rows of progress that the job has.
+	Parts map[int][]byte
 }
 
 // Acknowledgement says up to which number the results of a runner's incarnation are stored,
@@ -171,4 +174,15 @@
 	// ScheduleLead is how long before its due time an occurrence of a scheduled job may
 	// start.
 	ScheduleLead time.Duration
+	// MaxRowBytes is the size of the largest value of a row that the store accepts; zero
+	// stands for rowstore.DefaultMaxRowBytes.
+	MaxRowBytes int
+}
+
+// maxRowBytes returns MaxRowBytes or its default.
+func (l Limits) maxRowBytes() int {
+	if l.MaxRowBytes <= 0 {
+		return rowstore.DefaultMaxRowBytes
+	}
+	return l.MaxRowBytes
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -18,6 +18,12 @@
 	ErrNotAccepted = errors.New("not accepted")
 	// ErrOutcomeUnknown means that the write may have taken effect, or may still do so.
 	ErrOutcomeUnknown = errors.New("outcome unknown")
+	// ErrTooLarge means that the job is not accepted because its row would be larger than
+	// the store allows. The same call fails whenever and wherever it is sent again.
+	ErrTooLarge = errors.New("job too large to be stored")
+	// ErrRejected means that the job is not accepted because the store refuses its row for
+	// good, for a reason other than a size known to the gateway.
+	ErrRejected = errors.New("job refused by the store")
 )
 
 // Clock returns the current estimate of the store's clock.
@@ -30,6 +36,9 @@
 	// MaxPendingAge is the age above which Pending returns ErrOutdated instead of
 	// the stored number of pending jobs. The age counts from PendingCounts.AsOf.
 	MaxPendingAge time.Duration
+	// MaxRowBytes is the size of the largest value of a row that the store accepts; zero
+	// means that the gateway checks no size.
+	MaxRowBytes int
 
 	writeLatency, readLatency meanLatency
 }
@@ -41,6 +50,9 @@
 	if err != nil {
 		return fmt.Errorf("%w: %v", ErrNotAccepted, err)
 	}
+	if g.MaxRowBytes > 0 && len(value) > g.MaxRowBytes {
+		return g.refuseTooLarge(ctx, id, len(value))
+	}
 	key := AcceptedKey(id)
 	return g.write(ctx, rowstore.Transaction{
 		Conditions: []rowstore.Condition{{Key: key}},
@@ -48,6 +60,16 @@
 	})
 }
 
+// refuseTooLarge returns the error for a job whose row would be too large, or nil if an
+// earlier call has recorded the job: its row may have been smaller, as it contains the queue.
+func (g *Gateway) refuseTooLarge(ctx context.Context, id jobs.ID, size int) error {
+	found, err := g.readJobRows(ctx, id)
+	if err != nil || found.accepted != nil {
+		return err
+	}
+	return fmt.Errorf("%w: its row has %d bytes, at most %d are allowed", ErrTooLarge, size, g.MaxRowBytes)
+}
+
 // jobRows are the rows that clients have written for one job.
 type jobRows struct {
 	accepted  *rowstore.Row // nil if the job does not exist
--- a/gateway/write.go
+++ b/gateway/write.go
@@ -153,10 +153,10 @@
 // shouldStop reports whether another attempt would be useless. It is called with the
 // error of the last answer while no attempt is unanswered. Besides the limit on
 // attempts there are two such cases: the store refuses after an attempt of unknown
-// outcome, or it has refused twice.
+// outcome, or it has refused twice or for good.
 func (w *hedgedWrite) shouldStop(err error) bool {
 	refused := errors.Is(err, rowstore.ErrRefused)
-	return w.attempts >= maxAttempts || refused && (w.unknownOutcome || w.refusals > 1)
+	return w.attempts >= maxAttempts || errors.Is(err, rowstore.ErrRejected) || refused && (w.unknownOutcome || w.refusals > 1)
 }
 
 // retryDelay returns the delay before the next attempt.
@@ -172,6 +172,9 @@
 	if w.unknownOutcome || w.unanswered > 0 {
 		return fmt.Errorf("%w after %d attempts: %v", ErrOutcomeUnknown, w.attempts, w.lastErr)
 	}
+	if errors.Is(w.lastErr, rowstore.ErrRejected) {
+		return fmt.Errorf("%w: %v", ErrRejected, w.lastErr)
+	}
 	return fmt.Errorf("%w: %v", ErrNotAccepted, w.lastErr)
 }
 
--- a/rowstore/rowstore.go
+++ b/rowstore/rowstore.go
@@ -16,6 +16,9 @@
 	ErrRefused = errors.New("store refused the call")
 	// ErrOutcomeUnknown means that the call may have taken effect, now or later.
 	ErrOutcomeUnknown = errors.New("outcome of the call unknown")
+	// ErrRejected is added to ErrRefused if the store would refuse the same call again, however
+	// often it is repeated: a row is too large, for example.
+	ErrRejected = errors.New("store refuses the call for good")
 	// ErrNoAnswer is added to ErrRefused if a read got no answer. The store may be fine and
 	// only the connection dead.
 	ErrNoAnswer = errors.New("store did not answer")
@@ -67,6 +70,10 @@
 	MaxTransactionBytes   = 1 << 20
 )
 
+// DefaultMaxRowBytes is the size of the largest value of a row if the platform does not
+// state one.
+const DefaultMaxRowBytes = 64 << 10
+
 // ChangesWait is the time for which readers of Changes let the store wait for a change.
 // A lost response is noticed only after that time, so it bounds how late a change is read
 // then.
