Bound the stored progress of a task, and split progress that does not fit into one row

Seen: the row of a job whose long-running tasks fail again and again grew by the number of each failed run, and passed row-bytes after about 26,000 failures; the row of a job of 3,000 tasks with checkpoints of 16 characters has about 73,000 bytes. Cause: all failed runs were kept for ever though only their number and the newest ones matter, checkpoints had no limit, and the progress of a job had to fit into one row, however many tasks it has. Ruled out: a refusal at submission (jobs of 10,000 tasks are allowed and most need little); cutting the encoded value into pieces, which needs one transaction for all of them and has no bound below its 1 MB. Change: a task keeps the 16 newest numbers of failed runs and a count of the others, and a checkpoint of at most 512 bytes.

--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -127,8 +127,8 @@
 		run.checkpoint, run.checkpointPercent = status.Checkpoint, status.Percent
 	}
 	run.load = status.Load
-	if task := run.job.Task(run.task); task != nil && status.Checkpoint != "" {
-		task.Checkpoint = status.Checkpoint
+	if task := run.job.Task(run.task); task != nil {
+		task.RecordCheckpoint(status.Checkpoint)
 	}
 }
 
@@ -254,8 +254,8 @@
 	c.markStarted(j)
 	task := j.Task(result.Task)
 	task.LastRun = max(task.LastRun, result.Run)
-	if result.Checkpoint != "" {
-		task.Checkpoint = result.Checkpoint
+	if !task.RecordCheckpoint(result.Checkpoint) {
+		c.counters("checkpoints_too_long", 1)
 	}
 	switch result.Kind {
 	case EndedDone:
--- a/jobs/codec.go
+++ b/jobs/codec.go
@@ -43,6 +43,10 @@
 	Current  []occurrenceRecord `cbor:"3,keyasint,omitempty"`
 	// EndedAt is when the job ended, on the store's clock.
 	EndedAt time.Duration `cbor:"4,keyasint,omitempty"`
+	// TasksPerRow and FinishedBits are set if the tasks' progress is in further rows. Then
+	// Finished is empty, and Current holds nothing but the marker splitOccurrence.
+	TasksPerRow  int    `cbor:"5,keyasint,omitempty"`
+	FinishedBits []byte `cbor:"6,keyasint,omitempty"` // one bit for each finished occurrence
 }
 
 // occurrenceRecord is the stored form of an Occurrence.
@@ -66,6 +70,26 @@
 	LastRun    int    `cbor:"2,keyasint,omitempty"`
 	FailedRuns []int  `cbor:"3,keyasint,omitempty"`
 	Checkpoint string `cbor:"4,keyasint,omitempty"`
+	// EarlierFailures and FailuresUpTo are ignored by versions that keep all failed runs.
+	EarlierFailures int `cbor:"5,keyasint,omitempty"`
+	FailuresUpTo    int `cbor:"6,keyasint,omitempty"`
+}
+
+// newTaskRecord returns the stored form of a task that is not done. ok is false if the task
+// needs no record: it is in its initial state, or in its first run, which the runner reports.
+func newTaskRecord(index int, t *Task) (record taskRecord, ok bool) {
+	if t.LastRun <= 1 && len(t.FailedRuns) == 0 && t.Checkpoint == "" {
+		return taskRecord{}, false
+	}
+	return taskRecord{index, t.LastRun, t.FailedRuns, t.Checkpoint, t.EarlierFailures, t.FailuresUpTo}, true
+}
+
+// restore applies a stored record to a task.
+func (t *Task) restore(record taskRecord) {
+	t.LastRun, t.FailedRuns = record.LastRun, record.FailedRuns
+	t.EarlierFailures, t.FailuresUpTo = record.EarlierFailures, record.FailuresUpTo
+	t.trimFailedRuns()
+	t.RecordCheckpoint(record.Checkpoint)
 }
 
 // EncodeProgress returns the stored form of the job's progress. endedAt is when
@@ -105,10 +129,8 @@
 			record.Done[i/8] |= 1 << (i % 8)
 			continue
 		}
-		// The first run of a task needs no record while it is in progress,
-		// since the runner reports it.
-		if t.LastRun > 1 || len(t.FailedRuns) > 0 || t.Checkpoint != "" {
-			record.Tasks = append(record.Tasks, taskRecord{i, t.LastRun, t.FailedRuns, t.Checkpoint})
+		if taskRecord, ok := newTaskRecord(i, t); ok {
+			record.Tasks = append(record.Tasks, taskRecord)
 		}
 	}
 	return record
@@ -127,7 +149,9 @@
 	return record.State, record.EndedAt, nil
 }
 
-// Restore applies a stored record of progress to a job without progress.
+// Restore applies a stored record of progress to a job without progress. If the progress is
+// split over several rows (see EncodeProgressRows), RestorePart has to follow for each of the
+// further rows.
 func (j *Job) Restore(value []byte) error {
 	var record progressRecord
 	if err := cbor.Unmarshal(value, &record); err != nil {
@@ -139,6 +163,11 @@
 	for _, number := range record.Finished {
 		j.Finished[number] = true
 	}
+	if record.TasksPerRow > 0 {
+		j.TasksPerRow, j.State = record.TasksPerRow, record.State
+		j.restoreFinishedBits(record.FinishedBits)
+		return nil
+	}
 	for _, occurrence := range record.Current {
 		if err := j.restoreOccurrence(occurrence); err != nil {
 			return err
@@ -175,8 +204,7 @@
 		if t.Index < 0 || t.Index >= len(s.Tasks) {
 			return fmt.Errorf("task %d does not exist", t.Index)
 		}
-		task := &s.Tasks[t.Index]
-		task.LastRun, task.FailedRuns, task.Checkpoint = t.LastRun, t.FailedRuns, t.Checkpoint
+		s.Tasks[t.Index].restore(t)
 	}
 	return nil
 }
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -79,8 +79,46 @@
 type Task struct {
 	Done       bool
 	LastRun    int    // highest run number that was used
-	FailedRuns []int  // numbers of the runs that failed
+	FailedRuns []int  // numbers of the newest runs that failed, at most MaxFailedRuns
 	Checkpoint string // newest checkpoint; empty if there is none
+	// EarlierFailures counts the failed runs that FailedRuns no longer holds. Runs up to the
+	// number FailuresUpTo are not counted again.
+	EarlierFailures, FailuresUpTo int
+}
+
+// Limits of the stored progress of one task. They bound the size of its record.
+const (
+	// MaxFailedRuns bounds the numbers of failed runs that are kept so that a failure which
+	// is listed twice counts once. The failures of long-running tasks, and those in queues
+	// without a limit of attempts, are unlimited.
+	MaxFailedRuns = 16
+	// MaxCheckpointBytes is the length of the longest checkpoint that is kept.
+	MaxCheckpointBytes = 512
+)
+
+// RecordCheckpoint records the newest checkpoint of the task; an empty one changes nothing. It
+// reports false, and keeps the earlier checkpoint, if the new one is too long to be stored.
+func (t *Task) RecordCheckpoint(checkpoint string) bool {
+	if len(checkpoint) > MaxCheckpointBytes {
+		return false
+	}
+	if checkpoint != "" {
+		t.Checkpoint = checkpoint
+	}
+	return true
+}
+
+// trimFailedRuns replaces the lowest numbers of failed runs by their count while there are
+// more than MaxFailedRuns.
+func (t *Task) trimFailedRuns() {
+	excess := len(t.FailedRuns) - MaxFailedRuns
+	if excess <= 0 {
+		return
+	}
+	slices.Sort(t.FailedRuns)
+	t.EarlierFailures += excess
+	t.FailuresUpTo = max(t.FailuresUpTo, t.FailedRuns[excess-1])
+	t.FailedRuns = slices.Delete(t.FailedRuns, 0, excess)
 }
 
 // StepState is the progress of one step in one occurrence.
@@ -109,6 +147,9 @@
 	Current map[int]*Occurrence
 	// Finished holds the numbers of the occurrences whose tasks are all done.
 	Finished map[int]bool
+	// TasksPerRow is the number of consecutive tasks whose progress one further row holds. It is
+	// zero while all progress fits into one row, and does not change any more once it is set.
+	TasksPerRow int
 }
 
 // New returns an accepted job without progress.
@@ -219,10 +260,11 @@
 		id.Index = 0
 	}
 	t := j.Task(id)
-	if t == nil || slices.Contains(t.FailedRuns, run) {
+	if t == nil || run <= t.FailuresUpTo || slices.Contains(t.FailedRuns, run) {
 		return false
 	}
 	t.FailedRuns = append(t.FailedRuns, run)
+	t.trimFailedRuns()
 	return true
 }
 
@@ -235,5 +277,5 @@
 	if t == nil {
 		return 0
 	}
-	return len(t.FailedRuns)
+	return len(t.FailedRuns) + t.EarlierFailures
 }
