Keep a row that the store refuses for good from blocking the progress of all jobs

Nothing bounded the rows. Ruled out: ending the term (the successor meets the same row), failing the job (a store that refuses everything for a while would end all jobs), and holding back the ends of the job (they fill the runners' lists of 500 ends, and the ends of other jobs behind them are not listed any more). Change: progress is stored in the rows of EncodeProgressRows, the further ones before the row with the state and only if they have changed, and restored from them in a takeover. A transaction that is refused for good is halved until the row is found; the others are written, the job is logged, counted and tried again after 30 s. If the store takes nothing at all, nothing is acknowledged. Shared rows: the interference model and the pending counts are reduced to what fits; a refused roster or record of waves does not count as stored.

--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -368,11 +369,11 @@
 func (c *Core) TakeWrites(now time.Duration) ([]ProgressWrite, map[string]Acknowledgement, error) {
 	var writes []ProgressWrite
 	for j := range c.unstoredJobs {
-		value, err := jobs.EncodeProgress(j.Job, now+c.storeOffset)
+		rows, err := jobs.EncodeProgressRows(j.Job, now+c.storeOffset, c.limits.maxRowBytes())
 		if err != nil {
 			return nil, nil, fmt.Errorf("encode progress of job %s: %w", j.ID, err)
 		}
-		writes = append(writes, ProgressWrite{Job: j.Job, Value: value})
+		writes = append(writes, ProgressWrite{Job: j.Job, Value: rows.Head, Parts: rows.Parts})
 		if j.State.IsTerminal() {
 			c.removeJob(j)
 		}
@@ -419,6 +420,17 @@
 	return counts
 }
 
+// PendingJobsOfConfiguredQueues returns the numbers of PendingJobs without the queues that
+// have been removed from the configuration.
+func (c *Core) PendingJobsOfConfiguredQueues() map[string]int {
+	counts := c.PendingJobs()
+	maps.DeleteFunc(counts, func(queue string, _ int) bool {
+		_, isConfigured := c.queues[queue]
+		return !isConfigured
+	})
+	return counts
+}
+
 // Roster returns the sorted IDs of the runners on which tasks may be running.
 func (c *Core) Roster() []string {
 	ids := make([]string, 0, len(c.runners))
--- a/coordinator/events.go
+++ b/coordinator/events.go
@@ -37,9 +37,13 @@
 		rows []rowstore.Row
 		asOf time.Duration
 	}
-	// progressStoredEvent says that progress is durable, and by runner ID which results the
-	// runner may forget.
-	progressStoredEvent struct{ acknowledged map[string]Acknowledgement }
+	// progressStoredEvent says that progress is durable, except for the rows that the store
+	// refuses for good, and by runner ID which results the runner may forget.
+	progressStoredEvent struct {
+		acknowledged map[string]Acknowledgement
+		writes       []ProgressWrite
+		outcome      *rejectedRowsError
+	}
 	// adviceEvent brings the answer to a request for advice, or why there is none.
 	adviceEvent struct {
 		request AdviceRequest
@@ -78,6 +82,10 @@
 
 func (e progressStoredEvent) apply(coord *coordinator) {
 	coord.isStoringProgress = false
+	coord.recordRejectedProgress(e.writes, e.outcome)
+	if !coord.heldWrites.canAcknowledge(e.outcome.accepted) {
+		return
+	}
 	for id, acknowledged := range e.acknowledged {
 		if l := coord.links[id]; l != nil {
 			l.setAcknowledged(acknowledged)
--- a/coordinator/interference.go
+++ b/coordinator/interference.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"math"
@@ -84,13 +85,32 @@
 }
 
 // EncodeInterference returns the stored form of the interference model, from which a
-// successor starts.
+// successor starts. If it does not fit into one row, it holds only a part of the model.
 func (c *Core) EncodeInterference() ([]byte, error) {
 	stored := storedInterference{Pairs: c.interference.model.Export(), QuietTailsMS: map[string]float64{}}
 	for image, tail := range c.interference.quietTails {
 		stored.QuietTailsMS[image] = tail.ms
 	}
-	return cbor.Marshal(stored)
+	value, err := cbor.Marshal(stored)
+	for limit := c.limits.maxRowBytes(); err == nil && len(value) > limit && len(stored.Pairs)+len(stored.QuietTailsMS) > 0; {
+		stored.shrink()
+		value, err = cbor.Marshal(stored)
+	}
+	return value, err
+}
+
+// shrink drops the half of the pairs of which least is known and, once there are no pairs,
+// the half of the tails. What is dropped has to be learned again after a takeover.
+func (s *storedInterference) shrink() {
+	if len(s.Pairs) > 0 {
+		slices.SortFunc(s.Pairs, func(a, b interference.StoredPair) int { return cmp.Compare(a.Deviation, b.Deviation) })
+		s.Pairs = s.Pairs[:len(s.Pairs)/2]
+		return
+	}
+	images := slices.Sorted(maps.Keys(s.QuietTailsMS))
+	for _, image := range images[len(images)/2:] {
+		delete(s.QuietTailsMS, image)
+	}
 }
 
 // RestoreInterference adds the interference model that a predecessor stored.
--- a/coordinator/journal.go
+++ b/coordinator/journal.go
@@ -6,6 +6,8 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -44,11 +46,14 @@
 	mu            sync.Mutex
 	epochVersions map[string]uint64 // version of the epoch row, by part
 	versions      map[rowstore.Key]uint64
-	outage        logging.Outage
+	// parts holds the further rows of progress that the store may hold, by job and number. A
+	// value is nil while it is not known which one the store holds.
+	parts  map[jobs.ID]map[int][]byte
+	outage logging.Outage
 }
 
 func newJournal(store rowstore.Store, epoch uint64, log logrus.FieldLogger) *journal {
-	return &journal{store: store, epoch: epoch, epochVersions: map[string]uint64{}, versions: map[rowstore.Key]uint64{},
+	return &journal{store: store, epoch: epoch, epochVersions: map[string]uint64{}, versions: map[rowstore.Key]uint64{}, parts: map[jobs.ID]map[int][]byte{},
 		outage: logging.Outage{Log: log, Lost: "journal write failed, retrying", Regained: "journal writes succeed again"}}
 }
 
@@ -125,53 +130,155 @@
 	return j.versions[key]
 }
 
+// rowWrite is the write or the removal of one row. If it belongs to a job, jobID is set.
+type rowWrite struct {
+	rowstore.Put
+	isRemoval bool
+	jobID     jobs.ID
+}
+
 // storeAll writes progress, all parts at the same time, and returns once all of it is
-// durable or an error ends the term.
+// durable or an error ends the term. Rows that the store refuses for good do not keep it from
+// writing the others; it returns them as a *rejectedRowsError.
 func (j *journal) storeAll(ctx context.Context, writes []ProgressWrite) error {
-	batches := map[string][]rowstore.Put{}
+	batches := map[string][]rowWrite{}
 	for _, write := range writes {
-		key := gateway.ProgressKey(write.Job.ID)
-		batches[key.Part] = append(batches[key.Part], rowstore.Put{Key: key, Value: write.Value})
+		part := gateway.PartOf(write.Job.ID)
+		batches[part] = append(batches[part], j.progressRows(write)...)
 	}
+	var mu sync.Mutex
+	var total rejectedRowsError
+	var errs []error
 	var wg sync.WaitGroup
-	results := make(chan error, len(batches))
-	for part, puts := range batches {
+	for part, rows := range batches {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			results <- j.putAll(ctx, part, puts)
+			outcome, err := j.writeAll(ctx, part, rows)
+			mu.Lock()
+			defer mu.Unlock()
+			errs = append(errs, err)
+			total.accepted += outcome.accepted
+			total.rows = append(total.rows, outcome.rows...)
 		}()
 	}
 	wg.Wait()
-	close(results)
-	var errs []error
-	for err := range results {
-		errs = append(errs, err)
+	if err := errors.Join(errs...); err != nil {
+		return err
+	}
+	return total.asError()
+}
+
+// progressRows returns the writes that store the progress of a job, in the order in which
+// EncodeProgressRows requires them. It leaves out further rows that are stored already, and
+// removes those that the progress no longer has.
+func (j *journal) progressRows(write ProgressWrite) []rowWrite {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	id := write.Job.ID
+	var rows []rowWrite
+	for _, number := range slices.Sorted(maps.Keys(write.Parts)) {
+		key := gateway.ProgressPartKey(id, number)
+		if stored, ok := j.parts[id][number]; ok && stored != nil && bytes.Equal(stored, write.Parts[number]) {
+			continue
+		}
+		j.setPart(id, number, nil)
+		rows = append(rows, rowWrite{Put: rowstore.Put{Key: key, Value: write.Parts[number]}, jobID: id})
+	}
+	rows = append(rows, rowWrite{Put: rowstore.Put{Key: gateway.ProgressKey(id), Value: write.Value}, jobID: id})
+	for _, number := range slices.Sorted(maps.Keys(j.parts[id])) {
+		if _, exists := write.Parts[number]; !exists {
+			rows = append(rows, rowWrite{Put: rowstore.Put{Key: gateway.ProgressPartKey(id, number)}, isRemoval: true, jobID: id})
+		}
+	}
+	return rows
+}
+
+// setPart records that the store holds a further row of a job's progress. The value is nil if
+// it is not known. The caller holds mu.
+func (j *journal) setPart(id jobs.ID, number int, value []byte) {
+	if j.parts[id] == nil {
+		j.parts[id] = map[int][]byte{}
 	}
-	return errors.Join(errs...)
+	j.parts[id][number] = value
 }
 
-// putAll writes rows of one part, in as many transactions as it takes.
-func (j *journal) putAll(ctx context.Context, part string, puts []rowstore.Put) error {
-	for len(puts) > 0 {
+// recordRead records a row of progress that was read in a takeover.
+func (j *journal) recordRead(row rowstore.Row) {
+	j.setVersion(row.Key, row.Version)
+	if id, number, ok := gateway.ParseProgressKey(row.Key.Key); ok && number > 0 {
+		j.mu.Lock()
+		defer j.mu.Unlock()
+		j.setPart(id, number, row.Value)
+	}
+}
+
+// writeAll writes rows of one part in their order, in as many transactions as it takes. It
+// returns an error only if it ends the term.
+func (j *journal) writeAll(ctx context.Context, part string, writes []rowWrite) (rejectedRowsError, error) {
+	var outcome rejectedRowsError
+	for len(writes) > 0 {
 		count, size := 0, 0
-		for count < len(puts) && count < rowsPerTransaction && (count == 0 || size+len(puts[count].Value) < bytesPerTransaction) {
-			size += len(puts[count].Value)
+		for count < len(writes) && count < rowsPerTransaction && (count == 0 || size+len(writes[count].Value) < bytesPerTransaction) {
+			size += len(writes[count].Value)
 			count++
 		}
-		if err := j.put(ctx, part, puts[:count]); err != nil {
-			return err
+		if err := j.writeSome(ctx, part, writes[:count], &outcome); err != nil {
+			return outcome, err
 		}
-		puts = puts[count:]
+		writes = writes[count:]
 	}
-	return nil
+	return outcome, nil
 }
 
-// put repeats one transaction until it is durable, a later coordinator has fenced the part
-// or ctx ends.
+// writeSome writes rows that fit into one transaction. If the store refuses them together for
+// good, it halves them until the rows are found that the store refuses. Rows of a job that
+// follow one that was refused are not written, as they may refer to it.
+func (j *journal) writeSome(ctx context.Context, part string, writes []rowWrite, outcome *rejectedRowsError) error {
+	writes = outcome.withoutRejectedJobs(writes)
+	if len(writes) == 0 {
+		return nil
+	}
+	err := j.commit(ctx, part, writes)
+	switch {
+	case err == nil:
+		outcome.accepted += len(writes)
+		return nil
+	case !errors.Is(err, rowstore.ErrRejected):
+		return err
+	case len(writes) == 1:
+		outcome.rows = append(outcome.rows, rejectedRow{writes[0], err})
+		return nil
+	}
+	half := len(writes) / 2
+	if err := j.writeSome(ctx, part, writes[:half], outcome); err != nil {
+		return err
+	}
+	return j.writeSome(ctx, part, writes[half:], outcome)
+}
+
+// put writes rows of one part that belong to no job. Rows that the store refuses for good do
+// not keep it from writing the others; it returns them as a *rejectedRowsError.
 func (j *journal) put(ctx context.Context, part string, puts []rowstore.Put) error {
+	writes := make([]rowWrite, len(puts))
+	for i := range puts {
+		writes[i].Put = puts[i]
+	}
+	outcome, err := j.writeAll(ctx, part, writes)
+	if err != nil {
+		return err
+	}
+	return outcome.asError()
+}
+
+// commit repeats one transaction until it is durable, the store refuses it for good, a later
+// coordinator has fenced the part or ctx ends.
+func (j *journal) commit(ctx context.Context, part string, writes []rowWrite) error {
 	for {
-		err := j.tryPut(ctx, part, puts)
+		err := j.tryCommit(ctx, part, writes)
+		if errors.Is(err, rowstore.ErrRejected) {
+			return err
+		}
 		j.outage.Record(err)
 		if err == nil || errors.Is(err, ErrDeposed) || ctx.Err() != nil {
 			return err
@@ -180,28 +287,61 @@
 	}
 }
 
-// tryPut attempts one transaction once.
-func (j *journal) tryPut(ctx context.Context, part string, puts []rowstore.Put) error {
+// tryCommit attempts one transaction once.
+func (j *journal) tryCommit(ctx context.Context, part string, writes []rowWrite) error {
 	callCtx, cancel := context.WithTimeout(ctx, journalTimeout)
 	defer cancel()
-	tx := rowstore.Transaction{Conditions: []rowstore.Condition{j.epochCondition(part)}, Puts: puts}
-	for _, put := range puts {
-		tx.Conditions = append(tx.Conditions, rowstore.Condition{Key: put.Key, Version: j.versionOf(put.Key)})
+	tx := rowstore.Transaction{Conditions: []rowstore.Condition{j.epochCondition(part)}}
+	for _, write := range writes {
+		if write.isRemoval {
+			tx.Deletes = append(tx.Deletes, write.Key)
+			continue
+		}
+		tx.Puts = append(tx.Puts, write.Put)
+		tx.Conditions = append(tx.Conditions, rowstore.Condition{Key: write.Key, Version: j.versionOf(write.Key)})
 	}
 	version, err := j.store.Commit(callCtx, tx)
 	var conflict *rowstore.ConflictError
 	if errors.As(err, &conflict) {
-		return j.resolveConflict(part, puts, conflict)
+		if err := j.resolveConflict(part, tx.Puts, conflict); err != nil {
+			return err
+		}
+		j.recordWritten(writes)
+		return nil
 	}
 	if err != nil {
 		return err
 	}
-	for _, put := range puts {
+	for _, put := range tx.Puts {
 		j.setVersion(put.Key, version)
 	}
+	j.recordWritten(writes)
 	return nil
 }
 
+// recordWritten records the further rows of progress that are stored or removed.
+func (j *journal) recordWritten(writes []rowWrite) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, write := range writes {
+		id, number, ok := gateway.ParseProgressKey(write.Key.Key)
+		if write.jobID == "" || !ok || number == 0 {
+			continue
+		}
+		if write.isRemoval {
+			delete(j.parts[id], number)
+			delete(j.versions, write.Key)
+			continue
+		}
+		j.setPart(id, number, write.Value)
+	}
+	for _, write := range writes {
+		if len(j.parts[write.jobID]) == 0 {
+			delete(j.parts, write.jobID)
+		}
+	}
+}
+
 // resolveConflict handles a transaction one of whose conditions failed. If an earlier
 // attempt took effect and its answer was lost, the rows have newer versions, which it
 // records. It returns nil if all rows already have the values to write, ErrDeposed if a
@@ -228,8 +368,21 @@
 	return conflict
 }
 
-// removeJobs deletes all rows of some jobs.
+// removeJobs deletes all rows of some jobs, first the further rows of their progress.
 func (j *journal) removeJobs(ctx context.Context, part string, ids []jobs.ID) error {
+	var parts []rowWrite
+	for _, id := range ids {
+		j.mu.Lock()
+		for number := range j.parts[id] {
+			parts = append(parts, rowWrite{Put: rowstore.Put{Key: gateway.ProgressPartKey(id, number)}, isRemoval: true, jobID: id})
+		}
+		j.mu.Unlock()
+	}
+	for chunk := range slices.Chunk(parts, rowsPerTransaction) {
+		if err := j.tryCommit(ctx, part, chunk); err != nil {
+			return err
+		}
+	}
 	tx := rowstore.Transaction{Conditions: []rowstore.Condition{j.epochCondition(part)}}
 	for _, id := range ids {
 		tx.Deletes = append(tx.Deletes, gateway.AcceptedKey(id), gateway.CancelKey(id), gateway.ProgressKey(id))
--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync/atomic"
 	"time"
@@ -70,7 +71,9 @@
 	nextModelWrite      time.Duration
 	nextJobRemoval      time.Duration
 	endedJobs           map[jobs.ID]*endedJob
-	waveManager         *waveManager // nil if this term ignores maintenance waves
+	heldWrites          heldWrites    // progress that the store refuses for good
+	sharedRowsHeldUntil time.Duration // no shared rows are written before
+	waveManager         *waveManager  // nil if this term ignores maintenance waves
 }
 
 // Lead takes over from the predecessor and coordinates. It returns when ctx ends, when
@@ -93,6 +96,7 @@
 		sharedRows:       map[rowstore.Key]string{},
 		recordedExpiries: map[string]recordedExpiry{},
 		endedJobs:        map[jobs.ID]*endedJob{},
+		heldWrites:       heldWrites{},
 		waveManager:      newWaveManager(env.Maintenance, env.Log),
 	}
 	startedAt := env.Clock()
@@ -225,7 +229,8 @@
 		go coord.requestAdvice(request)
 	}
 	hasUnstored, urgent := coord.core.UnstoredProgress()
-	if !coord.isStoringProgress && hasUnstored && (urgent || now-coord.lastProgressStore >= progressStoreInterval) {
+	isDue := hasUnstored && (urgent || now-coord.lastProgressStore >= progressStoreInterval) || coord.heldWrites.isDue(now)
+	if !coord.isStoringProgress && isDue {
 		coord.storeProgress(now)
 	}
 }
@@ -279,13 +284,15 @@
 		}
 	}
 	coord.isStoringProgress, coord.lastProgressStore = true, now
+	writes = coord.heldWrites.hold(writes, now)
 	go func() {
-		if err := coord.journal.storeAll(coord.ctx, writes); err != nil {
+		outcome := &rejectedRowsError{accepted: len(writes)}
+		if err := coord.journal.storeAll(coord.ctx, writes); err != nil && !errors.As(err, &outcome) {
 			coord.fail(err)
 			return
 		}
-		coord.env.Count("progress_stored", int64(len(writes)))
-		coord.post(coord.ctx, progressStoredEvent{acknowledged})
+		coord.env.Count("progress_stored", int64(len(writes)-len(outcome.rows)))
+		coord.post(coord.ctx, progressStoredEvent{acknowledged, writes, outcome})
 	}()
 }
 
--- a/coordinator/maintenance.go
+++ b/coordinator/maintenance.go
@@ -78,13 +78,16 @@
 // waveManager carries out maintenance waves during one term of the coordinator.
 type waveManager struct {
 	Maintenance
-	planner        *maintenance.Planner
-	isListing      bool          // a request for the machine list is under way
-	nextListAt     time.Duration // when the machine list may next be requested
-	listPause      time.Duration // between the last request for the list and the next
-	outage         logging.Outage
-	isRecording    bool                       // a write of the record of the waves is under way
-	storedStatuses map[int]maintenance.Status // by number of the wave
+	planner     *maintenance.Planner
+	isListing   bool          // a request for the machine list is under way
+	nextListAt  time.Duration // when the machine list may next be requested
+	listPause   time.Duration // between the last request for the list and the next
+	outage      logging.Outage
+	isRecording bool // a write of the record of the waves is under way
+	// recordHeldUntil is until when the record is not written again after the store has
+	// refused it for good.
+	recordHeldUntil time.Duration
+	storedStatuses  map[int]maintenance.Status // by number of the wave
 }
 
 // newWaveManager returns a waveManager, or nil if the platform has no machines.
@@ -141,7 +144,7 @@
 	}
 	manager.planner.Plan(now, coord.core.RunnerLoad)
 	coord.core.SetCordons(manager.planner.RunnersToCordon(now), manager.planner.RunnersAwaitingMaintenance())
-	if change, unrecorded := manager.planner.LastChange(); !manager.isRecording && (unrecorded || len(manager.unstoredReports()) > 0) {
+	if change, unrecorded := manager.planner.LastChange(); !manager.isRecording && now >= manager.recordHeldUntil && (unrecorded || len(manager.unstoredReports()) > 0) {
 		coord.storeWaves(change, now)
 	}
 	for _, call := range manager.planner.TakeCalls(now, maxCallsPerTick) {
@@ -204,7 +207,12 @@
 	}
 	manager.isRecording = true
 	go func() {
-		if err := coord.journal.put(coord.ctx, sharedPart, puts); err != nil {
+		var rejected *rejectedRowsError
+		if err := coord.journal.put(coord.ctx, sharedPart, puts); errors.As(err, &rejected) {
+			coord.recordRejectedSharedRows(rejected)
+			coord.post(coord.ctx, wavesRejectedEvent{})
+			return
+		} else if err != nil {
 			coord.fail(err)
 			return
 		}
--- a/coordinator/retention.go
+++ b/coordinator/retention.go
@@ -42,6 +42,7 @@
 			}
 		case !ended.isBeingRemoved && ended.endedAt < endedBefore && len(expired[part]) < maxJobsPerRemoval:
 			ended.isBeingRemoved = true
+			delete(coord.heldWrites, id)
 			expired[part] = append(expired[part], id)
 		}
 	}
--- a/coordinator/sharedrows.go
+++ b/coordinator/sharedrows.go
@@ -1,8 +1,8 @@
 package coordinator
 
 import (
+	"errors"
 	"maps"
-	"slices"
 	"time"
 
 	"bergamotstile/gateway"
@@ -27,7 +27,7 @@
 // numbers of pending jobs and, if it is due, the interference model. It does nothing while
 // another write is under way or its event has not been applied.
 func (coord *coordinator) writeSharedRows(now time.Duration) {
-	if coord.isWritingSharedRows {
+	if coord.isWritingSharedRows || now < coord.sharedRowsHeldUntil {
 		return
 	}
 	coord.isWritingSharedRows = true
@@ -39,7 +39,13 @@
 	maps.Copy(coord.sharedRows, rows)
 	rosterStored := rosterStoredEvent{expiries}
 	go func() {
-		if coord.putSharedRows(rows) {
+		rejected, err := coord.putSharedRows(rows)
+		switch {
+		case err != nil:
+			coord.fail(err)
+		case rejected.hasRow(rosterKey):
+			coord.post(coord.ctx, sharedRowsRejectedEvent{})
+		default:
 			coord.post(coord.ctx, rosterStored)
 		}
 	}()
@@ -49,6 +55,10 @@
 // accepted jobs are counted.
 func (coord *coordinator) addPendingCounts(rows map[rowstore.Key]string) {
 	value, err := gateway.PendingCounts{AsOf: coord.jobsAsOf, Jobs: coord.core.PendingJobs()}.Encode()
+	if err == nil && len(value) > coord.env.Limits.maxRowBytes() {
+		// Clients can ask only for the queues of the configuration, which is itself one row.
+		value, err = gateway.PendingCounts{AsOf: coord.jobsAsOf, Jobs: coord.core.PendingJobsOfConfiguredQueues()}.Encode()
+	}
 	if err != nil {
 		coord.env.Log.WithError(err).Error("numbers of pending jobs not encoded")
 		return
@@ -70,18 +80,19 @@
 	rows[interferenceModelKey] = string(value)
 }
 
-// putSharedRows writes rows and reports whether they are durable. It ends the term if they
-// can't be written.
-func (coord *coordinator) putSharedRows(rows map[rowstore.Key]string) bool {
+// putSharedRows writes rows and returns those that the store refuses for good. An error ends
+// the term.
+func (coord *coordinator) putSharedRows(rows map[rowstore.Key]string) (*rejectedRowsError, error) {
 	var puts []rowstore.Put
 	for key, value := range rows {
 		puts = append(puts, rowstore.Put{Key: key, Value: []byte(value)})
 	}
-	for chunk := range slices.Chunk(puts, rowsPerTransaction) {
-		if err := coord.journal.put(coord.ctx, sharedPart, chunk); err != nil {
-			coord.fail(err)
-			return false
-		}
+	rejected := &rejectedRowsError{}
+	if err := coord.journal.put(coord.ctx, sharedPart, puts); err != nil && !errors.As(err, &rejected) {
+		return nil, err
+	}
+	if len(rejected.rows) > 0 {
+		coord.recordRejectedSharedRows(rejected)
 	}
-	return true
+	return rejected, nil
 }
--- a/coordinator/takeover.go
+++ b/coordinator/takeover.go
@@ -106,10 +106,9 @@
 // restoreJobs adds the jobs of one part to the core with their stored progress, and applies
 // the cancels.
 func (coord *coordinator) restoreJobs(accepted, progress []rowstore.Row, fenceVersion uint64) {
-	progressByID := make(map[jobs.ID][]byte, len(progress))
+	progressByID := groupProgress(progress)
 	for _, row := range progress {
-		progressByID[jobs.ID(row.Key.Key)] = row.Value
-		coord.journal.setVersion(row.Key, row.Version)
+		coord.journal.recordRead(row)
 	}
 	var cancelled []jobs.ID
 	for _, row := range accepted {
@@ -131,20 +130,18 @@
 	}
 }
 
-// restoreJob adds a job to the core with its stored progress. The record is nil if there is
-// no progress. If the job has ended, it is only recorded as finished.
-func (coord *coordinator) restoreJob(id jobs.ID, row rowstore.Row, record []byte, inherited bool) error {
+// restoreJob adds a job to the core with its stored progress. If the job has ended, it is only
+// recorded as finished.
+func (coord *coordinator) restoreJob(id jobs.ID, row rowstore.Row, progress storedProgress, inherited bool) error {
 	j, err := jobs.DecodeAccepted(id, row.Value, row.Version)
 	if err != nil {
 		return err
 	}
-	if record != nil {
-		if err := j.Restore(record); err != nil {
-			return err
-		}
+	if err := progress.restore(j); err != nil {
+		return err
 	}
 	if j.State.IsTerminal() {
-		_, ended, err := jobs.DecodeState(record)
+		_, ended, err := jobs.DecodeState(progress.head)
 		coord.endedJobs[id] = &endedJob{endedAt: ended}
 		coord.core.MarkFinished(id)
 		return err
--- a/gateway/keys.go
+++ b/gateway/keys.go
@@ -51,12 +51,36 @@
 	return rowstore.Key{Table: JobsTable, Part: PartOf(id), Key: string(id) + cancelSuffix}
 }
 
+// partSeparator separates the ID of a job from the number of a further row of its progress.
+const partSeparator = "/"
+
 // ProgressKey returns the key of the row in which the coordinator stores the progress
-// of a job.
+// of a job. It always holds the state of the job.
 func ProgressKey(id jobs.ID) rowstore.Key {
 	return rowstore.Key{Table: ProgressTable, Part: PartOf(id), Key: string(id)}
 }
 
+// ProgressPartKey returns the key of a further row of a job's progress. A job has such rows
+// if its progress does not fit into one row.
+func ProgressPartKey(id jobs.ID, number int) rowstore.Key {
+	key := ProgressKey(id)
+	key.Key += partSeparator + strconv.Itoa(number)
+	return key
+}
+
+// ParseProgressKey returns the job to which a row of ProgressTable belongs and the number of
+// the row, which is zero for the row at ProgressKey. ok is false if the key is not that of a
+// row of progress.
+func ParseProgressKey(key string) (id jobs.ID, number int, ok bool) {
+	name, digits, isPart := strings.Cut(key, partSeparator)
+	id = jobs.ID(name)
+	if !isPart {
+		return id, 0, id.Valid()
+	}
+	number, err := strconv.Atoi(digits)
+	return id, number, id.Valid() && err == nil && number > 0
+}
+
 // JobRange returns the range of a job's rows in JobsTable, which the gateway writes for
 // clients: the row that records the acceptance and the row that marks the job as
 // cancelled. The range ends before "/", the character that follows "." in ASCII.
