Bound the capacity that new long-running work leaves free, and its wait

Cause: waiting work counted as demand of plain work beyond all capacity, so that the peak after a burst was a multiple of it, and new long-running work had to leave that peak free until it had decayed. The log names it: "step waits ... capacity is reserved for plain work and displaced tasks". The same reservation had no end in four more cases: a step that asks for all or more than the free capacity, displaced tasks that no usable runner can hold or whose job has ended, runners that stay unusable, and long-running tasks that were counted as plain demand. And it counted capacity as free that plain work took in the same round.

Ruled out: failed searches (compared again after 0.2 s), avoided runners (4 s at most) and reservations on runners (3 s); a faster decay alone, as it gives no bound for a job that asks for nearly all capacity.

Change: demand and peak are at most the capacity. The reservation for plain work keeps a step waiting for 2 s beside room for two of its tasks, and for 12 s beside room for one; then as many tasks start as leave the room of displaced ones. A displaced task counts for 12 s, and only if a usable runner could hold it.

--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -125,6 +125,13 @@
 	// budget.
 	unavailable      map[int]unavailability
 	reservationCount int // capacity reservations for the step's tasks on all runners
+	reservationWait  reservationWait
+	// displacedSince holds since when each pending task of a begun long-running step has waited.
+	displacedSince map[int]time.Duration
+	// fitsSomewhere and fitCheckedAt are the result and the time of the last check of
+	// hasLargeEnoughRunner.
+	fitsSomewhere bool
+	fitCheckedAt  time.Duration
 }
 
 // Core holds the coordinator's state and makes its scheduling decisions. Only one
--- a/coordinator/runner.go
+++ b/coordinator/runner.go
@@ -46,6 +46,7 @@
 	// serving and best-effort tasks ask for, in thousandths of a processor. A plain task is
 	// neither a serving nor a best-effort task.
 	plainCPUMilli, servingCPUMilli, bestEffortCPUMilli int64
+	plainLongRunningCPUMilli                           int64 // the part of plainCPUMilli that long-running tasks ask for
 	servingImages                                      map[interference.Kind]*servingImage
 	// bestEffortCPUMilliByImage sums what the best-effort tasks of each image ask for,
 	// in thousandths of a processor. bestEffortPaces holds the pace of each image.
@@ -59,7 +60,10 @@
 	overTargetSince time.Duration
 	health          health
 	reservations    []reservation
-	lastChange      uint64 // number of the runner's last entry in the changeLog
+	// unusableSince is since when no new tasks may be started on the runner, as of the last
+	// scheduling round; zero if they may.
+	unusableSince time.Duration
+	lastChange    uint64 // number of the runner's last entry in the changeLog
 	// blockedJobs holds jobs for which no task may be started, and while there are any no
 	// task may be started on this runner. They are the jobs of the unexpected runs in the
 	// last report, which are being stopped and hold an unknown part of the capacity, and the
@@ -196,6 +200,9 @@
 		r.countServingRun(run, int(sign))
 	default:
 		r.plainCPUMilli += cpu
+		if run.step.LongRunning {
+			r.plainLongRunningCPUMilli += cpu
+		}
 	}
 }
 
--- a/coordinator/schedule.go
+++ b/coordinator/schedule.go
@@ -36,10 +36,14 @@
 			c.logWait(s, "an unknown run of the job has to end first", now)
 			continue
 		}
-		if s.precedence.newLongRunning > 0 && !c.serviceReservations.tryReserveForLongRunning(s) {
-			// Plain work is neither serving nor best-effort.
-			c.logWait(s, "capacity is reserved for plain work and displaced tasks", now)
-			continue
+		if s.precedence.newLongRunning > 0 {
+			allowed := c.serviceReservations.tryReserveForLongRunning(s, now)
+			if allowed == 0 {
+				// Plain work is neither serving nor best-effort.
+				c.logWait(s, "capacity is reserved for plain work and displaced tasks", now)
+				continue
+			}
+			tasks = tasks[:min(allowed, len(tasks))]
 		}
 		if s.waitingSince == 0 {
 			s.waitingSince = now
@@ -86,7 +90,7 @@
 	c.waitingSteps = slices.DeleteFunc(c.waitingSteps, func(s *openStep) bool {
 		s.isWaiting = len(s.pending) > 0 && !s.job.State.IsTerminal()
 		if !s.isWaiting {
-			s.waitingSince = 0
+			s.waitingSince, s.reservationWait, s.displacedSince = 0, reservationWait{}, nil
 		}
 		return !s.isWaiting
 	})
@@ -134,6 +138,9 @@
 		c.limitPaceForStart(r, s, now)
 	}
 	c.attachRun(run)
+	if s.precedence.newLongRunning == 0 {
+		c.serviceReservations.forService(r.Service).freeMilli -= float64(s.step.Reserved().CPUMilli)
+	}
 	r.useReservation(s)
 	s.waitLogThrottle = logThrottle{}
 	checkpoint := task.Checkpoint
