End the block of jobs by unexpected runs once nothing runs on a runner

A job that a runner lists an unexpected run of gets no starts until the runner's next report. If the runner went silent, callers waited for as long as its registry entry stayed, also after every lease on it had expired.

Cause: only a report cleared the block; the expiry of the leases and the end of the runner by maintenance, which both prove that nothing runs there, did not. Ruled out: clearing it while a listed result waits to be applied, since that result may say that the task is done; that block ends with a report or with the runner's removal. Found by reading for waits without an end, not seen in a run.

TestUnexpectedRunBlocksItsJobUntilTheLeasesExpire failed before (no start in 1.01 s after the expiry) and passes now.

--- a/coordinator/drain.go
+++ b/coordinator/drain.go
@@ -106,4 +106,5 @@
 	for run := range r.runs {
 		c.removeLostRun(run, now, "machine went down for maintenance")
 	}
+	r.forgetUnexpectedRuns()
 }
--- a/coordinator/runner.go
+++ b/coordinator/runner.go
@@ -155,6 +155,7 @@
 	for run := range r.runs {
 		c.removeLostRun(run, now, "lease expired")
 	}
+	r.forgetUnexpectedRuns()
 	if !r.registered {
 		r.releaseReservations()
 		delete(c.runners, id)
@@ -162,6 +163,15 @@
 	}
 }
 
+// forgetUnexpectedRuns ends the block of the jobs whose unexpected runs the runner has listed, once
+// it is certain that nothing runs there. The jobs stay blocked while a listed result waits to be
+// applied: it may say that one of their tasks is done.
+func (r *runner) forgetUnexpectedRuns() {
+	if r.unknownJobSince == 0 {
+		r.blockedJobs = nil
+	}
+}
+
 // addRun adds a run to the runner and to the sums of its capacity in use.
 func (r *runner) addRun(run *taskRun) {
 	r.runs[run] = struct{}{}
--- a/coordinator/schedule_test.go
+++ b/coordinator/schedule_test.go
@@ -189,3 +189,21 @@
 		t.Errorf("%d starts of new work once no task is displaced, want 1", n)
 	}
 }
+
+// Guards against a job that no task is started of because a runner which has gone silent listed an
+// unexpected run of it. No run is left there once every lease has expired.
+func TestUnexpectedRunBlocksItsJobUntilTheLeasesExpire(t *testing.T) {
+	h := newCoreHarness(t, testRunner("a", 4000), testRunner("b", 4000))
+	order := h.startJob(firstID, plainStep(1, 1000))[0]
+	other := map[string]string{"a": "b", "b": "a"}[order.Runner]
+	h.report(Report{Runner: other, Incarnation: 1, Running: []RunStatus{{Task: order.Task, Run: order.Run + 1}}})
+	h.core.MarkRunnerSilent(other)
+	h.report(Report{Runner: order.Runner, Incarnation: 1, Ended: []RunResult{{Number: 1, Task: order.Task, Run: order.Run, Kind: EndedStopped}}})
+	if _, started := h.waitForStart(firstID, time.Second); started {
+		t.Fatal("a task is started while an unknown run of its job may exist")
+	}
+	h.core.ExpireRunnerLeases(other, h.now)
+	if waited, started := h.waitForStart(firstID, time.Second); !started {
+		t.Errorf("no task is started for %v after every lease on the silent runner has expired", waited)
+	}
+}
