Limit how long a stalled run counts against its runner

A runner on which a run had stalled was put last for all work until a finite task was done there. A runner that holds long-running tasks never has one, so its capacity stayed the last choice for good.

Cause: the mark had an event that may never come and no deadline. It now ends 30 s after the last stall (stallMemory). Ruled out: the 6 s of failures, as it takes at least 2.5 s to notice a stall.

TestStalledRunIsHeldAgainstItsRunnerForABoundedTime failed before (with the method recordStall added for it) and passes now.

--- a/coordinator/checkruns.go
+++ b/coordinator/checkruns.go
@@ -63,8 +63,7 @@
 			case r.cordon != nil && c.mustEvictBeforeMaintenance(run, now):
 				c.moveRun(run, now, "machine goes down for maintenance")
 			case c.isStalled(run, now):
-				r.health.stalledRuns++
-				r.health.avoidUntil = max(r.health.avoidUntil, now+stallAvoidTime)
+				r.health.recordStall(now)
 				c.moveRun(run, now, "no progress")
 			}
 		}
--- a/coordinator/health.go
+++ b/coordinator/health.go
@@ -18,6 +18,9 @@
 	refusalAvoidTime  = time.Second
 	// recentFailureTime is how long other runners are preferred after a failure.
 	recentFailureTime = 6 * time.Second
+	// stallMemory is how long other runners are preferred after a run has made no progress. It is
+	// longer than recentFailureTime because it takes seconds to notice a stalled run.
+	stallMemory = 30 * time.Second
 	// provenTime is how long a runner counts as proven after a success.
 	provenTime = 4 * time.Second
 )
@@ -32,6 +35,7 @@
 	lastSuccessAt time.Duration
 	avoidUntil    time.Duration
 	stalledRuns   int
+	lastStalledAt time.Duration
 }
 
 // recordRefusal records that the runner refused a start.
@@ -39,13 +43,20 @@
 	h.avoidUntil = max(h.avoidUntil, now+refusalAvoidTime)
 }
 
+// recordStall records that a run on the runner has made no progress.
+func (h *health) recordStall(now time.Duration) {
+	h.stalledRuns++
+	h.lastStalledAt = now
+	h.avoidUntil = max(h.avoidUntil, now+stallAvoidTime)
+}
+
 // isAvoided reports whether the runner gets no new tasks at present.
 func (h *health) isAvoided(now time.Duration) bool { return now < h.avoidUntil }
 
 // isUnreliable reports whether other runners are preferred because runs have failed or made
 // no progress on this one.
 func (h *health) isUnreliable(now time.Duration) bool {
-	return h.failures > 0 && now-h.lastFailedAt < recentFailureTime || h.stalledRuns > 0
+	return h.failures > 0 && now-h.lastFailedAt < recentFailureTime || h.stalledRuns > 0 && now-h.lastStalledAt < stallMemory
 }
 
 // isProven reports whether a run on the runner has succeeded recently and none has failed
--- a/coordinator/health_test.go
+++ b/coordinator/health_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"bergamotstile/jobs"
 )
@@ -38,3 +39,16 @@
 		t.Errorf("%d of %d runners are avoided, want some and at most a third", avoided, runners)
 	}
 }
+
+// Guards against a runner that is put last for good because a run stalled there: only the end of a
+// finite task cleared the mark, which a runner of long-running tasks never has.
+func TestStalledRunIsHeldAgainstItsRunnerForABoundedTime(t *testing.T) {
+	var h health
+	h.recordStall(time.Minute)
+	if !h.isUnreliable(time.Minute + stallAvoidTime) {
+		t.Error("the runner counts as reliable again at once")
+	}
+	if h.isUnreliable(time.Minute + stallMemory) {
+		t.Error("the runner counts as unreliable for good")
+	}
+}
