Plan all runs that leave draining and cordoned runners together

Cause: CheckRuns asked for each run by itself whether another runner had free capacity. All found the same capacity, in one check and in the next ones while the first stops were under way, and nothing kept it for the stopped tasks. The members of a gang counted it as well, and displaced tasks that waited already and finite tasks that have to be stopped were not counted at all.

A reservation now also holds while the stopped run has not ended, else the next round would have released it.

--- a/coordinator/budget.go
+++ b/coordinator/budget.go
@@ -75,12 +75,16 @@
 // mayStop reports whether the disruption budget of a run's step allows the run to be
 // stopped. The stop of an unavailable task is always allowed, as it makes no more tasks
 // unavailable.
-func (c *Core) mayStop(run *taskRun, now time.Duration) bool {
+func (c *Core) mayStop(run *taskRun, now time.Duration) bool { return c.mayStopBeside(run, 0, now) }
+
+// mayStopBeside reports whether the disruption budget allows the run to be stopped in addition to
+// a number of planned stops of other tasks of the step.
+func (c *Core) mayStopBeside(run *taskRun, planned int, now time.Duration) bool {
 	s := run.openStep
 	if !hasDisruptionBudget(run.step) || s == nil || !s.isAvailable(run.task.Index) {
 		return true
 	}
-	return c.countUnavailable(s, now) < run.step.MaxUnavailable
+	return c.countUnavailable(s, now)+planned < run.step.MaxUnavailable
 }
 
 // evictRun stops a run so that its task continues elsewhere, and counts the task against
--- a/coordinator/checkruns.go
+++ b/coordinator/checkruns.go
@@ -40,29 +40,27 @@
 )
 
 // CheckRuns stops runs so that their tasks continue on other runners: runs of throttled
-// best-effort tasks, stalled runs, and runs that would not end before their draining runner
-// stops or its machine goes down. It also removes runners that are not registered, have
-// no runs and on which leases can't be extended, and records which long-running tasks are
-// unavailable.
+// best-effort tasks, stalled runs, and runs that should leave their draining or cordoned runner.
+// It also removes runners that are not registered, have no runs and on which leases can't be
+// extended, and records which long-running tasks are unavailable.
 func (c *Core) CheckRuns(now time.Duration) {
 	c.unregisterMissingRunners(now)
 	c.removeGoneRunners()
 	c.updateUnavailability(now)
+	c.releaseStaleReservations(now)
+	c.moveDepartures(c.collectDepartures(now), now)
+	c.moveStalledRuns(now)
 	c.moveThrottledRuns(now)
+}
+
+// moveStalledRuns stops the stalled runs, and avoids their runners for a while.
+func (c *Core) moveStalledRuns(now time.Duration) {
 	for _, r := range c.runners {
 		if !r.hasReported || r.cannotExtendLeases {
 			continue
 		}
 		for run := range r.runs {
-			if run.state != stateRunning {
-				continue
-			}
-			switch {
-			case r.Draining && c.mustEvictBeforeStop(run, now):
-				c.moveRun(run, now, "runner is draining")
-			case r.cordon != nil && c.mustEvictBeforeMaintenance(run, now):
-				c.moveRun(run, now, "machine goes down for maintenance")
-			case c.isStalled(run, now):
+			if run.state == stateRunning && c.isStalled(run, now) {
 				r.health.recordStall(now)
 				c.moveRun(run, now, "no progress")
 			}
@@ -136,12 +134,6 @@
 	return false
 }
 
-// canStartElsewhere reports whether a run's task could be started on another runner now.
-// The run's own runner is not considered because it is draining or cordoned.
-func (c *Core) canStartElsewhere(run *taskRun, now time.Duration) bool {
-	return run.openStep == nil || c.pickRunner(run.openStep, now, nil, 0) != nil
-}
-
 // moveRun stops a run so that its task is started on another runner.
 func (c *Core) moveRun(run *taskRun, now time.Duration, cause string) {
 	c.counters("runs_moved", 1)
@@ -158,15 +150,3 @@
 	}
 	return now-max(run.progressedAt, run.startedAt) > max(stallTimeout, run.job.taskEstimates[run.task.Step]/2)
 }
-
-// mustEvictBeforeStop reports whether a run has to be moved from its draining runner now. A
-// long-running task is moved when its disruption budget allows it and another runner
-// has free capacity for it, or when no more than longRunningEvictionMargin is left. Any
-// other task is moved if it would not end in time before the runner stops.
-func (c *Core) mustEvictBeforeStop(run *taskRun, now time.Duration) bool {
-	timeToLeave := run.runner.earliestStop - now
-	if run.step.LongRunning {
-		return timeToLeave <= longRunningEvictionMargin || c.mayStop(run, now) && c.canStartElsewhere(run, now)
-	}
-	return run.timeLeft(now) > timeToLeave-evictionMargin
-}
--- a/coordinator/drain.go
+++ b/coordinator/drain.go
@@ -39,34 +39,50 @@
 	entry.Info("runner cordoned for maintenance")
 }
 
-// mustEvictBeforeMaintenance reports whether a run has to be moved from its cordoned runner
-// now. A run that would not end in time is moved early, so that little work is lost. A
-// long-running task is moved when its disruption budget allows it, and either another runner
-// has free capacity for it or the cordon is urgent.
-func (c *Core) mustEvictBeforeMaintenance(run *taskRun, now time.Duration) bool {
-	cordon := run.runner.cordon
-	if !run.step.LongRunning {
-		return run.timeLeft(now) > cordon.Until-evictionMargin-now
+// collectDepartures returns the runs that should leave draining and cordoned runners.
+func (c *Core) collectDepartures(now time.Duration) []departure {
+	var departures []departure
+	for _, r := range c.runners {
+		if !r.Draining && r.cordon == nil || !r.hasReported || r.cannotExtendLeases {
+			continue
+		}
+		for run := range r.runs {
+			if run.state != stateRunning {
+				continue
+			}
+			if d, mustLeave := run.departure(now); mustLeave {
+				departures = append(departures, d)
+			}
+		}
 	}
-	return c.mayDisrupt(run, now) && (cordon.Urgent || c.canStartElsewhere(run, now))
+	return departures
 }
 
-// mayDisrupt reports whether one more task of a long-running step may be stopped for
-// maintenance, which can wait. That is limited by the step's disruption budget. A step
-// without a budget allows one unavailable task at a time.
-func (c *Core) mayDisrupt(run *taskRun, now time.Duration) bool {
-	if hasDisruptionBudget(run.step) {
-		return c.mayStop(run, now)
+// departure returns whether, and by when, a run should leave its draining or cordoned runner.
+//
+// A long-running task leaves a draining runner longRunningEvictionMargin before it may stop at the
+// latest. It leaves a cordoned one within its disruption budget, also without free capacity
+// elsewhere if the cordon is urgent; maintenance waits for it otherwise. Any other task leaves at
+// once, so that little work is lost, unless it will end in time.
+func (run *taskRun) departure(now time.Duration) (d departure, mustLeave bool) {
+	r := run.runner
+	d = departure{run: run, deadline: noDeadline, cause: "runner is draining"}
+	end := noDeadline // of the runner
+	if r.Draining {
+		end = r.earliestStop
+		d.deadline = end - longRunningEvictionMargin
+	} else {
+		d.cause, d.oneAtATime = "machine goes down for maintenance", true
 	}
-	if run.openStep == nil {
-		return true
+	if r.cordon != nil {
+		end = min(end, r.cordon.Until)
+		d.needsNoCapacity = r.cordon.Urgent
 	}
-	for index := range run.step.Count {
-		if index != run.task.Index && !run.openStep.isAvailable(index) {
-			return false
-		}
+	if run.step.LongRunning {
+		return d, true
 	}
-	return true
+	d.deadline = now
+	return d, run.timeLeft(now) > end-evictionMargin-now
 }
 
 // RunnerLoad returns the load of a runner, by which maintenance is planned. The load is not
--- a/coordinator/reservation.go
+++ b/coordinator/reservation.go
@@ -16,6 +16,19 @@
 type reservation struct {
 	step   *openStep
 	expiry time.Duration
+	// leaving is the run that was stopped so that its task starts with the reserved capacity. It
+	// is nil if the task waited when the capacity was reserved.
+	leaving *taskRun
+}
+
+// awaitsStop reports whether the task for which capacity is reserved is not pending yet, because
+// its stopped run has not ended.
+func (res reservation) awaitsStop() bool {
+	if res.leaving == nil {
+		return false
+	}
+	_, exists := res.leaving.runner.runs[res.leaving]
+	return exists
 }
 
 // excludes reports whether the step may not use the reserved capacity. More important work
@@ -47,10 +60,24 @@
 	return n
 }
 
-// reserveCapacity reserves capacity on a runner for one task of a step.
+// reserveCapacity reserves capacity on a runner for one pending task of a step.
 func (c *Core) reserveCapacity(s *openStep, r *runner, now time.Duration) {
-	r.reservations = append(r.reservations, reservation{s, now + reservationTime})
-	s.reservationCount++
+	c.addReservation(r, reservation{step: s, expiry: now + reservationTime})
+}
+
+// reserveForMove reserves capacity on a runner for the task of a run that was just stopped. It
+// reserves none for a finite task beside which others of its step wait: these would take it.
+func (c *Core) reserveForMove(run *taskRun, r *runner, now time.Duration) {
+	s := run.openStep
+	if s == nil || !s.step.LongRunning && len(s.pending) > 0 {
+		return
+	}
+	c.addReservation(r, reservation{step: s, expiry: now + reservationTime, leaving: run})
+}
+
+func (c *Core) addReservation(r *runner, res reservation) {
+	r.reservations = append(r.reservations, res)
+	res.step.reservationCount++
 	c.recordChange(r)
 }
 
@@ -73,22 +100,44 @@
 }
 
 // releaseStaleReservations releases reservations that have expired, that are on unusable
-// runners, or whose step has ended or has fewer pending tasks than reservations.
+// runners, or whose step has ended or has fewer tasks that are pending or being stopped than
+// reservations.
 func (c *Core) releaseStaleReservations(now time.Duration) {
+	awaiting := c.countReservationsAwaitingStop()
 	for _, r := range c.sortedRunners() {
 		before := len(r.reservations)
 		if before == 0 {
 			continue
 		}
 		r.reservations = slices.DeleteFunc(r.reservations, func(res reservation) bool {
-			stale := now >= res.expiry || !r.isUsable() || res.step.reservationCount > len(res.step.pending) || res.step.job.State.IsTerminal()
-			if stale {
-				res.step.reservationCount--
+			s := res.step
+			isSurplus := !res.awaitsStop() && s.reservationCount-awaiting[s] > len(s.pending)
+			stale := now >= res.expiry || !r.isUsable() || isSurplus || s.job.State.IsTerminal()
+			if !stale {
+				return false
+			}
+			if res.awaitsStop() {
+				awaiting[s]--
 			}
-			return stale
+			s.reservationCount--
+			return true
 		})
 		if len(r.reservations) < before {
 			c.recordChange(r)
 		}
 	}
 }
+
+// countReservationsAwaitingStop returns, by step, the number of reservations for tasks that are not
+// pending yet.
+func (c *Core) countReservationsAwaitingStop() map[*openStep]int {
+	counts := map[*openStep]int{}
+	for _, r := range c.runners {
+		for _, res := range r.reservations {
+			if res.awaitsStop() {
+				counts[res.step]++
+			}
+		}
+	}
+	return counts
+}
--- a/coordinator/servicereservation_test.go
+++ b/coordinator/servicereservation_test.go
@@ -47,8 +47,7 @@
 	}
 }
 
-// playBurst lets plain work ask for twice the capacity of the runners that the harness has, and
-// ends it.
+// playBurst lets plain work ask for more than the runners of the harness have, and ends it.
 func (h *coreHarness) playBurst(tasks int, cpu int64) {
 	h.t.Helper()
 	starts := h.startJob(plainService, plainStep(tasks, cpu))
