Count idle processors once when throttled best-effort tasks move

Up to three throttled tasks of different images moved in one check to the same idle processors, and more in the next checks until the first had started there.

Cause: best-effort tasks hold no processors, and fasterRunner's predecessor counted neither the moves of the same check nor those under way. A runner to which a task of the same image moves is passed over, as the pace there is that of one more task. Ruled out: less than three moves a check, since the next check repeats the count.

TestThrottledTasksCountIdleProcessorsOnce failed before (3 tasks moved for the idle processors of one) and passes now.

--- a/coordinator/checkruns.go
+++ b/coordinator/checkruns.go
@@ -84,7 +84,7 @@
 // to runners on which they can run faster.
 func (c *Core) moveThrottledRuns(now time.Duration) {
 	moves := 0
-	canMove := map[interference.Kind]bool{}
+	isChecked := map[interference.Kind]bool{}
 	for _, r := range c.runners {
 		if !r.isUsable() {
 			continue
@@ -93,16 +93,16 @@
 			if !run.isThrottled(now) || !c.mayStop(run, now) {
 				continue
 			}
-			hasFaster, checked := canMove[run.kind]
-			if !checked {
-				hasFaster = c.hasFasterRunner(run, now)
-				canMove[run.kind] = hasFaster
+			if isChecked[run.kind] {
+				continue
 			}
-			if !hasFaster {
+			isChecked[run.kind] = true // at most one move for each image in a round
+			target := c.fasterRunner(run, now)
+			if target == nil {
 				continue
 			}
-			canMove[run.kind] = false // at most one move for each image in a round
 			c.moveRun(run, now, "slowed for serving tasks")
+			c.reserveForMove(run, target, now)
 			if moves++; moves == maxMovesPerRound {
 				return
 			}
@@ -117,21 +117,25 @@
 		run.pace >= 0 && run.pace <= throttledPace && now-run.throttledSince > throttledTime && run.percent < nearlyDonePercent
 }
 
-// hasFasterRunner reports whether another runner has the free processors that the run's
-// task asks for and could run it at minMovePace or more.
-func (c *Core) hasFasterRunner(run *taskRun, now time.Duration) bool {
-	if run.openStep == nil {
-		return false
+// fasterRunner returns another runner that has the free processors that the run's task asks for
+// and could run it at minMovePace or more, or nil. It counts nothing that is reserved for tasks
+// which were stopped before, and passes over runners to which a task of the same image moves
+// already, since the pace there is that of one more task.
+func (c *Core) fasterRunner(run *taskRun, now time.Duration) *runner {
+	s := run.openStep
+	if s == nil {
+		return nil
 	}
-	for _, r := range c.runners {
-		if r == run.runner || !c.isEligible(run.openStep, r, now) || c.hasTaskOverTarget(r, now) {
+	for _, r := range c.sortedRunners() {
+		if r == run.runner || !c.isEligible(s, r, now) || !r.hasUnreservedCapacityFor(s) || r.hasReservationOfImage(run.kind) || c.hasTaskOverTarget(r, now) {
 			continue
 		}
-		if expected := c.forecastTask(r, run.step, run.kind, run.precedence); expected.freeMilli >= run.step.Resources.CPUMilli && expected.pace >= minMovePace {
-			return true
+		expected := c.forecastTask(r, run.step, run.kind, run.precedence)
+		if expected.freeMilli-r.reservedBestEffortMilli(nil) >= run.step.Resources.CPUMilli && expected.pace >= minMovePace {
+			return r
 		}
 	}
-	return false
+	return nil
 }
 
 // moveRun stops a run so that its task is started on another runner.
--- a/coordinator/departure_test.go
+++ b/coordinator/departure_test.go
@@ -308,6 +308,41 @@
 	}
 }
 
+// Guards against throttled best-effort tasks of several images that move for the same idle
+// processors, in one check or in successive ones.
+func TestThrottledTasksCountIdleProcessorsOnce(t *testing.T) {
+	h := newCoreHarness(t, testRunner("a", 32_000))
+	h.startJob(firstID, servingStep("shop"))
+	var starts []Order
+	for i, image := range []string{"render", "index", "train"} {
+		step := bestEffortStep(1, image)
+		step.Checkpoints = true
+		starts = append(starts, h.startJob(jobs.ID(fmt.Sprintf("00000000000001%02x", i)), step)...)
+	}
+	if len(starts) != 3 {
+		t.Fatalf("%d best-effort tasks are started, want 3", len(starts))
+	}
+	h.core.UpdateRunner(testRunner("b", 6000), h.now)
+	h.report(Report{Runner: "b", Incarnation: 1})
+	h.now += throttledTime
+	moved := 0
+	for range 3 {
+		for run := range h.core.runners["a"].runs {
+			if run.step.BestEffort && run.state == stateRunning {
+				run.pace, run.throttledSince = throttledPace, 1
+			}
+		}
+		h.now += throttledTime
+		h.core.updateUnavailability(h.now)
+		h.core.moveThrottledRuns(h.now)
+		moved += len(ordersOfKind(h.core.TakeOrders(), Stop))
+		h.now -= throttledTime
+	}
+	if moved != 1 {
+		t.Errorf("%d tasks are moved to idle processors for one", moved)
+	}
+}
+
 // BenchmarkDepartures measures one check of a tenth of 490 runners that leave together beside full
 // runners.
 func BenchmarkDepartures(b *testing.B) {
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -265,7 +265,7 @@
 // weighted pressure that it would add, less a quarter of the runner's share that is free.
 // It is negative if the task should wait.
 func (c *Core) bestEffortCost(s *openStep, r *runner, factor float64, now time.Duration) float64 {
-	expected := c.forecastTask(r, s.step, s.kind, s.precedence)
+	expected := c.forecastStart(s, r)
 	if c.bestEffortObstacle(s, r, expected, now) != noObstacle {
 		return -1
 	}
@@ -274,6 +274,14 @@
 	return factor*100/float64(share)*fullPace/float64(pace) + addedPressureWeight*expected.addedPressure - float64(expected.freeMilli)/float64(1+r.Capacity.CPUMilli)/4
 }
 
+// forecastStart predicts what the next task of a best-effort step will get on the runner beside
+// the tasks that have reservations there.
+func (c *Core) forecastStart(s *openStep, r *runner) forecast {
+	expected := c.forecastTask(r, s.step, s.kind, s.precedence)
+	expected.freeMilli -= r.reservedBestEffortMilli(s)
+	return expected
+}
+
 // bestEffortObstacle returns why a best-effort task should wait rather than start on the
 // runner.
 func (c *Core) bestEffortObstacle(s *openStep, r *runner, expected forecast, now time.Duration) obstacle {
--- a/coordinator/reservation.go
+++ b/coordinator/reservation.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"bergamotstile/interference"
 	"bergamotstile/structs"
 )
 
@@ -60,6 +61,31 @@
 	return n
 }
 
+// hasUnreservedCapacityFor reports whether the runner has free capacity for one of the step's tasks
+// beside what is reserved for others and for the step itself.
+func (r *runner) hasUnreservedCapacityFor(s *openStep) bool {
+	needed := multiplyResources(s.step.Reserved(), r.countReservationsOf(s)+1)
+	return r.held.Add(r.reservedForOthers(s)).Add(needed).Fits(r.Capacity)
+}
+
+// reservedBestEffortMilli returns the processors, in thousandths, that the best-effort tasks ask
+// for which have reservations on the runner and whose capacity the step may not use. It counts all
+// such tasks if the step is nil. Best-effort tasks hold no processors, but they need idle ones.
+func (r *runner) reservedBestEffortMilli(s *openStep) int64 {
+	var sum int64
+	for _, res := range r.reservations {
+		if res.step.step.BestEffort && (s == nil || res.excludes(s)) {
+			sum += res.step.step.Resources.CPUMilli
+		}
+	}
+	return sum
+}
+
+// hasReservationOfImage reports whether capacity on the runner is reserved for a task of an image.
+func (r *runner) hasReservationOfImage(kind interference.Kind) bool {
+	return slices.ContainsFunc(r.reservations, func(res reservation) bool { return res.step.kind == kind })
+}
+
 // reserveCapacity reserves capacity on a runner for one pending task of a step.
 func (c *Core) reserveCapacity(s *openStep, r *runner, now time.Duration) {
 	c.addReservation(r, reservation{step: s, expiry: now + reservationTime})
--- a/coordinator/waiting.go
+++ b/coordinator/waiting.go
@@ -60,7 +60,7 @@
 	for _, r := range c.runners {
 		found := c.findObstacle(s, r, now)
 		if found == noObstacle && s.step.BestEffort {
-			found = c.bestEffortObstacle(s, r, c.forecastTask(r, s.step, s.kind, s.precedence), now)
+			found = c.bestEffortObstacle(s, r, c.forecastStart(s, r), now)
 		}
 		counts[found]++
 	}
