Log that a gang waits for its members to end

A gang starts only once all of its tasks are pending. Until then no line of the log said what its step waited for, so a wait for a run on a silent runner, or for a member that has ended done while another has failed, could not be found.

Cause: startGang returned without a line.

TestLogSaysThatAGangWaitsForItsMembers failed before and passes now.

--- a/coordinator/gang.go
+++ b/coordinator/gang.go
@@ -10,6 +10,7 @@
 // it tries to place all members on one rack first.
 func (c *Core) startGang(s *openStep, now time.Duration) {
 	if len(s.pending) < s.step.Count {
+		c.logWait(s, "members of the gang have not ended", now)
 		return
 	}
 	if s.step.SameRack {
--- a/coordinator/waiting_test.go
+++ b/coordinator/waiting_test.go
@@ -43,3 +43,22 @@
 		t.Errorf("%q, want %q", got, want)
 	}
 }
+
+// Guards against a gang that waits without a line in the log, because a run of one of its members
+// has not ended.
+func TestLogSaysThatAGangWaitsForItsMembers(t *testing.T) {
+	h := newCoreHarness(t, testRunner("a", 2000))
+	log, lines := test.NewNullLogger()
+	h.core.log = log
+	step := plainStep(2, 1000)
+	step.Gang = true
+	starts := h.startJob(firstID, step)
+	h.report(Report{Runner: "a", Incarnation: 1, Running: runStatuses(10, starts[0]),
+		Ended: []RunResult{{Number: 1, Task: starts[1].Task, Run: 1, Kind: EndedFailed}}})
+	h.schedule()
+	h.now += 2 * firstWaitLogDelay
+	h.schedule()
+	if entry := lines.LastEntry(); entry.Message != "step waits" || entry.Data["cause"] != "members of the gang have not ended" {
+		t.Errorf("last line %q %v", entry.Message, entry.Data)
+	}
+}
