--- a/coordinator/checkruns.go
+++ b/coordinator/checkruns.go
@@ -40,31 +40,28 @@
 )
 
 // CheckRuns stops runs so that their tasks continue on other runners: runs of throttled
-// best-effort tasks, stalled runs, and runs that would not end before their draining runner
-// stops or its machine goes down. It also removes runners that are not registered, have
-// no runs and on which leases can't be extended, and records which long-running tasks are
-// unavailable.
+// best-effort tasks, stalled runs, and runs that should leave their draining or cordoned runner.
+// It also removes runners that are not registered, have no runs and on which leases can't be
+// extended, and records which long-running tasks are unavailable.
 func (c *Core) CheckRuns(now time.Duration) {
 	c.unregisterMissingRunners(now)
 	c.removeGoneRunners()
 	c.updateUnavailability(now)
+	c.releaseStaleReservations(now)
+	c.moveDepartures(c.collectDepartures(now), now)
+	c.moveStalledRuns(now)
 	c.moveThrottledRuns(now)
+}
+
+// moveStalledRuns stops the stalled runs, and avoids their runners for a while.
+func (c *Core) moveStalledRuns(now time.Duration) {
 	for _, r := range c.runners {
 		if !r.hasReported || r.cannotExtendLeases {
 			continue
 		}
 		for run := range r.runs {
-			if run.state != stateRunning {
-				continue
-			}
-			switch {
-			case r.Draining && c.mustEvictBeforeStop(run, now):
-				c.moveRun(run, now, "runner is draining")
-			case r.cordon != nil && c.mustEvictBeforeMaintenance(run, now):
-				c.moveRun(run, now, "machine goes down for maintenance")
-			case c.isStalled(run, now):
-				r.health.stalledRuns++
-				r.health.avoidUntil = max(r.health.avoidUntil, now+stallAvoidTime)
+			if run.state == stateRunning && c.isStalled(run, now) {
+				r.health.recordStall(now)
 				c.moveRun(run, now, "no progress")
 			}
 		}
@@ -87,7 +84,7 @@
 // to runners on which they can run faster.
 func (c *Core) moveThrottledRuns(now time.Duration) {
 	moves := 0
-	canMove := map[interference.Kind]bool{}
+	isChecked := map[interference.Kind]bool{}
 	for _, r := range c.runners {
 		if !r.isUsable() {
 			continue
@@ -96,16 +93,16 @@
 			if !run.isThrottled(now) || !c.mayStop(run, now) {
 				continue
 			}
-			hasFaster, checked := canMove[run.kind]
-			if !checked {
-				hasFaster = c.hasFasterRunner(run, now)
-				canMove[run.kind] = hasFaster
+			if isChecked[run.kind] {
+				continue
 			}
-			if !hasFaster {
+			isChecked[run.kind] = true // at most one move for each image in a round
+			target := c.fasterRunner(run, now)
+			if target == nil {
 				continue
 			}
-			canMove[run.kind] = false // at most one move for each image in a round
 			c.moveRun(run, now, "slowed for serving tasks")
+			c.reserveForMove(run, target, now)
 			if moves++; moves == maxMovesPerRound {
 				return
 			}
@@ -120,27 +117,25 @@
 		run.pace >= 0 && run.pace <= throttledPace && now-run.throttledSince > throttledTime && run.percent < nearlyDonePercent
 }
 
-// hasFasterRunner reports whether another runner has the free processors that the run's
-// task asks for and could run it at minMovePace or more.
-func (c *Core) hasFasterRunner(run *taskRun, now time.Duration) bool {
-	if run.openStep == nil {
-		return false
+// fasterRunner returns another runner that has the free processors that the run's task asks for
+// and could run it at minMovePace or more, or nil. It counts nothing that is reserved for tasks
+// which were stopped before, and passes over runners to which a task of the same image moves
+// already, since the pace there is that of one more task.
+func (c *Core) fasterRunner(run *taskRun, now time.Duration) *runner {
+	s := run.openStep
+	if s == nil {
+		return nil
 	}
-	for _, r := range c.runners {
-		if r == run.runner || !c.isEligible(run.openStep, r, now) || c.hasTaskOverTarget(r, now) {
+	for _, r := range c.sortedRunners() {
+		if r == run.runner || !c.isEligible(s, r, now) || !r.hasUnreservedCapacityFor(s) || r.hasReservationOfImage(run.kind) || c.hasTaskOverTarget(r, now) {
 			continue
 		}
-		if expected := c.forecastTask(r, run.step, run.kind, run.precedence); expected.freeMilli >= run.step.Resources.CPUMilli && expected.pace >= minMovePace {
-			return true
+		expected := c.forecastTask(r, run.step, run.kind, run.precedence)
+		if expected.freeMilli-r.reservedBestEffortMilli(nil) >= run.step.Resources.CPUMilli && expected.pace >= minMovePace {
+			return r
 		}
 	}
-	return false
-}
-
-// canStartElsewhere reports whether a run's task could be started on another runner now.
-// The run's own runner is not considered because it is draining or cordoned.
-func (c *Core) canStartElsewhere(run *taskRun, now time.Duration) bool {
-	return run.openStep == nil || c.pickRunner(run.openStep, now, nil, 0) != nil
+	return nil
 }
 
 // moveRun stops a run so that its task is started on another runner.
@@ -159,15 +154,3 @@
 	}
 	return now-max(run.progressedAt, run.startedAt) > max(stallTimeout, run.job.taskEstimates[run.task.Step]/2)
 }
-
-// mustEvictBeforeStop reports whether a run has to be moved from its draining runner now. A
-// long-running task is moved when its disruption budget allows it and another runner
-// has free capacity for it, or when no more than longRunningEvictionMargin is left. Any
-// other task is moved if it would not end in time before the runner stops.
-func (c *Core) mustEvictBeforeStop(run *taskRun, now time.Duration) bool {
-	timeToLeave := run.runner.earliestStop - now
-	if run.step.LongRunning {
-		return timeToLeave <= longRunningEvictionMargin || c.mayStop(run, now) && c.canStartElsewhere(run, now)
-	}
-	return run.timeLeft(now) > timeToLeave-evictionMargin
-}
--- a/coordinator/runner.go
+++ b/coordinator/runner.go
@@ -47,6 +47,7 @@
 	// serving and best-effort tasks ask for, in thousandths of a processor. A plain task is
 	// neither a serving nor a best-effort task.
 	plainCPUMilli, servingCPUMilli, bestEffortCPUMilli int64
+	plainLongRunningCPUMilli                           int64 // the part of plainCPUMilli that long-running tasks ask for
 	servingImages                                      map[interference.Kind]*servingImage
 	// bestEffortCPUMilliByImage sums what the best-effort tasks of each image ask for,
 	// in thousandths of a processor. bestEffortPaces holds the pace of each image.
@@ -60,7 +61,10 @@
 	overTargetSince time.Duration
 	health          health
 	reservations    []reservation
-	lastChange      uint64 // number of the runner's last entry in the changeLog
+	// unusableSince is since when no new tasks may be started on the runner, as of the last
+	// scheduling round; zero if they may.
+	unusableSince time.Duration
+	lastChange    uint64 // number of the runner's last entry in the changeLog
 	// blockedJobs holds jobs for which no task may be started, and while there are any no
 	// task may be started on this runner. They are the jobs of the unexpected runs in the
 	// last report, which are being stopped and hold an unknown part of the capacity, and the
@@ -152,6 +156,7 @@
 	for run := range r.runs {
 		c.removeLostRun(run, now, "lease expired")
 	}
+	r.forgetUnexpectedRuns()
 	if !r.registered {
 		r.releaseReservations()
 		delete(c.runners, id)
@@ -159,6 +164,15 @@
 	}
 }
 
+// forgetUnexpectedRuns ends the block of the jobs whose unexpected runs the runner has listed, once
+// it is certain that nothing runs there. The jobs stay blocked while a listed result waits to be
+// applied: it may say that one of their tasks is done.
+func (r *runner) forgetUnexpectedRuns() {
+	if r.unknownJobSince == 0 {
+		r.blockedJobs = nil
+	}
+}
+
 // addRun adds a run to the runner and to the sums of its capacity in use.
 func (r *runner) addRun(run *taskRun) {
 	r.runs[run] = struct{}{}
@@ -197,6 +211,9 @@
 		r.countServingRun(run, int(sign))
 	default:
 		r.plainCPUMilli += cpu
+		if run.step.LongRunning {
+			r.plainLongRunningCPUMilli += cpu
+		}
 	}
 }
 
