Start nothing in an evacuated failure domain

Operators saw no way to stop starts in a failure domain: rows evacuate/ZONE of the operator's table were not read, and the zone of a registry entry was decoded and dropped. Cause: the feature did not exist. Ruled out: cordoning by the maintenance planner, which is per machine and needs the platform's machine list. Change: every instance follows the rows with the configuration feed; the coordinator applies them before each round, and a successor reads them from the store before its first round. Runners there are not usable for new starts, with an obstacle of their own, and their capacity does not count for gangs and reservations. Starts that are not confirmed are withdrawn: an order that was never sent gives its task back, any other one is followed by a stop. Order.beginAttempt decides between the two without a lock. Result: the new tests pass; with the check of evacuated runners, the read at the takeover, or the record of attempts in the link taken out, TestNothingStartsInAnEvacuatedDomain, TestSuccessorReadsEvacuationsBeforeItsFirstStart and TestLinkRecordsAttemptsToStart fail.

--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -35,6 +35,7 @@
 	precedence       precedence        // of a best-effort run, as of the runner's last report
 	state            runState
 	lastOrderSettled *atomic.Bool // the field Settled of the last order for the run
+	startAttempted   *atomic.Bool // the field Attempted of the start order; nil if the run was adopted
 	startedAt        time.Duration
 	workMeter        workMeter
 	// adoptedAt is when a runner first listed this run of a predecessor to this
@@ -173,6 +174,7 @@
 	// nextPreemption is when runs may next be preempted.
 	nextPreemption     time.Duration
 	durationEstimators map[string]*durations.Estimator // by name of the queue
+	evacuation         evacuation
 }
 
 // Counter adds n to the counter of a name.
--- a/coordinator/gang.go
+++ b/coordinator/gang.go
@@ -29,6 +29,9 @@
 func (c *Core) racksByFreeCapacity() []string {
 	freeMilli := map[string]int64{}
 	for _, r := range c.runners {
+		if r.evacuated {
+			continue
+		}
 		freeMilli[r.Rack] += r.Capacity.CPUMilli - r.held.CPUMilli
 	}
 	racks := make([]string, 0, len(freeMilli))
--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -219,6 +219,7 @@
 // requests for advice, and starts a write of progress if one is due.
 func (coord *coordinator) scheduleAndStore() {
 	now := coord.env.Clock()
+	coord.updateEvacuatedDomains(now)
 	coord.schedule(now)
 	coord.sendOrders()
 	for _, request := range coord.core.TakeAdviceRequests() {
--- a/coordinator/link.go
+++ b/coordinator/link.go
@@ -293,7 +293,7 @@
 		return 0, ctx.Err()
 	}
 	address, deadline, ready := l.orderTarget(order.Kind)
-	if !ready || order.Settled.Load() {
+	if !ready || !order.beginAttempt() {
 		return 0, errAttemptSkipped
 	}
 	order.Address = address
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -181,6 +181,8 @@
 	switch {
 	case r.Service != s.job.queue.Service:
 		return otherService
+	case r.evacuated:
+		return domainEvacuated
 	case !r.isUsable():
 		return notUsable
 	case r.health.isAvoided(now):
--- a/coordinator/platform.go
+++ b/coordinator/platform.go
@@ -62,6 +62,12 @@
 	DecodeRunner func(rowstore.Row) (RunnerInfo, error)
 	// Maintenance is nil where the platform has no maintenance waves.
 	Maintenance *Maintenance
+	// EvacuatedDomains returns the failure domains under evacuation, sorted. It is nil where
+	// the platform has none.
+	EvacuatedDomains func() []string
+	// RefreshEvacuatedDomains reads the requests for evacuations from the store, so that
+	// EvacuatedDomains then returns what was in force when it was called, or something newer.
+	RefreshEvacuatedDomains func(ctx context.Context, store rowstore.Store) error
 	// Queues returns the queues of the configuration in force.
 	Queues func() []jobs.Queue
 	Limits Limits
--- a/coordinator/runner.go
+++ b/coordinator/runner.go
@@ -65,6 +65,9 @@
 	// last report, which are being stopped and hold an unknown part of the capacity, and the
 	// jobs of the results in the report that can't be applied before their job is known.
 	blockedJobs []jobs.ID
+	// evacuated is set while the runner's failure domain is evacuated, see
+	// Core.SetEvacuatedDomains.
+	evacuated bool
 	// unknownJobSince is since when the next result to be applied has waited because its job
 	// is unknown; zero if none waits.
 	unknownJobSince time.Duration
@@ -104,6 +107,7 @@
 	c.recordChange(r)
 	r.RunnerInfo = info
 	r.registered, r.unregisteredSince = true, 0
+	c.updateEvacuated(r, now)
 }
 
 // reregisterTime is how long a runner takes to write its registry entry again after
@@ -221,5 +225,5 @@
 
 // isUsable reports whether new tasks may be started on the runner.
 func (r *runner) isUsable() bool {
-	return r.registered && r.hasReported && !r.Draining && r.cordon == nil && !r.cannotExtendLeases && len(r.blockedJobs) == 0
+	return r.registered && r.hasReported && !r.Draining && r.cordon == nil && !r.evacuated && !r.cannotExtendLeases && len(r.blockedJobs) == 0
 }
--- a/coordinator/schedule.go
+++ b/coordinator/schedule.go
@@ -129,7 +129,7 @@
 	task := s.job.Task(id)
 	task.LastRun = number
 	delete(s.hiddenEnds, index)
-	run := &taskRun{endHiddenFromPredecessor: true, job: s.job, task: id, number: number, runner: r, step: s.step, kind: s.kind, lastOrderSettled: new(atomic.Bool), startedAt: now, pace: fullPace, precedence: s.precedence}
+	run := &taskRun{endHiddenFromPredecessor: true, job: s.job, task: id, number: number, runner: r, step: s.step, kind: s.kind, lastOrderSettled: new(atomic.Bool), startAttempted: new(atomic.Bool), startedAt: now, pace: fullPace, precedence: s.precedence}
 	if s.step.BestEffort {
 		c.limitPaceForStart(r, s, now)
 	}
@@ -141,7 +141,7 @@
 		checkpoint = ""
 	}
 	c.orders = append(c.orders, Order{Kind: Start, Runner: r.ID, Address: r.Address, Task: id, Run: number,
-		Spec: s.job.Spec.Text, Checkpoint: checkpoint, Ticket: s.advice.tickets[r.ID].text, Settled: run.lastOrderSettled})
+		Spec: s.job.Spec.Text, Checkpoint: checkpoint, Ticket: s.advice.tickets[r.ID].text, Settled: run.lastOrderSettled, Attempted: run.startAttempted})
 	c.counters("starts", 1)
 	c.log.WithFields(logrus.Fields{"task": id, "run": number, "runner": r.ID, "free_milli": r.Capacity.CPUMilli - r.held.CPUMilli}).Info("start ordered")
 }
--- a/coordinator/takeover.go
+++ b/coordinator/takeover.go
@@ -45,6 +45,9 @@
 		return versions, fmt.Errorf("load shared rows: %w", err)
 	}
 	registryEvent{rows: registry.Rows, isSnapshot: true}.apply(coord)
+	if err := coord.inheritEvacuations(ctx, store); err != nil {
+		return versions, fmt.Errorf("load evacuations: %w", err)
+	}
 	return versions, nil
 }
 
--- a/coordinator/types.go
+++ b/coordinator/types.go
@@ -18,6 +18,7 @@
 	Address  string
 	Service  string
 	Rack     string
+	Domain   string // failure domain; empty if it is not known
 	Labels   []string
 	Capacity structs.Resources
 	Draining bool
@@ -108,6 +109,8 @@
 	// Settled is set once the order need not be sent again: a report has confirmed the start,
 	// the run no longer exists, or a later order for the run has replaced this one.
 	Settled *atomic.Bool
+	// Attempted is set by beginAttempt for a start. It is nil for other orders.
+	Attempted *atomic.Bool
 }
 
 // Outcome is a runner's answer to an order.
