Move long-running tasks out of evacuated domains, and return work gradually

Callers saw long-running tasks stay in an evacuated domain until it ended, all waiting work start at once on cold runners when an evacuation was taken back, and a start that was delayed on its way be carried out up to 8 s after an evacuation, as its deadline was the end of the runner's leases. Cause: nothing moved tasks that need not end with their runner, nothing limited starts on runners that had been without work, and a start had no deadline of its own. The deadline of a start is 3 s after it is sent. Ruled out: reserving the room by reservation.go, which releases capacity of steps without pending tasks.

--- a/coordinator/checkruns.go
+++ b/coordinator/checkruns.go
@@ -49,6 +49,7 @@
 	c.removeGoneRunners()
 	c.updateUnavailability(now)
 	c.moveThrottledRuns(now)
+	c.moveFromEvacuatedDomains(now)
 	for _, r := range c.runners {
 		if !r.hasReported || r.cannotExtendLeases {
 			continue
--- /dev/null
+++ b/coordinator/domainreturn.go
@@ -0,0 +1,34 @@
+package coordinator
+
+import "time"
+
+// returnStartsPerSecond holds, for each second after the evacuation of a runner's domain has
+// been withdrawn, how many tasks may be started on the runner in that second. Later ones are
+// not limited. A runner that had no work may be slow for a short while: tasks that are started
+// on all of them at once would all be slow.
+var returnStartsPerSecond = [...]int{1, 1, 2, 2, 4, 4, 8, 8}
+
+// domainReturn limits the starts on a runner after the evacuation of its domain has been
+// withdrawn.
+type domainReturn struct {
+	since  time.Duration // when the evacuation was withdrawn; zero if starts are not limited
+	second int           // the last second after since in which a task was started
+	starts int           // started in that second
+}
+
+// mayStart reports whether one more task may be started on the runner.
+func (d *domainReturn) mayStart(now time.Duration) bool {
+	second := int((now - d.since) / time.Second)
+	if d.since == 0 || second >= len(returnStartsPerSecond) {
+		return true
+	}
+	return second != d.second || d.starts < returnStartsPerSecond[second]
+}
+
+// count counts a start, or takes it back if n is -1.
+func (d *domainReturn) count(n int, now time.Duration) {
+	if second := int((now - d.since) / time.Second); second != d.second {
+		d.second, d.starts = second, 0
+	}
+	d.starts += n
+}
--- a/coordinator/evacuation.go
+++ b/coordinator/evacuation.go
@@ -14,7 +14,16 @@
 
 // evacuation holds which failure domains are evacuated: no task is started on their runners.
 type evacuation struct {
-	domains []string // sorted
+	domains         []string // sorted
+	moves           []evacuationMove
+	leftLogThrottle logThrottle
+}
+
+// EvacuationStatus says how far the evacuation of failure domains is.
+type EvacuationStatus struct {
+	Domains     int // that are evacuated, also unknown ones
+	Runs        int // that are left there
+	LongRunning int // of these, those of long-running tasks
 }
 
 // beginAttempt records that an attempt to send the order begins, and reports whether the order
@@ -28,6 +37,19 @@
 	return !o.Settled.Load()
 }
 
+// maxStartDelay is how long after it was sent a runner may still carry out a start. It bounds
+// how late a start that was delayed on its way can follow an evacuation, also if its stop is
+// delayed too: this time and the time that the coordinator takes to read the request have to
+// fit into 5 s. A start that takes longer has been sent again, since each attempt waits for its
+// answer for less than a second.
+const maxStartDelay = 3 * time.Second
+
+// startDeadline returns the time on the runner's clock from which on the runner refuses a start
+// that is sent now. It is not the end of a lease: a runner never shortens its leases.
+func (l *leaseState) startDeadline(now time.Duration) time.Duration {
+	return l.clockReading + (now - l.receivedAt) + maxStartDelay
+}
+
 // SetEvacuatedDomains sets the failure domains that are evacuated. Nothing is started there any
 // more, and starts that were ordered and are not confirmed are withdrawn. It costs little if the
 // domains have not changed.
@@ -59,7 +81,26 @@
 	c.recordChange(r)
 	if evacuated {
 		c.withdrawStarts(r, now)
+	} else {
+		r.domainReturn = domainReturn{since: now}
+	}
+}
+
+// EvacuationStatus returns how far the evacuation is.
+func (c *Core) EvacuationStatus() EvacuationStatus {
+	status := EvacuationStatus{Domains: len(c.evacuation.domains)}
+	for _, r := range c.runners {
+		if !r.evacuated {
+			continue
+		}
+		status.Runs += len(r.runs)
+		for run := range r.runs {
+			if run.step.LongRunning {
+				status.LongRunning++
+			}
+		}
 	}
+	return status
 }
 
 // withdrawStarts withdraws the starts on a runner that were ordered and are not confirmed.
@@ -159,6 +200,15 @@
 	return nil
 }
 
+// exportEvacuation sets the metrics of the evacuation.
+func (coord *coordinator) exportEvacuation(status EvacuationStatus) {
+	if coord.env.Gauge != nil {
+		coord.env.Gauge("evacuated_domains", int64(status.Domains))
+		coord.env.Gauge("evacuated_runs", int64(status.Runs))
+		coord.env.Gauge("evacuated_long_running", int64(status.LongRunning))
+	}
+}
+
 // updateEvacuatedDomains passes the domains under evacuation to the core.
 func (coord *coordinator) updateEvacuatedDomains(now time.Duration) {
 	if coord.env.EvacuatedDomains != nil {
--- a/coordinator/evacuation_test.go
+++ b/coordinator/evacuation_test.go
@@ -179,6 +179,24 @@
 	}
 }
 
+// Guards against a start that is delayed on its way for as long as the leases last, and is
+// carried out later than an evacuation permits. The leases must not be taken to end earlier.
+func TestDelayedStartIsRefused(t *testing.T) {
+	h := newLoopHarness(t)
+	const reading = time.Hour
+	h.link.recordAnswer(1, reading, h.clock.now(), h.clock.now())
+	h.clock.advance(time.Second)
+	granted := h.link.nextRequest().Deadline
+	expiresBy := h.link.lease.expiresBy
+	_, deadline, ready := h.link.orderTarget(Start)
+	if !ready || deadline != reading+time.Second+maxStartDelay || deadline >= granted {
+		t.Errorf("a start may be carried out until %v, leases end at %v; want %v", deadline-reading, granted-reading, time.Second+maxStartDelay)
+	}
+	if h.link.lease.expiresBy < expiresBy {
+		t.Errorf("leases are taken to expire %v earlier", expiresBy-h.link.lease.expiresBy)
+	}
+}
+
 // evacuations stands for the platform's requests for evacuations. What a coordinator sees of
 // them is out of date until it reads them again.
 type evacuations struct {
--- a/coordinator/gang.go
+++ b/coordinator/gang.go
@@ -57,10 +57,12 @@
 		chosen = append(chosen, r)
 		r.held = r.held.Add(reserved)
 		s.runsByRunner[r]++
+		r.domainReturn.count(1, now)
 	}
 	for _, r := range chosen {
 		r.held = r.held.Sub(reserved)
 		s.runsByRunner[r]--
+		r.domainReturn.count(-1, now)
 	}
 	if len(chosen) < s.step.Count {
 		return false
--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -107,6 +107,7 @@
 	go coord.followJobs(ctx, versions.jobs)
 	go coord.followRunners(ctx, versions.runners)
 	defer coord.exportLag(0)
+	defer coord.exportEvacuation(EvacuationStatus{})
 	return coord.loop(ctx)
 }
 
@@ -204,6 +205,7 @@
 	coord.expireLeases(now)
 	coord.advanceWaves(now)
 	coord.core.CheckRuns(now)
+	coord.exportEvacuation(coord.core.EvacuationStatus())
 	coord.removeStaleLinks()
 	if now >= coord.nextSharedRowsWrite || coord.needsExpiryRemoval() {
 		coord.nextSharedRowsWrite = now + sharedRowsInterval
--- a/coordinator/link.go
+++ b/coordinator/link.go
@@ -183,7 +183,7 @@
 	if until == 0 {
 		return l.address, 0, false
 	}
-	return l.address, l.lease.extend(until), true
+	return l.address, min(l.lease.extend(until), l.lease.startDeadline(l.coordinator.env.Clock())), true
 }
 
 // pollLoop polls the runner until ctx ends or the runner refuses this coordinator because
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -187,6 +187,8 @@
 		return notUsable
 	case r.health.isAvoided(now):
 		return runnerAvoided
+	case !r.domainReturn.mayStart(now):
+		return domainReturning
 	case s.step.RequiredLabel != "" && !slices.Contains(r.Labels, s.step.RequiredLabel):
 		return missingLabel
 	case s.step.MaxPerRunner > 0 && s.runsByRunner[r] >= s.step.MaxPerRunner:
--- a/coordinator/preempt.go
+++ b/coordinator/preempt.go
@@ -130,6 +130,10 @@
 			}
 		case noTicket:
 			return nil, true
+		case domainReturning:
+			if r.hasCapacityFor(s) {
+				return nil, true
+			}
 		case runnerAvoided:
 			if r.health.avoidUntil-p.now <= freeSoonTime && r.hasCapacityFor(s) {
 				return nil, true
--- a/coordinator/runner.go
+++ b/coordinator/runner.go
@@ -67,7 +67,8 @@
 	blockedJobs []jobs.ID
 	// evacuated is set while the runner's failure domain is evacuated, see
 	// Core.SetEvacuatedDomains.
-	evacuated bool
+	evacuated    bool
+	domainReturn domainReturn
 	// unknownJobSince is since when the next result to be applied has waited because its job
 	// is unknown; zero if none waits.
 	unknownJobSince time.Duration
--- a/coordinator/schedule.go
+++ b/coordinator/schedule.go
@@ -134,6 +134,7 @@
 		c.limitPaceForStart(r, s, now)
 	}
 	c.attachRun(run)
+	r.domainReturn.count(1, now)
 	r.useReservation(s)
 	s.waitLogThrottle = logThrottle{}
 	checkpoint := task.Checkpoint
--- a/coordinator/waiting.go
+++ b/coordinator/waiting.go
@@ -21,6 +21,7 @@
 	noObstacle obstacle = iota
 	otherService
 	domainEvacuated
+	domainReturning     // the evacuation of the domain was withdrawn shortly before, and enough tasks were started on the runner for now
 	notUsable           // the runner is not registered, has not reported, is draining or cordoned, has blocked jobs, or its leases can't be extended
 	runnerAvoided       // tasks failed, were refused or made no progress on the runner recently
 	missingLabel        // the runner lacks the label that the step requires
@@ -33,7 +34,7 @@
 	obstacleCount    // number of obstacles
 )
 
-var obstacleNames = [obstacleCount]string{noObstacle: "none", otherService: "of another service", domainEvacuated: "in an evacuated domain", notUsable: "not usable",
+var obstacleNames = [obstacleCount]string{noObstacle: "none", otherService: "of another service", domainEvacuated: "in an evacuated domain", domainReturning: "back from an evacuation", notUsable: "not usable",
 	runnerAvoided: "avoided", missingLabel: "without label", maxPerRunnerReached: "limit per runner reached", noFreeCapacity: "no free capacity", noTicket: "no ticket",
 	noIdleProcessors: "no idle processors", tasksOverTarget: "serving tasks over target", wouldInterfere: "would interfere with serving tasks"}
 
