Check evacuations in the stand-ins and in a soak

Nothing outside of the coordinator's own tests saw whether processes obey an evacuation. Cause: the stand-ins of the operator and of the runners had neither requests nor failure domains.

--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -38,8 +38,12 @@
 	*hostedtest.Runner
 	server *http.Server
 	proxy  *standin.Proxy
+	zone   string
 }
 
+// zones are the failure domains of the runners.
+var zones = []string{"east", "west", "north"}
+
 // deployment is a running deployment. Entry instances are separate processes; the store
 // and the runners run in the process of the test.
 type deployment struct {
@@ -127,7 +131,8 @@
 	if i%2 == 1 {
 		clockRate = slowClockRate
 	}
-	r := &runner{Runner: hostedtest.NewRunner(fmt.Sprint("runner-", i), d.recorder, clockRate)}
+	r := &runner{Runner: hostedtest.NewRunner(fmt.Sprint("runner-", i), d.recorder, clockRate), zone: zones[i%len(zones)]}
+	d.recorder.SetZone(r.ID, r.zone)
 	d.runners = append(d.runners, r)
 	server, address, err := startServer(r.Runner)
 	if err != nil {
@@ -143,7 +148,7 @@
 
 // register writes a runner's entry in the registry of the store.
 func (d *deployment) register(r *runner, draining bool) {
-	d.store.Register(hostedtest.RunnerEntry{ID: r.ID, Service: route.Service, Address: r.proxy.Address(), CPUMilli: runnerCPUMilli, Draining: draining})
+	d.store.Register(hostedtest.RunnerEntry{ID: r.ID, Service: route.Service, Address: r.proxy.Address(), CPUMilli: runnerCPUMilli, Draining: draining, Zone: r.zone})
 }
 
 func (d *deployment) addInstance(i int, storeAddress string, cpuShare float64) error {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -163,7 +163,7 @@
 	for _, v := range d.recorder.Violations() {
 		t.Error(v)
 	}
-	t.Logf("%d jobs, %d faults, %d checks of configurations, %d lease hand-overs", len(jobClients.jobs), len(injectedFaults), d.configChecks.Load(), countLogLines(t, dir, "lease requested by a more capable instance"))
+	t.Logf("%d jobs, %d faults, %d checks of configurations, %d lease hand-overs, latest start %v after an evacuation", len(jobClients.jobs), len(injectedFaults), d.configChecks.Load(), countLogLines(t, dir, "lease requested by a more capable instance"), d.recorder.LatestStartInEvacuation())
 	if t.Failed() {
 		preserveRunFiles(t, dir, seed, injectedFaults)
 	}
