Count only runners in service where a share of the runners may be avoided

Callers would have waited up to 4 s on a healthy service while most of its runners were evacuated, draining or cordoned: after failures, all the others could be avoided at the same time. After an evacuation, best-effort work would have counted as starved and been started beside serving tasks over their target. Cause: mayAvoid takes a third of all registered runners, and the free share by which starvation is judged includes runners on which starts are limited. Class: capacity that can't be used counts as room. Ruled out: the loops of preempt.go, advice.go, checkruns.go and reservation.go, which go through findObstacle or isUsable; leastImportantPriorities also looks at such runners, but only to skip a search. Change: isInService says which runners are meant to get tasks; mayAvoid, racksByFreeCapacity and isUsable use it. hasMuchFree leaves out what is free on runners on which starts are limited. Result: TestRunnersOutOfServiceAllowNoMoreToBeAvoided and TestLimitAfterAnEvacuationStarvesNoWork failed before and pass.

--- a/coordinator/domainreturn.go
+++ b/coordinator/domainreturn.go
@@ -16,12 +16,17 @@
 	starts int           // started in that second
 }
 
+// isLimited reports whether the starts on the runner are limited.
+func (d *domainReturn) isLimited(now time.Duration) bool {
+	return d.since != 0 && now-d.since < time.Duration(len(returnStartsPerSecond))*time.Second
+}
+
 // mayStart reports whether one more task may be started on the runner.
 func (d *domainReturn) mayStart(now time.Duration) bool {
-	second := int((now - d.since) / time.Second)
-	if d.since == 0 || second >= len(returnStartsPerSecond) {
+	if !d.isLimited(now) {
 		return true
 	}
+	second := int((now - d.since) / time.Second)
 	return second != d.second || d.starts < returnStartsPerSecond[second]
 }
 
--- a/coordinator/domainreturn_test.go
+++ b/coordinator/domainreturn_test.go
@@ -68,3 +68,27 @@
 		t.Errorf("%d runners count as full, room soon: %v", len(full), soon)
 	}
 }
+
+// Guards against best-effort work that counts as starved, and is started beside serving tasks
+// whatever it does to them, because runners on which starts are limited count as free.
+func TestLimitAfterAnEvacuationStarvesNoWork(t *testing.T) {
+	h := newCoreHarness(t, runnerInDomain("a", "east"), runnerInDomain("b", "west"))
+	h.evacuate("east")
+	h.startJob(firstID, plainStep(4, 1000))
+	h.addJob(secondID, false, plainStep(1, 4000))
+	h.schedule()
+	h.evacuate()
+	h.core.runners["a"].domainReturn.count(1, h.now)
+	h.now += starvationTime + 100*time.Millisecond
+	h.core.runners["a"].domainReturn.count(1, h.now)
+	h.schedule()
+	res := h.core.serviceReservations.forService(testService)
+	if res.hasMuchFree() || res.freeMilli < largeFreeShare*res.totalMilli {
+		t.Errorf("much is free: %v, with %v of %v thousandths free and %v of them limited", res.hasMuchFree(), res.freeMilli, res.totalMilli, res.returningMilli)
+	}
+	h.now += time.Duration(len(returnStartsPerSecond)) * time.Second
+	h.core.updateServiceReservations(h.now)
+	if !res.hasMuchFree() {
+		t.Error("nothing counts as free after the limit has ended")
+	}
+}
--- a/coordinator/evacuation_test.go
+++ b/coordinator/evacuation_test.go
@@ -303,3 +303,29 @@
 		t.Errorf("%d starts after the evacuations were withdrawn, want 1", len(got))
 	}
 }
+
+// Guards against runners of an evacuated domain, and draining and cordoned ones, that count when
+// the share of runners that may be avoided for failures is taken. Where most runners of a service
+// were out of service, all others could be avoided, and nothing started for 4 s.
+func TestRunnersOutOfServiceAllowNoMoreToBeAvoided(t *testing.T) {
+	draining := runnerInDomain("d", "west")
+	draining.Draining, draining.Remaining = true, time.Minute
+	h := newCoreHarness(t, runnerInDomain("a", "east"), runnerInDomain("b", "east"), runnerInDomain("c", "east"), draining,
+		runnerInDomain("x", "west"), runnerInDomain("y", "west"), runnerInDomain("z", "west"))
+	if !h.core.mayAvoid(h.core.runners["x"], h.now) {
+		t.Fatal("none of 6 runners may be avoided")
+	}
+	h.core.runners["x"].health.avoidUntil = h.now + time.Minute
+	if !h.core.mayAvoid(h.core.runners["y"], h.now) {
+		t.Fatal("no second one of 6 runners may be avoided")
+	}
+	h.evacuate("east")
+	if h.core.mayAvoid(h.core.runners["y"], h.now) {
+		t.Error("2 of 3 runners in service may be avoided")
+	}
+	h.core.runners["x"].health.avoidUntil = 0
+	h.cordonAndCheck("z", time.Second, false)
+	if h.core.mayAvoid(h.core.runners["y"], h.now) {
+		t.Error("1 of 2 runners in service may be avoided")
+	}
+}
--- a/coordinator/gang.go
+++ b/coordinator/gang.go
@@ -29,7 +29,7 @@
 func (c *Core) racksByFreeCapacity() []string {
 	freeMilli := map[string]int64{}
 	for _, r := range c.runners {
-		if r.evacuated {
+		if !r.isInService() {
 			continue
 		}
 		freeMilli[r.Rack] += r.Capacity.CPUMilli - r.held.CPUMilli
--- a/coordinator/health.go
+++ b/coordinator/health.go
@@ -78,7 +78,7 @@
 func (c *Core) mayAvoid(r *runner, now time.Duration) bool {
 	total, avoided := 0, 0
 	for _, other := range c.runners {
-		if other.Service != r.Service || !other.registered {
+		if other.Service != r.Service || !other.isInService() {
 			continue
 		}
 		total++
--- a/coordinator/runner.go
+++ b/coordinator/runner.go
@@ -226,5 +226,11 @@
 
 // isUsable reports whether new tasks may be started on the runner.
 func (r *runner) isUsable() bool {
-	return r.registered && r.hasReported && !r.Draining && r.cordon == nil && !r.evacuated && !r.cannotExtendLeases && len(r.blockedJobs) == 0
+	return r.isInService() && r.hasReported && !r.cannotExtendLeases && len(r.blockedJobs) == 0
+}
+
+// isInService reports whether the runner is meant to get new tasks: it is registered, does not
+// drain, is not cordoned and its failure domain is not evacuated.
+func (r *runner) isInService() bool {
+	return r.registered && !r.Draining && r.cordon == nil && !r.evacuated
 }
--- a/coordinator/servicereservation.go
+++ b/coordinator/servicereservation.go
@@ -21,13 +21,16 @@
 	displacedMilli float64
 	freeMilli      float64 // not held by any run
 	totalMilli     float64
+	returningMilli float64 // of freeMilli, that of runners on which starts are limited, see domainReturn
 }
 
 // largeFreeShare is the free share of a service's capacity, from 0 to 1, above which a waiting
 // job counts as starved if none of its tasks has run for starvationTime.
 const largeFreeShare = 0.4
 
-func (r *serviceReservation) hasMuchFree() bool { return r.freeMilli > largeFreeShare*r.totalMilli }
+func (r *serviceReservation) hasMuchFree() bool {
+	return r.freeMilli-r.returningMilli > largeFreeShare*r.totalMilli
+}
 
 // serviceReservations holds the reservation of each service.
 type serviceReservations struct {
@@ -49,7 +52,7 @@
 	decay := math.Exp(-float64(now-c.serviceReservations.updatedAt) / float64(peakDecayTime))
 	c.serviceReservations.updatedAt = now
 	for _, res := range c.serviceReservations.services {
-		res.demandMilli, res.displacedMilli, res.freeMilli, res.totalMilli = 0, 0, 0, 0
+		res.demandMilli, res.displacedMilli, res.freeMilli, res.totalMilli, res.returningMilli = 0, 0, 0, 0, 0
 	}
 	for _, r := range c.runners {
 		res := c.serviceReservations.forService(r.Service)
@@ -59,7 +62,11 @@
 		}
 		res.demandMilli += float64(r.plainCPUMilli)
 		res.totalMilli += float64(r.Capacity.CPUMilli)
-		res.freeMilli += float64(max(0, r.Capacity.CPUMilli-r.held.CPUMilli))
+		free := float64(max(0, r.Capacity.CPUMilli-r.held.CPUMilli))
+		res.freeMilli += free
+		if r.domainReturn.isLimited(now) {
+			res.returningMilli += free
+		}
 	}
 	for _, s := range c.waitingSteps {
 		res := c.serviceReservations.forService(s.job.queue.Service)
