Limit starts after an evacuation also across a takeover

Callers would have seen all waiting work start at once on cold runners if a takeover came within 8 s after an evacuation was withdrawn. Cause: only the coordinator that saw the withdrawal knew of it. Class: state that only a dead instance had. Ruled out: a row for it, which would be one more state beside the operator's rows. A process that started later does not know and does not limit starts. Result: TestSuccessorLimitsStartsAfterAnEvacuation fails without the call in the takeover (3 starts, want 1) and passes with it.

--- a/coordinator/domainreturn.go
+++ b/coordinator/domainreturn.go
@@ -16,6 +16,16 @@
 	starts int           // started in that second
 }
 
+// limitReturns limits the starts in failure domains whose evacuation was withdrawn, at the given
+// local times, while a predecessor coordinated.
+func (c *Core) limitReturns(withdrawnAt map[string]time.Duration) {
+	for _, r := range c.runners {
+		if at, ok := withdrawnAt[r.Domain]; ok && !r.evacuated && r.domainReturn.since == 0 {
+			r.domainReturn = domainReturn{since: at}
+		}
+	}
+}
+
 // isLimited reports whether the starts on the runner are limited.
 func (d *domainReturn) isLimited(now time.Duration) bool {
 	return d.since != 0 && now-d.since < time.Duration(len(returnStartsPerSecond))*time.Second
--- a/coordinator/domainreturn_test.go
+++ b/coordinator/domainreturn_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"bergamotstile/jobs"
 )
 
 // Guards against tasks that start all at once on the runners of a domain whose evacuation was
@@ -92,3 +94,27 @@
 		t.Error("nothing counts as free after the limit has ended")
 	}
 }
+
+// Guards against a successor that starts everything at once on the runners of a domain whose
+// evacuation was withdrawn shortly before it took over.
+func TestSuccessorLimitsStartsAfterAnEvacuation(t *testing.T) {
+	h := newLoopHarness(t)
+	coord := h.coordinator
+	info := coord.core.runners[testRunnerID].RunnerInfo
+	info.Domain = "east"
+	coord.core.UpdateRunner(info, h.clock.now())
+	withdrawnAt := h.clock.now()
+	coord.env.EvacuatedDomains = func() []string { return nil }
+	coord.env.WithdrawnEvacuations = func() map[string]time.Duration {
+		return map[string]time.Duration{"east": withdrawnAt, "west": withdrawnAt}
+	}
+	h.clock.advance(time.Second)
+	if err := coord.inheritEvacuations(t.Context(), nil); err != nil {
+		t.Fatal(err)
+	}
+	coord.core.AddJob(jobs.New(secondID, testQueue, jobs.Spec{Text: "text", Steps: []jobs.Step{plainStep(3, 1000)}}, 0, 1), false, 0)
+	coord.core.Schedule(h.clock.now(), 0)
+	if got := len(coord.core.TakeOrders()); got != returnStartsPerSecond[1] {
+		t.Errorf("%d starts, want %d", got, returnStartsPerSecond[1])
+	}
+}
--- a/coordinator/evacuation.go
+++ b/coordinator/evacuation.go
@@ -197,6 +197,9 @@
 		}
 	}
 	coord.updateEvacuatedDomains(coord.env.Clock())
+	if coord.env.WithdrawnEvacuations != nil {
+		coord.core.limitReturns(coord.env.WithdrawnEvacuations())
+	}
 	return nil
 }
 
--- a/coordinator/platform.go
+++ b/coordinator/platform.go
@@ -65,6 +65,9 @@
 	// EvacuatedDomains returns the failure domains under evacuation, sorted. It is nil where
 	// the platform has none.
 	EvacuatedDomains func() []string
+	// WithdrawnEvacuations returns, by failure domain, the local time at which the evacuation of
+	// the domain was withdrawn, for those of the last seconds. It may be nil.
+	WithdrawnEvacuations func() map[string]time.Duration
 	// RefreshEvacuatedDomains reads the requests for evacuations from the store, so that
 	// EvacuatedDomains then returns what was in force when it was called, or something newer.
 	RefreshEvacuatedDomains func(ctx context.Context, store rowstore.Store) error
