--- a/coordinator/checkruns.go
+++ b/coordinator/checkruns.go
@@ -48,11 +48,18 @@
 	c.removeGoneRunners()
 	c.updateUnavailability(now)
 	c.releaseStaleReservations(now)
-	c.moveDepartures(c.collectDepartures(now), now)
+	c.moveLeavingRuns(now)
 	c.moveStalledRuns(now)
 	c.moveThrottledRuns(now)
 }
 
+// moveLeavingRuns moves the runs that should leave their runners, in one decision.
+func (c *Core) moveLeavingRuns(now time.Duration) {
+	evacuations := c.collectEvacuationDepartures(now)
+	remaining := c.moveDepartures(append(c.collectDepartures(now), evacuations...), now)
+	c.recordEvacuationMoves(evacuations, remaining, now)
+}
+
 // moveStalledRuns stops the stalled runs, and avoids their runners for a while.
 func (c *Core) moveStalledRuns(now time.Duration) {
 	for _, r := range c.runners {
--- a/coordinator/gang.go
+++ b/coordinator/gang.go
@@ -30,6 +30,9 @@
 func (c *Core) racksByFreeCapacity() []string {
 	freeMilli := map[string]int64{}
 	for _, r := range c.runners {
+		if !r.isInService() {
+			continue
+		}
 		freeMilli[r.Rack] += r.Capacity.CPUMilli - r.held.CPUMilli
 	}
 	racks := make([]string, 0, len(freeMilli))
@@ -55,10 +58,12 @@
 		chosen = append(chosen, r)
 		r.held = r.held.Add(reserved)
 		s.runsByRunner[r]++
+		r.domainReturn.count(1, now)
 	}
 	for _, r := range chosen {
 		r.held = r.held.Sub(reserved)
 		s.runsByRunner[r]--
+		r.domainReturn.count(-1, now)
 	}
 	if len(chosen) < s.step.Count {
 		return false
--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -116,6 +116,7 @@
 	go coord.followJobs(ctx, versions.jobs)
 	go coord.followRunners(ctx, versions.runners)
 	defer coord.exportLag(0)
+	defer coord.exportEvacuation(EvacuationStatus{})
 	return coord.loop(ctx)
 }
 
@@ -213,6 +214,7 @@
 	coord.expireLeases(now)
 	coord.advanceWaves(now)
 	coord.core.CheckRuns(now)
+	coord.exportEvacuation(coord.core.EvacuationStatus())
 	coord.removeStaleLinks()
 	if now >= coord.nextSharedRowsWrite || coord.needsExpiryRemoval() {
 		coord.nextSharedRowsWrite = now + sharedRowsInterval
@@ -228,6 +230,7 @@
 // requests for advice, and starts a write of progress if one is due.
 func (coord *coordinator) scheduleAndStore() {
 	now := coord.env.Clock()
+	coord.updateEvacuatedDomains(now)
 	coord.schedule(now)
 	coord.sendOrders()
 	for _, request := range coord.core.TakeAdviceRequests() {
--- a/coordinator/link.go
+++ b/coordinator/link.go
@@ -347,7 +347,7 @@
 	if until == 0 {
 		return target, errAttemptSkipped
 	}
-	target.deadline = l.lease.extend(until)
+	target.deadline = min(l.lease.extend(until), l.lease.startDeadline(l.coordinator.env.Clock()))
 	return target, nil
 }
 
@@ -498,7 +498,7 @@
 	if err != nil {
 		return 0, err
 	}
-	if order.Settled.Load() {
+	if !order.beginAttempt() {
 		return 0, errAttemptSkipped
 	}
 	order.Address = target.address
--- a/coordinator/runner.go
+++ b/coordinator/runner.go
@@ -70,6 +70,10 @@
 	// last report, which are being stopped and hold an unknown part of the capacity, and the
 	// jobs of the results in the report that can't be applied before their job is known.
 	blockedJobs []jobs.ID
+	// evacuated is set while the runner's failure domain is evacuated, see
+	// Core.SetEvacuatedDomains.
+	evacuated    bool
+	domainReturn domainReturn
 	// unknownJobSince is since when the next result to be applied has waited because its job
 	// is unknown; zero if none waits.
 	unknownJobSince time.Duration
@@ -109,6 +113,7 @@
 	c.recordChange(r)
 	r.RunnerInfo = info
 	r.registered, r.unregisteredSince = true, 0
+	c.updateEvacuated(r, now)
 }
 
 // reregisterTime is how long a runner takes to write its registry entry again after
@@ -245,5 +250,11 @@
 
 // isUsable reports whether new tasks may be started on the runner.
 func (r *runner) isUsable() bool {
-	return r.registered && r.isRegisteredProcess() && r.hasReported && !r.isUnfenced && !r.Draining && r.cordon == nil && !r.cannotExtendLeases && len(r.blockedJobs) == 0
+	return r.isInService() && r.isRegisteredProcess() && r.hasReported && !r.isUnfenced && !r.cannotExtendLeases && len(r.blockedJobs) == 0
+}
+
+// isInService reports whether the runner is meant to get new tasks: it is registered, does not
+// drain, is not cordoned and its failure domain is not evacuated.
+func (r *runner) isInService() bool {
+	return r.registered && !r.Draining && r.cordon == nil && !r.evacuated
 }
