Pass over no change and no row when the store answers in pages

What callers saw: nothing so far; found while looking at every place that concludes from absence. A job or a runner that was passed over would have been unknown to the coordinator until the next takeover, and an instance would have refused or served routes by an old configuration that counted as confirmed.

Cause: after an answer with has-more, the next request for changes began at the version of the answer, which is the store's newest, not that of the last row in it. The configuration counted as confirmed by such an answer as well. ReadAll took a page without rows as the last one even if the store said there were more.

Ruled out: the machine list (a list without a last page is an error), the gateway's reads (ranges of at most two rows), and the time up to which jobs are known (already unset while there are more changes).

Change: Result.NextAfter gives the version to go on from, by the rows of the answer if there are more; the rows of one transaction may be split, so the last one is asked for again. ReadAll returns ErrRefused rather than a part of the rows.

--- a/coordinator/takeover.go
+++ b/coordinator/takeover.go
@@ -286,6 +286,10 @@
 			pause(ctx, changesRetryPause)
 			continue
 		}
-		after = max(after, res.Version)
+		if isSnapshot {
+			after = max(after, res.Version)
+		} else {
+			after = res.NextAfter(after)
+		}
 	}
 }
--- a/rowstore/rowstore.go
+++ b/rowstore/rowstore.go
@@ -88,6 +88,25 @@
 	Now     time.Duration
 }
 
+// NextAfter returns the version after which to ask for changes next, once the rows of this answer
+// to a request for the changes after a version have been handled. If the store has more changes
+// than the answer holds, it returns a version that does not pass over any: the rows of the last
+// transaction may be split between two answers, so they are asked for again unless the answer
+// has no others.
+func (r Result) NextAfter(after uint64) uint64 {
+	if !r.More {
+		return max(after, r.Version)
+	}
+	if len(r.Rows) == 0 {
+		return after
+	}
+	last := r.Rows[len(r.Rows)-1].Version
+	if last > after+1 && r.Rows[0].Version != last {
+		return last - 1
+	}
+	return max(after, last)
+}
+
 // ConflictError reports that a condition of a transaction did not hold. Rows
 // holds the rows named in the conditions that exist, as they are now.
 type ConflictError struct {
@@ -126,7 +145,7 @@
 
 // ReadAll reads all rows of a range, page by page. The result has the version of
 // the first page, so that a caller that follows the changes from that version
-// misses none.
+// misses none. It returns ErrRefused rather than a part of the rows.
 func ReadAll(ctx context.Context, s Store, r Range) (Result, error) {
 	var all Result
 	for {
@@ -138,9 +157,12 @@
 			all.Version, all.Now = page.Version, page.Now
 		}
 		all.Rows = append(all.Rows, page.Rows...)
-		if !page.More || len(page.Rows) == 0 {
+		if !page.More {
 			return all, nil
 		}
+		if len(page.Rows) == 0 {
+			return Result{}, fmt.Errorf("%w: a page without rows that is not the last one", ErrRefused)
+		}
 		r.From = page.Rows[len(page.Rows)-1].Key.Key + "\x00"
 	}
 }
