Count the runs of an occurrence that is not due yet by a new coordinator's clock

Cause: the progress of an occurrence is created when it is due. If the clock of a new coordinator is behind that of its predecessor, a result or a run of the occurrence finds no task. The result was dropped and acknowledged; the run was stopped, and its number used again.

Ruled out: results of finished occurrences and of unknown jobs, which are handled apart.

Change: a result or a run creates the progress of its occurrence. Its steps stay closed until it is due by this coordinator's clock, also the steps after one that has ended.

--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -269,6 +269,25 @@
 	}
 }
 
+// findTask returns the progress of a task that a runner reports, or nil if there is no such task
+// or its occurrence is finished. An occurrence that is not due yet by the local clock was due by
+// that of the predecessor that started the run. Its progress counts from now on, but its steps
+// stay closed until it is due.
+func (j *job) findTask(id jobs.TaskID) *jobs.Task {
+	j.OpenOccurrence(id.Occurrence)
+	return j.Task(id)
+}
+
+// hasOpened reports whether the occurrence has been due, so that steps of it were opened.
+func (j *job) hasOpened(occurrence int) bool {
+	for i := range j.Spec.Steps {
+		if j.openSteps[[2]int{occurrence, i}] != nil {
+			return true
+		}
+	}
+	return false
+}
+
 // openReadySteps opens the steps of an occurrence all of whose preceding steps are done, and
 // adds them to the waiting steps. byHiddenEnd is set if no predecessor can have learned of
 // the result that made them ready.
@@ -292,6 +311,7 @@
 			}
 			for _, run := range j.runs[id] {
 				s.runsByRunner[run.runner]++
+				run.openStep = s
 			}
 		}
 		c.addWaiting(s)
--- a/coordinator/harness_test.go
+++ b/coordinator/harness_test.go
@@ -122,3 +122,28 @@
 func plainStep(count int, cpu int64, after ...int) jobs.Step {
 	return jobs.Step{Count: count, Resources: structs.Resources{CPUMilli: cpu, MemoryMB: 10}, Estimate: time.Second, After: after}
 }
+
+// doneResults returns results of ended-done first runs with consecutive numbers from first on.
+func doneResults(first int, tasks ...jobs.TaskID) []RunResult {
+	var results []RunResult
+	for i, task := range tasks {
+		results = append(results, RunResult{Number: first + i, Task: task, Run: 1, Kind: EndedDone})
+	}
+	return results
+}
+
+// startTasksOnOneRunner starts the tasks of a job on runner "a" and returns their IDs.
+func startTasksOnOneRunner(t *testing.T, h *coreHarness, count int) []jobs.TaskID {
+	t.Helper()
+	var tasks []jobs.TaskID
+	for _, order := range h.startJob(firstID, plainStep(count, 1000)) {
+		tasks = append(tasks, order.Task)
+	}
+	if len(tasks) != count {
+		t.Fatalf("%d tasks started, want %d", len(tasks), count)
+	}
+	return tasks
+}
+
+// stateOf returns the state of a job that the core still holds.
+func (h *coreHarness) stateOf(id jobs.ID) jobs.State { return h.core.jobs[id].State }
--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -147,7 +147,7 @@
 // there, adoptRun orders the run to stop, blocks its job and returns nil.
 func (c *Core) adoptRun(r *runner, status RunStatus, now time.Duration) *taskRun {
 	j := c.jobs[status.Task.Job]
-	if j == nil || j.State.IsTerminal() || j.Task(status.Task) == nil || j.Task(status.Task).Done || c.hasConflictingRun(j, status.Task) {
+	if j == nil || j.State.IsTerminal() || j.findTask(status.Task) == nil || j.Task(status.Task).Done || c.hasConflictingRun(j, status.Task) {
 		r.blockedJobs = append(r.blockedJobs, status.Task.Job)
 		c.log.WithFields(logrus.Fields{"task": status.Task, "run": status.Run, "runner": r.ID}).Warn("stopping unexpected run")
 		c.orders = append(c.orders, Order{Kind: Stop, Runner: r.ID, Address: r.Address, Task: status.Task, Run: status.Run, Settled: new(atomic.Bool)})
@@ -252,7 +252,7 @@
 		c.updateHealth(run, result.Kind, now)
 	}
 	c.log.WithFields(logrus.Fields{"task": result.Task, "run": result.Run, "runner": r.ID, "how": result.Kind}).Info("run ended")
-	if j == nil || j.State.IsTerminal() || j.Task(result.Task) == nil {
+	if j == nil || j.State.IsTerminal() || j.findTask(result.Task) == nil {
 		return
 	}
 	c.markStarted(j)
@@ -306,7 +306,7 @@
 		c.finishJob(j, jobs.Completed, now)
 		return
 	}
-	if occurrence := j.Current[result.Task.Occurrence]; finished && occurrence != nil {
+	if occurrence := j.Current[result.Task.Occurrence]; finished && occurrence != nil && j.hasOpened(result.Task.Occurrence) {
 		c.openReadySteps(j, occurrence, run != nil && run.endHiddenFromPredecessor)
 	}
 }
