Keep runs whose listed results wait for another job

What callers saw: runs counted as lost that had ended, with the line "run lost". The task was not started again, since its job is blocked while the result waits.

Cause: results are applied in order, and one of a job that is not known yet holds back those after it. The runs of these are neither in the list of runs nor detached, so they counted as not listed.

Ruled out: a second start of the task; blockedJobs prevents it until the result is applied.

Change: the runs of results that wait count as listed.

Result: TestRunWithAWaitingResultIsNotLost failed before (1 run lost whose result is listed) and passes.

--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -33,18 +33,19 @@
 	c.markAnswered(report.Runner)
 	r.hasReported, r.cannotExtendLeases, r.isUnfenced = true, report.CannotExtendLeases, report.Unfenced
 	r.blockedJobs = nil
+	listed := make(map[*taskRun]struct{}, len(report.Running))
 	for i, result := range report.Ended {
 		if result.Number <= r.lastAppliedResult {
 			continue
 		}
 		if c.mustAwaitJob(r, result, now) {
 			r.blockJobsOf(report.Ended[i:])
+			r.addRunsOf(report.Ended[i:], listed)
 			break
 		}
 		c.applyResult(r, result, now)
 		r.lastAppliedResult = result.Number
 	}
-	listed := make(map[*taskRun]struct{}, len(report.Running))
 	for _, status := range report.Running {
 		if run := c.updateRun(r, status, report, now); run != nil {
 			listed[run] = struct{}{}
@@ -83,6 +84,15 @@
 	}
 }
 
+// addRunsOf adds the runs of results that have not been applied yet to the listed ones.
+func (r *runner) addRunsOf(results []RunResult, listed map[*taskRun]struct{}) {
+	for _, result := range results {
+		if run := r.findRun(result.Task, result.Run); run != nil {
+			listed[run] = struct{}{}
+		}
+	}
+}
+
 // updateIncarnation records the runner's incarnation. If the runner has restarted, it
 // resets what was recorded about its previous process.
 func (c *Core) updateIncarnation(r *runner, report Report) {
