--- a/coordinator/idlerunner_test.go
+++ b/coordinator/idlerunner_test.go
@@ -100,6 +100,9 @@
 			coord.links[leavingRunnerID].setAcknowledged(Acknowledgement{7, 1})
 			endOnLeavingRunner(coord, clock, startOnLeavingRunner(t, coord, clock))
 		}},
+		{"a call to an earlier process may start a run", func(_ *testing.T, coord *coordinator, clock *manualClock) {
+			coord.core.ApplyReport(Report{Runner: leavingRunnerID, Incarnation: 2, Sent: clock.now(), Unfenced: true}, clock.now())
+		}},
 		{"an unexpected run was listed", func(_ *testing.T, coord *coordinator, clock *manualClock) {
 			coord.core.ApplyReport(Report{Runner: leavingRunnerID, Incarnation: 1, Sent: clock.now(),
 				Running: []RunStatus{{Task: taskID(firstID, 0, 0), Run: 3}}}, clock.now())
