Acknowledge results that change no progress

What callers saw: nothing so far. A runner on which the 500 runs of a cancelled job were stopped would have listed their results for good, and no further ones, unless a progress row was written for another job.

Cause: results are acknowledged after a write of progress, and results of ended jobs change no progress. A runner lists further results only once the first 500 are acknowledged.

Ruled out: results of jobs that have not ended; each of their kinds marks the job as to be stored.

Change: applied results make a write due. If no row has changed it writes none and only acknowledges.

--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -176,6 +176,10 @@
 	// nextPreemption is when runs may next be preempted.
 	nextPreemption     time.Duration
 	durationEstimators map[string]*durations.Estimator // by name of the queue
+	// hasNewResults is set while results are applied that TakeWrites has not returned as stored.
+	// Results of ended jobs change no progress, but a runner lists further results only once
+	// they are acknowledged.
+	hasNewResults bool
 }
 
 // Counter adds n to the counter of a name.
@@ -383,9 +387,11 @@
 	c.storeNow = c.storeNow || urgent
 }
 
-// UnstoredProgress reports whether progress of any job has to be stored, and whether
-// some of it is urgent.
-func (c *Core) UnstoredProgress() (exists, urgent bool) { return len(c.unstoredJobs) > 0, c.storeNow }
+// UnstoredProgress reports whether progress of any job has to be stored or results have to be
+// acknowledged, and whether some of the progress is urgent.
+func (c *Core) UnstoredProgress() (exists, urgent bool) {
+	return len(c.unstoredJobs) > 0 || c.hasNewResults, c.storeNow
+}
 
 // TakeWrites returns the progress to store, and by runner ID the results that each runner
 // may forget once the progress is stored.
@@ -402,7 +408,7 @@
 		}
 	}
 	clear(c.unstoredJobs)
-	c.storeNow = false
+	c.storeNow, c.hasNewResults = false, false
 	acknowledged := make(map[string]Acknowledgement, len(c.runners))
 	for id, r := range c.runners {
 		acknowledged[id] = Acknowledgement{r.incarnation, r.lastAppliedResult}
--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -44,7 +44,7 @@
 			break
 		}
 		c.applyResult(r, result, now)
-		r.lastAppliedResult = result.Number
+		r.lastAppliedResult, c.hasNewResults = result.Number, true
 	}
 	for _, status := range report.Running {
 		if run := c.updateRun(r, status, report, now); run != nil {
