Conclude nothing from incomplete lists of results, and keep the lists short

Cause: a runner lists at most 500 ends in a report, the lowest numbers first. The coordinator took a run that was in neither list as lost, and the first report after a takeover as the whole truth about a runner. While the store is away no end can be acknowledged, so more than 500 wait within some seconds. The runners' stand-in listed all of them, so no test reached the limit.

Change: a report says whether its list may be incomplete (500 or more ends). After such a report no run is taken as lost; an inherited runner stays unresolved, also past the expiry of the predecessor's leases, until a complete report or the expiry of its own; its load for maintenance is unknown, the roster does not call it idle, and it is not removed. The poll for the next page doesn't wait. Starts are limited so that the ends that are not stored and those of all runs fit into a report (obstacle "result list full"); none is made while the list is incomplete.

--- a/coordinator/checkruns.go
+++ b/coordinator/checkruns.go
@@ -72,10 +72,11 @@
 }
 
 // removeGoneRunners removes runners that are not registered, have no runs and on which
-// leases can't be extended.
+// leases can't be extended. One whose last report was incomplete stays until its leases have
+// expired: until then it may still list results of runs that this coordinator does not know.
 func (c *Core) removeGoneRunners() {
 	for id, r := range c.runners {
-		if !r.registered && r.cannotExtendLeases && len(r.runs) == 0 {
+		if !r.registered && r.cannotExtendLeases && !r.results.isIncomplete && len(r.runs) == 0 {
 			r.releaseReservations()
 			delete(c.runners, id)
 			c.runnersByID = nil
--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -151,8 +151,8 @@
 	adviceRequests []AdviceRequest
 	// unresolved holds, by ID, the runners that may run tasks that a predecessor has started
 	// and this coordinator does not know of. A runner is resolved, and removed, once it has
-	// answered this coordinator, every lease on it has expired, another runner has its address,
-	// or maintenance has ended it. The value is the time by which the predecessor's leases on
+	// sent this coordinator a complete report, every lease on it has expired, another runner has
+	// its address, or maintenance has ended it. The value is the time by which the predecessor's leases on
 	// the runner have expired for certain; otherLeasesExpireAt is that time for all other
 	// runners.
 	unresolved          map[string]time.Duration
@@ -416,6 +416,20 @@
 	return writes, acknowledged, nil
 }
 
+// Acknowledge records up to which number the results of a runner are stored, so that it may
+// forget them. That makes room in its list for the results of further runs.
+func (c *Core) Acknowledge(id string, acknowledged Acknowledgement) {
+	r := c.runners[id]
+	if r == nil || r.incarnation != acknowledged.Incarnation {
+		return
+	}
+	wasFull := !r.results.hasRoom(len(r.runs), c.limits.MaxListedResults)
+	r.results.acknowledge(acknowledged.Number)
+	if wasFull {
+		c.recordChange(r)
+	}
+}
+
 // MarkFinished records a job that ended before this coordinator took over.
 func (c *Core) MarkFinished(id jobs.ID) { c.finishedJobs[id] = struct{}{} }
 
--- a/coordinator/drain.go
+++ b/coordinator/drain.go
@@ -72,7 +72,8 @@
 // RunnerLoad returns the load of a runner, by which maintenance is planned. The load is not
 // known while the runner has not answered this coordinator or no longer answers: another
 // runner may already be on its machine, which the machine list does not show yet. Nor is it
-// known while leases on the runner can't be extended or the runner has blocked jobs. The load
+// known while leases on the runner can't be extended, the runner has blocked jobs or its last
+// report was incomplete, since the results that it has yet to list would be lost. The load
 // of a runner that the core does not have is known to be zero unless the runner is unresolved.
 func (c *Core) RunnerLoad(id string) maintenance.Load {
 	r := c.runners[id]
@@ -80,7 +81,7 @@
 		_, unresolved := c.unresolved[id]
 		return maintenance.Load{Known: !unresolved}
 	}
-	load := maintenance.Load{Known: r.hasReported && !r.cannotExtendLeases && len(r.blockedJobs) == 0, Runs: len(r.runs), CPUMilli: r.held.CPUMilli}
+	load := maintenance.Load{Known: r.hasReported && !r.cannotExtendLeases && !r.results.isIncomplete && len(r.blockedJobs) == 0, Runs: len(r.runs), CPUMilli: r.held.CPUMilli}
 	for run := range r.runs {
 		if !run.step.LongRunning {
 			continue
@@ -103,6 +104,7 @@
 		return
 	}
 	r.incarnationEndedByMaintenance, r.cannotExtendLeases = r.incarnation, true
+	r.results.isIncomplete = false
 	for run := range r.runs {
 		c.removeLostRun(run, now, "machine went down for maintenance")
 	}
--- a/coordinator/events.go
+++ b/coordinator/events.go
@@ -79,6 +79,7 @@
 func (e progressStoredEvent) apply(coord *coordinator) {
 	coord.isStoringProgress = false
 	for id, acknowledged := range e.acknowledged {
+		coord.core.Acknowledge(id, acknowledged)
 		if l := coord.links[id]; l != nil {
 			l.setAcknowledged(acknowledged)
 		}
--- a/coordinator/gang.go
+++ b/coordinator/gang.go
@@ -53,10 +53,12 @@
 		}
 		chosen = append(chosen, r)
 		r.held = r.held.Add(reserved)
+		r.plannedStarts++
 		s.runsByRunner[r]++
 	}
 	for _, r := range chosen {
 		r.held = r.held.Sub(reserved)
+		r.plannedStarts--
 		s.runsByRunner[r]--
 	}
 	if len(chosen) < s.step.Count {
--- a/coordinator/idlerunner_test.go
+++ b/coordinator/idlerunner_test.go
@@ -100,6 +100,11 @@
 			coord.links[leavingRunnerID].setAcknowledged(Acknowledgement{7, 1})
 			endOnLeavingRunner(coord, clock, startOnLeavingRunner(t, coord, clock))
 		}},
+		{"results are not listed yet", func(t *testing.T, coord *coordinator, clock *manualClock) {
+			endOnLeavingRunner(coord, clock, startOnLeavingRunner(t, coord, clock))
+			coord.links[leavingRunnerID].setAcknowledged(Acknowledgement{1, 1})
+			coord.core.ApplyReport(Report{Runner: leavingRunnerID, Incarnation: 1, Sent: clock.now(), Incomplete: true}, clock.now())
+		}},
 		{"a call to an earlier process may start a run", func(_ *testing.T, coord *coordinator, clock *manualClock) {
 			coord.core.ApplyReport(Report{Runner: leavingRunnerID, Incarnation: 2, Sent: clock.now(), Unfenced: true}, clock.now())
 		}},
--- a/coordinator/inherited.go
+++ b/coordinator/inherited.go
@@ -46,12 +46,8 @@
 	return answered*100 >= c.inheritedRunnerCount*successorMajorityPercent
 }
 
-// markAnswered records that a runner has answered, which resolves it: its report lists all of
-// its runs.
-func (c *Core) markAnswered(id string) {
-	delete(c.unansweredInherited, id)
-	c.resolveRunner(id)
-}
+// markAnswered records that a runner has answered this coordinator.
+func (c *Core) markAnswered(id string) { delete(c.unansweredInherited, id) }
 
 // LowerInheritedExpiry lowers the time by which a predecessor's leases have expired to
 // expiry on all runners, but not below the expiry of misdirected leases. It changes nothing and returns false if expiry is not earlier than
@@ -92,11 +88,13 @@
 	}
 }
 
-// ResolveExpiredRunners resolves the runners on which a predecessor's leases have expired.
+// ResolveExpiredRunners resolves the runners on which a predecessor's leases have expired. It
+// leaves out those that have answered with an incomplete report: they still list results, and
+// this coordinator has extended their leases, whose expiry resolves them.
 // It must be called only while no successor of this coordinator can have extended them.
 func (c *Core) ResolveExpiredRunners(now time.Duration) {
 	for id, expiry := range c.unresolved {
-		if now > expiry {
+		if now > expiry && !c.hasIncompleteList(id) {
 			c.log.WithField("runner", id).Warn("leases of the predecessor expired")
 			c.resolveRunner(id)
 		}
@@ -106,6 +104,12 @@
 	}
 }
 
+// hasIncompleteList reports whether the last report of a runner was incomplete.
+func (c *Core) hasIncompleteList(id string) bool {
+	r := c.runners[id]
+	return r != nil && r.results.isIncomplete
+}
+
 // logUnresolved logs the unresolved runners from time to time.
 func (c *Core) logUnresolved(now time.Duration) {
 	if !c.unresolvedLogThrottle.isDue(now) {
--- a/coordinator/link.go
+++ b/coordinator/link.go
@@ -325,8 +325,12 @@
 // pollLoop polls the runner until ctx ends or the runner refuses this coordinator because
 // of a later one.
 func (l *link) pollLoop(ctx context.Context) {
+	isIncomplete := false // the last report was
 	for ctx.Err() == nil {
 		request := l.nextRequest()
+		if isIncomplete {
+			request.Wait = 0 // the next page is due, also if it has no further results
+		}
 		sent := l.coordinator.env.Clock()
 		response, err := l.coordinator.env.Runners.Poll(ctx, request)
 		now := l.coordinator.env.Clock()
@@ -347,6 +351,7 @@
 		answer := l.recordAnswer(response.Report.Incarnation, response.Clock, sent, now, request.Token)
 		response.Report.CannotExtendLeases, response.Report.Unfenced = !answer.canExtend, answer.unfenced
 		response.Report.Sent = sent
+		isIncomplete = response.Report.Incomplete
 		l.coordinator.post(ctx, reportEvent{response.Report, l})
 		l.awaitReportApplied(ctx)
 		if len(response.Report.Ended) > 0 {
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -189,6 +189,8 @@
 		return missingLabel
 	case s.step.MaxPerRunner > 0 && s.runsByRunner[r] >= s.step.MaxPerRunner:
 		return maxPerRunnerReached
+	case !r.results.hasRoom(len(r.runs)+r.plannedStarts, c.limits.MaxListedResults):
+		return resultListFull
 	case !r.hasCapacityFor(s):
 		return noFreeCapacity
 	case !s.isPermitted(r, now):
--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -31,6 +31,12 @@
 	}
 	c.updateIncarnation(r, report)
 	c.markAnswered(report.Runner)
+	r.results.record(report)
+	if report.Incomplete {
+		c.counters("reports_incomplete", 1)
+	} else {
+		c.resolveRunner(report.Runner)
+	}
 	r.hasReported, r.cannotExtendLeases, r.isUnfenced = true, report.CannotExtendLeases, report.Unfenced
 	r.blockedJobs = nil
 	listed := make(map[*taskRun]struct{}, len(report.Running))
@@ -105,7 +111,7 @@
 		clear(r.bestEffortPaces)
 	}
 	r.incarnation = report.Incarnation
-	r.lastAppliedResult = 0
+	r.lastAppliedResult, r.results = 0, resultList{}
 }
 
 // updateRun updates a run that the runner lists, or adopts it if it is unknown. It
@@ -236,9 +242,10 @@
 // A run is kept if the last order for it was confirmed after the poll for the report
 // was sent, because the report may be older than the order, or if its start is not
 // confirmed, because the runner may still carry the start out. Nothing is removed while the
-// runner is not fenced: it may still carry out earlier attempts of confirmed starts.
+// runner is not fenced: it may still carry out earlier attempts of confirmed starts. Nor is
+// anything removed because of an incomplete report: the next ones may list the run's result.
 func (c *Core) removeUnlistedRuns(r *runner, listed map[*taskRun]struct{}, report Report, now time.Duration) {
-	if report.Unfenced {
+	if report.Unfenced || report.Incomplete {
 		return
 	}
 	for run := range r.runs {
--- a/coordinator/roster.go
+++ b/coordinator/roster.go
@@ -216,12 +216,12 @@
 }
 
 // isIdle reports whether no run can exist on a runner and the end of every earlier run there
-// is stored. A report of a runner that may still carry out calls to an earlier process does not
-// show that. isIdle may be called only while no lease on the runner is extended, so that no
-// task is started there either.
+// is stored. An incomplete report does not show that, nor one of a runner that may still carry
+// out calls to an earlier process. isIdle may be called only while no lease on the runner is
+// extended, so that no task is started there either.
 func (coord *coordinator) isIdle(id string) bool {
 	l, r := coord.links[id], coord.core.runners[id]
-	if l == nil || r == nil || !r.hasReported || r.isUnfenced || len(r.runs) > 0 || len(r.blockedJobs) > 0 {
+	if l == nil || r == nil || !r.hasReported || r.isUnfenced || r.results.isIncomplete || len(r.runs) > 0 || len(r.blockedJobs) > 0 {
 		return false
 	}
 	return r.lastAppliedResult == 0 || l.isAcknowledged(Acknowledgement{r.incarnation, r.lastAppliedResult})
--- a/coordinator/runner.go
+++ b/coordinator/runner.go
@@ -26,6 +26,8 @@
 	incarnation       int64
 	isUnfenced        bool // as in the last report
 	lastAppliedResult int  // number of the newest result that has been applied
+	results           resultList
+	plannedStarts     int // starts that are chosen for a gang and not ordered yet
 	// cannotExtendLeases is set when a poll of the runner fails, when the runner answers while
 	// the coordinator can extend no lease on it, and when maintenance has ended the runner. The
 	// next report that finds that leases can be extended clears it.
@@ -149,6 +151,7 @@
 		return
 	}
 	c.log.WithFields(logrus.Fields{"runner": id, "runs": len(r.runs)}).Warn("leases on runner expired")
+	r.results.isIncomplete = false
 	for run := range r.runs {
 		c.removeLostRun(run, now, "lease expired")
 	}
--- a/coordinator/types.go
+++ b/coordinator/types.go
@@ -85,7 +85,10 @@
 	// process of it. Runs that such a report does not list may start after it.
 	Unfenced bool
 	Running  []RunStatus
-	Ended    []RunResult
+	Ended    []RunResult // in the order of their numbers
+	// Incomplete is set if the runner may have further results, with higher numbers than those in
+	// Ended. A run that such a report does not list may have ended.
+	Incomplete bool
 }
 
 // OrderKind is the action that an order asks a runner for.
@@ -186,4 +189,7 @@
 	// ScheduleLead is how long before its due time an occurrence of a scheduled job may
 	// start.
 	ScheduleLead time.Duration
+	// MaxListedResults is the number of results that a report can list. The starts on a runner
+	// are limited so that its unacknowledged results fit into one report. Zero means no limit.
+	MaxListedResults int
 }
--- a/coordinator/waiting.go
+++ b/coordinator/waiting.go
@@ -24,6 +24,7 @@
 	runnerAvoided       // tasks failed, were refused or made no progress on the runner recently
 	missingLabel        // the runner lacks the label that the step requires
 	maxPerRunnerReached // the runner has as many tasks of the step as the step allows
+	resultListFull      // the runner may not be able to list the results of more runs in one report
 	noFreeCapacity
 	noTicket         // the adviser has given no valid ticket for the runner
 	noIdleProcessors // other tasks leave too few processors of the runner
@@ -33,7 +34,7 @@
 )
 
 var obstacleNames = [obstacleCount]string{noObstacle: "none", otherService: "of another service", notUsable: "not usable",
-	runnerAvoided: "avoided", missingLabel: "without label", maxPerRunnerReached: "limit per runner reached", noFreeCapacity: "no free capacity", noTicket: "no ticket",
+	runnerAvoided: "avoided", missingLabel: "without label", maxPerRunnerReached: "limit per runner reached", resultListFull: "result list full", noFreeCapacity: "no free capacity", noTicket: "no ticket",
 	noIdleProcessors: "no idle processors", tasksOverTarget: "serving tasks over target", wouldInterfere: "would interfere with serving tasks"}
 
 // logWait logs that a step waits, and the cause, if a line is due.
