--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -160,8 +160,8 @@
 	adviceRequests []AdviceRequest
 	// unresolved holds, by ID, the runners that may run tasks that a predecessor has started
 	// and this coordinator does not know of. A runner is resolved, and removed, once it has
-	// answered this coordinator, every lease on it has expired, another runner has its address,
-	// or maintenance has ended it. The value is the time by which the predecessor's leases on
+	// sent this coordinator a complete report, every lease on it has expired, another runner has
+	// its address, or maintenance has ended it. The value is the time by which the predecessor's leases on
 	// the runner have expired for certain; otherLeasesExpireAt is that time for all other
 	// runners.
 	unresolved          map[string]time.Duration
@@ -188,6 +188,10 @@
 	nextPreemption     time.Duration
 	durationEstimators map[string]*durations.Estimator // by name of the queue
 	evacuation         evacuation
+	// hasNewResults is set while results are applied that TakeWrites has not returned as stored.
+	// Results of ended jobs change no progress, but a runner lists further results only once
+	// they are acknowledged.
+	hasNewResults bool
 }
 
 // Counter adds n to the counter of a name.
@@ -282,6 +286,25 @@
 	}
 }
 
+// findTask returns the progress of a task that a runner reports, or nil if there is no such task
+// or its occurrence is finished. An occurrence that is not due yet by the local clock was due by
+// that of the predecessor that started the run. Its progress counts from now on, but its steps
+// stay closed until it is due.
+func (j *job) findTask(id jobs.TaskID) *jobs.Task {
+	j.OpenOccurrence(id.Occurrence)
+	return j.Task(id)
+}
+
+// hasOpened reports whether the occurrence has been due, so that steps of it were opened.
+func (j *job) hasOpened(occurrence int) bool {
+	for i := range j.Spec.Steps {
+		if j.openSteps[[2]int{occurrence, i}] != nil {
+			return true
+		}
+	}
+	return false
+}
+
 // openReadySteps opens the steps of an occurrence all of whose preceding steps are done, and
 // adds them to the waiting steps. byHiddenEnd is set if no predecessor can have learned of
 // the result that made them ready.
@@ -305,6 +328,7 @@
 			}
 			for _, run := range j.runs[id] {
 				s.runsByRunner[run.runner]++
+				run.openStep = s
 			}
 		}
 		c.addWaiting(s)
@@ -376,9 +400,11 @@
 	c.storeNow = c.storeNow || urgent
 }
 
-// UnstoredProgress reports whether progress of any job has to be stored, and whether
-// some of it is urgent.
-func (c *Core) UnstoredProgress() (exists, urgent bool) { return len(c.unstoredJobs) > 0, c.storeNow }
+// UnstoredProgress reports whether progress of any job has to be stored or results have to be
+// acknowledged, and whether some of the progress is urgent.
+func (c *Core) UnstoredProgress() (exists, urgent bool) {
+	return len(c.unstoredJobs) > 0 || c.hasNewResults, c.storeNow
+}
 
 // TakeWrites returns the progress to store, and by runner ID the results that each runner
 // may forget once the progress is stored.
@@ -395,7 +421,7 @@
 		}
 	}
 	clear(c.unstoredJobs)
-	c.storeNow = false
+	c.storeNow, c.hasNewResults = false, false
 	acknowledged := make(map[string]Acknowledgement, len(c.runners))
 	for id, r := range c.runners {
 		acknowledged[id] = Acknowledgement{r.incarnation, r.lastAppliedResult}
@@ -403,6 +429,20 @@
 	return writes, acknowledged, nil
 }
 
+// Acknowledge records up to which number the results of a runner are stored, so that it may
+// forget them. That makes room in its list for the results of further runs.
+func (c *Core) Acknowledge(id string, acknowledged Acknowledgement) {
+	r := c.runners[id]
+	if r == nil || r.incarnation != acknowledged.Incarnation {
+		return
+	}
+	wasFull := !r.results.hasRoom(len(r.runs), c.limits.MaxListedResults)
+	r.results.acknowledge(acknowledged.Number)
+	if wasFull {
+		c.recordChange(r)
+	}
+}
+
 // MarkFinished records a job that ended before this coordinator took over.
 func (c *Core) MarkFinished(id jobs.ID) { c.finishedJobs[id] = struct{}{} }
 
--- a/coordinator/events.go
+++ b/coordinator/events.go
@@ -87,6 +87,7 @@
 		return
 	}
 	for id, acknowledged := range e.acknowledged {
+		coord.core.Acknowledge(id, acknowledged)
 		if l := coord.links[id]; l != nil {
 			l.setAcknowledged(acknowledged)
 		}
--- a/coordinator/gang.go
+++ b/coordinator/gang.go
@@ -57,11 +57,13 @@
 		}
 		chosen = append(chosen, r)
 		r.held = r.held.Add(reserved)
+		r.plannedStarts++
 		s.runsByRunner[r]++
 		r.domainReturn.count(1, now)
 	}
 	for _, r := range chosen {
 		r.held = r.held.Sub(reserved)
+		r.plannedStarts--
 		s.runsByRunner[r]--
 		r.domainReturn.count(-1, now)
 	}
--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -31,20 +31,27 @@
 	}
 	c.updateIncarnation(r, report)
 	c.markAnswered(report.Runner)
+	r.results.record(report)
+	if report.Incomplete {
+		c.counters("reports_incomplete", 1)
+	} else {
+		c.resolveRunner(report.Runner)
+	}
 	r.hasReported, r.cannotExtendLeases, r.isUnfenced = true, report.CannotExtendLeases, report.Unfenced
 	r.blockedJobs = nil
+	listed := make(map[*taskRun]struct{}, len(report.Running))
 	for i, result := range report.Ended {
 		if result.Number <= r.lastAppliedResult {
 			continue
 		}
 		if c.mustAwaitJob(r, result, now) {
 			r.blockJobsOf(report.Ended[i:])
+			r.addRunsOf(report.Ended[i:], listed)
 			break
 		}
 		c.applyResult(r, result, now)
-		r.lastAppliedResult = result.Number
+		r.lastAppliedResult, c.hasNewResults = result.Number, true
 	}
-	listed := make(map[*taskRun]struct{}, len(report.Running))
 	for _, status := range report.Running {
 		if run := c.updateRun(r, status, report, now); run != nil {
 			listed[run] = struct{}{}
@@ -83,6 +90,15 @@
 	}
 }
 
+// addRunsOf adds the runs of results that have not been applied yet to the listed ones.
+func (r *runner) addRunsOf(results []RunResult, listed map[*taskRun]struct{}) {
+	for _, result := range results {
+		if run := r.findRun(result.Task, result.Run); run != nil {
+			listed[run] = struct{}{}
+		}
+	}
+}
+
 // updateIncarnation records the runner's incarnation. If the runner has restarted, it
 // resets what was recorded about its previous process.
 func (c *Core) updateIncarnation(r *runner, report Report) {
@@ -95,7 +111,7 @@
 		clear(r.bestEffortPaces)
 	}
 	r.incarnation = report.Incarnation
-	r.lastAppliedResult = 0
+	r.lastAppliedResult, r.results = 0, resultList{}
 }
 
 // updateRun updates a run that the runner lists, or adopts it if it is unknown. It
@@ -147,7 +163,7 @@
 // there, adoptRun orders the run to stop, blocks its job and returns nil.
 func (c *Core) adoptRun(r *runner, status RunStatus, now time.Duration) *taskRun {
 	j := c.jobs[status.Task.Job]
-	if j == nil || j.State.IsTerminal() || j.Task(status.Task) == nil || j.Task(status.Task).Done || c.hasConflictingRun(j, status.Task) {
+	if j == nil || j.State.IsTerminal() || j.findTask(status.Task) == nil || j.Task(status.Task).Done || c.hasConflictingRun(j, status.Task) {
 		r.blockedJobs = append(r.blockedJobs, status.Task.Job)
 		c.log.WithFields(logrus.Fields{"task": status.Task, "run": status.Run, "runner": r.ID}).Warn("stopping unexpected run")
 		c.orders = append(c.orders, Order{Kind: Stop, Runner: r.ID, Address: r.Address, Task: status.Task, Run: status.Run, Settled: new(atomic.Bool)})
@@ -226,9 +242,10 @@
 // A run is kept if the last order for it was confirmed after the poll for the report
 // was sent, because the report may be older than the order, or if its start is not
 // confirmed, because the runner may still carry the start out. Nothing is removed while the
-// runner is not fenced: it may still carry out earlier attempts of confirmed starts.
+// runner is not fenced: it may still carry out earlier attempts of confirmed starts. Nor is
+// anything removed because of an incomplete report: the next ones may list the run's result.
 func (c *Core) removeUnlistedRuns(r *runner, listed map[*taskRun]struct{}, report Report, now time.Duration) {
-	if report.Unfenced {
+	if report.Unfenced || report.Incomplete {
 		return
 	}
 	for run := range r.runs {
@@ -252,7 +269,7 @@
 		c.updateHealth(run, result.Kind, now)
 	}
 	c.log.WithFields(logrus.Fields{"task": result.Task, "run": result.Run, "runner": r.ID, "how": result.Kind}).Info("run ended")
-	if j == nil || j.State.IsTerminal() || j.Task(result.Task) == nil {
+	if j == nil || j.State.IsTerminal() || j.findTask(result.Task) == nil {
 		return
 	}
 	c.markStarted(j)
@@ -306,7 +323,7 @@
 		c.finishJob(j, jobs.Completed, now)
 		return
 	}
-	if occurrence := j.Current[result.Task.Occurrence]; finished && occurrence != nil {
+	if occurrence := j.Current[result.Task.Occurrence]; finished && occurrence != nil && j.hasOpened(result.Task.Occurrence) {
 		c.openReadySteps(j, occurrence, run != nil && run.endHiddenFromPredecessor)
 	}
 }
