Keep rounds of scheduling short while a backlog waits

Callers of short urgent jobs missed their objective by 0.1 s to 0.4 s for as long as a backlog lasted.

Cause: with 200 waiting steps and 350 runners a round of scheduling took 80 ms to 150 ms (trial with its parts measured), and rounds took half of the time of the coordinator's processor. A new job waited 0.11 s for a round, and each step that became ready waited again. Each task made a search of its own; failed searches of tasks of unequal size replaced each other; steps with a limit of tasks per runner compared all runners in each round; and all failed searches were repeated in full after 0.2 s.

Ruled out: the store's feed (0.04 s), the queue of events (no lag logged).

Change: one search serves the tasks of a step and is updated for the runner that was taken; failed searches are kept by size, also for steps with a label or a limit; full comparisons because of age are bounded in a round; rounds take a quarter of the time at most.

--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -110,6 +110,7 @@
 	chainTime       time.Duration // estimated run time of the longest chain of steps from this one on
 	taskTimes       taskTimes
 	waitLogThrottle logThrottle
+	ownFailedSearch ownFailedSearch
 	// starved is set in each scheduling round if isStarved reports it, and cleared once a task
 	// of the step has been started.
 	starved bool
@@ -216,7 +217,7 @@
 		inherited:           map[string]struct{}{},
 		counters:            count,
 		interference:        newInterferenceModel(),
-		failedSearches:      failedSearches{},
+		failedSearches:      newFailedSearches(),
 		durationEstimators:  map[string]*durations.Estimator{},
 		serviceReservations: serviceReservations{services: map[string]*serviceReservation{}},
 	}
--- a/coordinator/departure.go
+++ b/coordinator/departure.go
@@ -79,7 +79,7 @@
 	if len(departures) == 0 {
 		return nil
 	}
-	p := departurePlan{core: c, now: now, failed: failedSearches{}, full: map[*openStep]bool{}, stops: map[*openStep]int{}}
+	p := departurePlan{core: c, now: now, failed: newFailedSearches(), full: map[*openStep]bool{}, stops: map[*openStep]int{}}
 	defer p.releaseHolds(0)
 	p.placeDisplaced()
 	for _, unit := range c.sortedUnits(departures, now) {
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -47,7 +47,7 @@
 // demandKey returns the key of the step's demand. Only best-effort work is also
 // distinguished by image and rank, on which the processors that it can get depend.
 func (s *openStep) demandKey(now time.Duration) demandKey {
-	key := demandKey{service: s.job.queue.Service, bestEffort: s.step.BestEffort, waitedForFullPace: now-s.waitingSince >= fullPaceWait}
+	key := demandKey{service: s.job.queue.Service, bestEffort: s.step.BestEffort, waitedForFullPace: s.hasWaitedForFullPace(now)}
 	if s.step.BestEffort {
 		key.kind, key.rank = s.kind, s.precedence.rank
 	}
@@ -59,6 +59,15 @@
 // runner.
 const fullScanInterval = 200 * time.Millisecond
 
+const (
+	// maxRescans bounds the comparisons of all runners in one round that are made only because
+	// fullScanInterval has passed. While hundreds of steps wait, such comparisons would make
+	// rounds so long that new jobs and the ends of runs wait for them.
+	maxRescans = 16
+	// maxFullScanAge is the time after which all runners are compared in any case.
+	maxFullScanAge = time.Second
+)
+
 // failedSearch records that no runner could take work that asks for at least leastRequested.
 type failedSearch struct {
 	leastRequested structs.Resources
@@ -66,20 +75,85 @@
 	fullScanAt     time.Duration // when all runners were last compared
 }
 
-// failedSearches holds, for each demand, the last search that found no runner. They make it
+// maxFailedSearches bounds the failed searches that are kept for one demand.
+const maxFailedSearches = 8
+
+// failedSearches holds, for each demand, the last searches that found no runner. They make it
 // unnecessary to compare all runners again for each of many equal tasks and, in the next
 // scheduling rounds, to compare those that have not changed. With hundreds of runners and a
-// backlog, these comparisons took most of the coordinator's processor time.
-type failedSearches map[demandKey]failedSearch
+// backlog, these comparisons took most of the coordinator's processor time. Several searches are
+// kept because tasks of one demand differ in size: a search for a small task also holds for
+// larger ones, but not the other way round.
+type failedSearches struct {
+	byDemand map[demandKey][]failedSearch
+	// rescansLeft is how many comparisons of all runners may still be made in this round because
+	// fullScanInterval has passed.
+	rescansLeft int
+}
+
+func newFailedSearches() failedSearches {
+	return failedSearches{byDemand: map[demandKey][]failedSearch{}, rescansLeft: maxRescans}
+}
+
+// isCurrent reports whether only runners that have changed since the search have to be compared.
+func (searches *failedSearches) isCurrent(failed *failedSearch, now time.Duration) bool {
+	age := now - failed.fullScanAt
+	return age < fullScanInterval || searches.rescansLeft == 0 && age < maxFullScanAge
+}
+
+// find returns the newest failed search that also holds for the step's next task, or nil. A
+// search for other work also holds for a step that needs a label or has a limit of tasks per
+// runner, since the step can use no more runners.
+func (searches *failedSearches) find(s *openStep, now time.Duration) *failedSearch {
+	if !s.canUseFailedSearches() {
+		return nil
+	}
+	var newest *failedSearch
+	kept := searches.byDemand[s.demandKey(now)]
+	for i := range kept {
+		failed := &kept[i]
+		if searches.isCurrent(failed, now) && failed.leastRequested.Fits(s.step.Resources) && (newest == nil || failed.lastChange > newest.lastChange) {
+			newest = failed
+		}
+	}
+	own := &s.ownFailedSearch
+	if own.lastChange > 0 && own.waitedForFullPace == s.hasWaitedForFullPace(now) && own.rank == s.precedence.rank && searches.isCurrent(&own.failedSearch, now) &&
+		(newest == nil || own.lastChange > newest.lastChange) {
+		newest = &own.failedSearch
+	}
+	return newest
+}
+
+// ownFailedSearch is the last search that found no runner for a step which needs a label or has a
+// limit of tasks per runner, so that it does not hold for other work.
+type ownFailedSearch struct {
+	failedSearch
+	waitedForFullPace bool
+	rank              rank
+}
+
+// canUseFailedSearches reports whether the step can use no runner that other work with its demand
+// key can't use. Reservations and tickets are exceptions.
+func (s *openStep) canUseFailedSearches() bool {
+	return s.reservationCount == 0 && !s.job.queue.RequiresTicket
+}
+
+// hasWaitedForFullPace reports whether a best-effort task of the step starts also where it can
+// run at a reduced pace only.
+func (s *openStep) hasWaitedForFullPace(now time.Duration) bool {
+	return now-s.waitingSince >= fullPaceWait
+}
 
 // scanSince returns the number of the change after which a runner must have changed to be
 // compared for the step's next task, or zero if all runners have to be compared.
-func (searches failedSearches) scanSince(s *openStep, now time.Duration) uint64 {
-	failed, ok := searches[s.demandKey(now)]
-	if !ok || !s.hasSharedDemand() || !failed.leastRequested.Fits(s.step.Resources) || now-failed.fullScanAt >= fullScanInterval {
-		return 0
+func (searches *failedSearches) scanSince(s *openStep, now time.Duration) uint64 {
+	if failed := searches.find(s, now); failed != nil {
+		return failed.lastChange
+	}
+	if s.ownFailedSearch.lastChange > 0 || s.hasSharedDemand() && len(searches.byDemand[s.demandKey(now)]) > 0 {
+		searches.rescansLeft = max(0, searches.rescansLeft-1)
 	}
-	return failed.lastChange
+	return 0
 }
 
 // hasSharedDemand reports whether the step finds the same runners full as other work with
@@ -91,16 +165,34 @@
 
 // record records that no runner was found among those that changed after since, or among all
 // runners if since is zero.
-func (searches failedSearches) record(s *openStep, since, lastChange uint64, now time.Duration) {
+func (searches *failedSearches) record(s *openStep, since, lastChange uint64, now time.Duration) {
+	if !s.canUseFailedSearches() {
+		return
+	}
 	if !s.hasSharedDemand() {
+		fullScanAt := now
+		if since > 0 {
+			if failed := searches.find(s, now); failed != nil {
+				fullScanAt = failed.fullScanAt
+			}
+		}
+		s.ownFailedSearch = ownFailedSearch{failedSearch{s.step.Resources, lastChange, fullScanAt}, s.hasWaitedForFullPace(now), s.precedence.rank}
 		return
 	}
-	key := s.demandKey(now)
-	failed := failedSearch{s.step.Resources, lastChange, now}
 	if since > 0 {
-		failed.leastRequested, failed.fullScanAt = searches[key].leastRequested, searches[key].fullScanAt
+		if failed := searches.find(s, now); failed != nil {
+			failed.lastChange = lastChange
+		}
+		return
 	}
-	searches[key] = failed
+	key := s.demandKey(now)
+	kept := slices.DeleteFunc(searches.byDemand[key], func(failed failedSearch) bool {
+		return now-failed.fullScanAt >= maxFullScanAge || s.step.Resources.Fits(failed.leastRequested)
+	})
+	if len(kept) == maxFailedSearches {
+		kept = slices.Delete(kept, 0, 1)
+	}
+	searches.byDemand[key] = append(kept, failedSearch{s.step.Resources, lastChange, now})
 }
 
 // recordChange records that the capacity which a runner can offer may have changed.
@@ -122,24 +214,31 @@
 // considered, unless it is nil, and only those that have changed after since, unless it is
 // zero.
 func (c *Core) pickRunner(s *openStep, now time.Duration, rack *string, since uint64) *runner {
-	search := runnerSearch{core: c, step: s, now: now}
+	return c.searchRunners(s, now, rack, since).best
+}
+
+// searchRunners makes the search of pickRunner.
+func (c *Core) searchRunners(s *openStep, now time.Duration, rack *string, since uint64) *runnerSearch {
+	search := &runnerSearch{core: c, step: s, now: now, wasStarved: s.starved, isLastAttempt: s.isLastAttempt, isExhaustive: true}
 	if since > 0 {
 		for r := range c.changes.after(since) {
 			if (rack == nil || r.Rack == *rack) && !search.consider(r) {
+				search.isExhaustive = false
 				break
 			}
 		}
-		return search.best
+		return search
 	}
 	all := c.sortedRunners()
 	for i := range all {
 		r := all[(c.searchStart+i)%len(all)]
 		if (rack == nil || r.Rack == *rack) && !search.consider(r) {
 			c.searchStart = (c.searchStart + i) % len(all)
+			search.isExhaustive = false
 			break
 		}
 	}
-	return search.best
+	return search
 }
 
 // runnerSearch holds the best of the runners that have been compared for a task.
@@ -150,6 +249,58 @@
 	best     *runner
 	bestCost float64
 	compared int
+	// candidates are the runners that may take the task, with their costs.
+	candidates []candidate
+	// isExhaustive is set if no other runner may take the task.
+	isExhaustive bool
+	// wasStarved and isLastAttempt are as they were for the step's task during the search.
+	wasStarved, isLastAttempt bool
+}
+
+// candidate is a runner that may take a task, with the cost of the task there.
+type candidate struct {
+	runner *runner
+	cost   float64
+}
+
+// minReusedCandidates is the least number of candidates of a search that left out runners for
+// which it serves another task of the step.
+const minReusedCandidates = 16
+
+// servesNextTask reports whether the search also holds for the step's next task, after a task of
+// it was started. Costs on the other runners do not depend on that start.
+//
+// It answers this load: a backlog of wide steps in a fleet of hundreds of runners, in which more
+// than a thousand tasks are started in a second. A search of its own for each task made a round
+// take 100 ms, and every job waited for that long.
+func (search *runnerSearch) servesNextTask() bool {
+	return search != nil && !search.wasStarved && search.isLastAttempt == search.step.isLastAttempt &&
+		(search.isExhaustive || len(search.candidates) >= minReusedCandidates)
+}
+
+// update brings the search up to date after a task was started on a runner.
+func (search *runnerSearch) update(started *runner) {
+	i := slices.IndexFunc(search.candidates, func(c candidate) bool { return c.runner == started })
+	cost := -1.0
+	if search.core.isEligible(search.step, started, search.now) {
+		cost = search.core.cost(search.step, started, search.now)
+	}
+	if cost >= 0 {
+		search.candidates[i].cost = cost
+	} else {
+		search.candidates = slices.Delete(search.candidates, i, i+1)
+	}
+	search.best = nil
+	for _, c := range search.candidates {
+		search.prefer(c)
+	}
+}
+
+// prefer makes a candidate the best one if it is better.
+func (search *runnerSearch) prefer(c candidate) {
+	if search.best == nil || c.cost < search.bestCost || c.cost == search.bestCost && c.runner.ID < search.best.ID {
+		search.best, search.bestCost = c.runner, c.cost
+	}
 }
 
 // consider compares one more runner with the best one. It returns false, without comparing
@@ -165,9 +316,9 @@
 	if search.compared++; search.compared > maxComparedRunners {
 		return false
 	}
-	if search.best == nil || cost < search.bestCost || cost == search.bestCost && r.ID < search.best.ID {
-		search.best, search.bestCost = r, cost
-	}
+	c := candidate{r, cost}
+	search.candidates = append(search.candidates, c)
+	search.prefer(c)
 	return true
 }
 
--- a/coordinator/rounds.go
+++ b/coordinator/rounds.go
@@ -11,8 +11,12 @@
 // machine was suspended meanwhile.
 const maxRoundPause = 200 * time.Millisecond
 
-// roundPacer spaces rounds of scheduling so that they take at most half of the time. A loop
-// that spent all of its time on scheduling would not apply the events that free capacity.
+// pausePerRound is the least pause after a round, as a multiple of the time that it took.
+const pausePerRound = 3
+
+// roundPacer spaces rounds of scheduling so that they take at most a quarter of the time. A loop
+// that spent all of its time on scheduling would not apply the events that free capacity, and on
+// one processor the calls to runners and to the store wait for it too.
 type roundPacer struct {
 	next time.Time // earliest start of the next round
 }
@@ -22,6 +26,7 @@
 
 // recordRound records the start and the end of a round and sets when the next one is due.
 func (p *roundPacer) recordRound(began, ended time.Time) {
-	pause := max(minRoundInterval-ended.Sub(began), min(ended.Sub(began), maxRoundPause))
+	duration := ended.Sub(began)
+	pause := max(minRoundInterval-duration, min(pausePerRound*duration, maxRoundPause))
 	p.next = ended.Add(pause)
 }
--- a/coordinator/schedule.go
+++ b/coordinator/schedule.go
@@ -18,6 +18,7 @@
 	c.pruneWaiting()
 	c.releaseStaleReservations(now)
 	c.updateServiceReservations(now)
+	c.failedSearches.rescansLeft = maxRescans
 	storeTime := now + c.storeOffset
 	for _, s := range c.waitingSteps {
 		s.starved = c.isStarved(s, now)
@@ -99,11 +100,16 @@
 // startTasks orders the start of the given tasks of a step, as long as there is a runner for
 // the next one, and reports whether there was one for each.
 func (c *Core) startTasks(s *openStep, tasks []int, now time.Duration) bool {
+	var search *runnerSearch
+	var since uint64
 	for i := 0; i < len(tasks); i++ {
 		index := tasks[i]
 		s.isLastAttempt = s.job.queue.MaxAttempts > 1 && s.job.Failures(s.taskID(index)) >= s.job.queue.MaxAttempts-1
-		since := c.failedSearches.scanSince(s, now)
-		r := c.pickRunner(s, now, nil, since)
+		if !search.servesNextTask() {
+			since = c.failedSearches.scanSince(s, now)
+			search = c.searchRunners(s, now, nil, since)
+		}
+		r := search.best
 		if r == nil {
 			c.failedSearches.record(s, since, c.changes.last, now)
 			c.logNoRunner(s, now)
@@ -115,6 +121,7 @@
 		}
 		c.startTask(s, index, c.nextRunNumber(s, index), r, now)
 		s.starved = false
+		search.update(r)
 	}
 	return true
 }
