Move the pure rules of a declaration out of package entry

A check of a declaration before it is applied has to know the share of a quota that a shard gets, the work of a standing job's replica and whether the number of shards changes. These rules were private to package entry, so a check would have had to repeat them.

They are methods in package declaration now, with the same results, and entry calls them. The longest restart delay of a standing job and the shortest pause before a claim is written again get exported names.

--- a/entry/components.go
+++ b/entry/components.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
 	"github.com/google/uuid"
@@ -155,12 +154,11 @@
 	return c, nil
 }
 
-// checkShardCount refuses a change of the number of shards. The keys of rows contain
-// the shard, so no instance would find work recorded under the old number.
+// checkShardCount refuses a change of the number of shards, which
+// declaration.Deployment.CheckChange finds.
 func checkShardCount(current, next *declaration.Deployment) error {
-	if current == nil || max(current.ShardsPerDomain, 1) == max(next.ShardsPerDomain, 1) {
-		return nil
+	if err := next.CheckChange(current); err != nil {
+		return structs.NotRun(structs.ReasonDeclarationInvalid, "%v", err)
 	}
-	return structs.NotRun(structs.ReasonDeclarationInvalid, "%s",
-		fmt.Sprintf("shards_per_domain: cannot change from %d to %d once applied", current.ShardsPerDomain, next.ShardsPerDomain))
+	return nil
 }
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -112,15 +112,15 @@
 		sum := map[string]int64{}
 		for _, domain := range d.DomainNames() {
 			for name, share := range teamShares(d, domain, shards) {
-				if !largestJob(d, name).Fits(share.Limit) {
+				if !d.LargestJob(name).Fits(share.Limit) {
 					t.Fatalf("share %+v of %s in %s holds none of its jobs", share, name, domain)
 				}
 				sum[name] += share.Limit.CPUMilli * int64(shards)
 			}
 		}
 		for _, team := range d.Teams {
-			slack := largestJob(d, team.Name).CPUMilli * int64(shards*len(d.Domains))
-			if declaredCPU(d, "") > 0 && sum[team.Name] > team.Quota.CPUMilli+slack {
+			slack := d.LargestJob(team.Name).CPUMilli * int64(shards*len(d.Domains))
+			if d.DeclaredCPU("") > 0 && sum[team.Name] > team.Quota.CPUMilli+slack {
 				t.Fatalf("shares of %s sum to %d, the quota is %d", team.Name, sum[team.Name], team.Quota.CPUMilli)
 			}
 		}
@@ -167,8 +167,8 @@
 	job := testDeployment().StandingJobs[0]
 	seen := map[structs.WorkID]bool{}
 	for replica := range 3 {
-		spec := replicaSpec(job, replica)
-		if seen[spec.ID()] || spec.ID() != replicaSpec(job, replica).ID() {
+		spec := job.ReplicaSpec(replica)
+		if seen[spec.ID()] || spec.ID() != job.ReplicaSpec(replica).ID() {
 			t.Errorf("replica %d has ID %s", replica, spec.ID())
 		}
 		seen[spec.ID()] = true
@@ -178,7 +178,7 @@
 	}
 	other := job
 	other.Kind = "watch2"
-	if seen[replicaSpec(other, 0).ID()] {
+	if seen[other.ReplicaSpec(0).ID()] {
 		t.Error("replicas of different jobs share an ID")
 	}
 }
--- a/entry/feed.go
+++ b/entry/feed.go
@@ -94,65 +94,13 @@
 	}
 }
 
-// teamShares returns the part of each team's quota that a shard of a domain may use:
-// the domain's fraction of the declared processors, divided by its number of shards.
-// A share is never below the size of the team's largest job, which could otherwise
-// never start. The shards together can therefore exceed a small quota by the size of
-// that job for each shard.
+// teamShares returns the weight of each team, and as its limit the part of its quota that
+// a shard of a domain may use.
 func teamShares(d *declaration.Deployment, domain string, shards int) map[string]quota.Team {
-	totalCPU, domainCPU := declaredCPU(d, ""), declaredCPU(d, domain)
-	fraction := 1.0
-	if totalCPU > 0 {
-		fraction = float64(domainCPU) / float64(totalCPU) / float64(max(shards, 1))
-	}
+	shares := d.QuotaShares(domain, shards)
 	teams := map[string]quota.Team{}
 	for _, t := range d.Teams {
-		largest := largestJob(d, t.Name)
-		teams[t.Name] = quota.Team{Weight: t.Weight, Limit: structs.Resources{
-			CPUMilli:     max(int64(float64(t.Quota.CPUMilli)*fraction), largest.CPUMilli),
-			MemoryMB:     max(int64(float64(t.Quota.MemoryMB)*fraction), largest.MemoryMB),
-			Accelerators: max(int64(float64(t.Quota.Accelerators)*fraction), largest.Accelerators),
-		}}
+		teams[t.Name] = quota.Team{Weight: t.Weight, Limit: shares[t.Name]}
 	}
 	return teams
 }
-
-// declaredCPU returns the declared capacity of all workers of a domain in thousandths of
-// a processor. The domain "" means all domains.
-func declaredCPU(d *declaration.Deployment, domain string) int64 {
-	shapes := map[string]int64{}
-	for _, s := range d.WorkerShapes {
-		shapes[s.Name] = s.Capacity.CPUMilli
-	}
-	var sum int64
-	for _, declared := range d.Domains {
-		if domain != "" && declared.Name != domain {
-			continue
-		}
-		for _, workers := range declared.Workers {
-			sum += int64(workers.Count) * shapes[workers.Shape]
-		}
-	}
-	return sum
-}
-
-// largestJob returns, for each resource, the largest amount that any one job of the team
-// declares.
-func largestJob(d *declaration.Deployment, team string) structs.Resources {
-	var largest structs.Resources
-	includeJob := func(owner string, size structs.Resources) {
-		if owner != team {
-			return
-		}
-		largest.CPUMilli = max(largest.CPUMilli, size.CPUMilli)
-		largest.MemoryMB = max(largest.MemoryMB, size.MemoryMB)
-		largest.Accelerators = max(largest.Accelerators, size.Accelerators)
-	}
-	for _, job := range d.BatchJobs {
-		includeJob(job.Team, job.Size)
-	}
-	for _, job := range d.StandingJobs {
-		includeJob(job.Team, job.Size)
-	}
-	return largest
-}
--- a/entry/standing.go
+++ b/entry/standing.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
 	"bergamotstile/declaration"
@@ -45,7 +44,7 @@
 	declared := map[structs.WorkID]bool{}
 	for _, job := range d.StandingJobs {
 		for replica := range job.Replicas {
-			spec := replicaSpec(job, replica)
+			spec := job.ReplicaSpec(replica)
 			declared[spec.ID()] = true
 			s.recordReplica(ctx, d, spec)
 		}
@@ -81,11 +80,3 @@
 	}
 	s.recordedShards[id] = shard
 }
-
-func replicaSpec(job declaration.StandingJob, replica int) structs.WorkSpec {
-	return structs.WorkSpec{
-		Team: job.Team, Key: fmt.Sprintf("standing/%s/%d", job.Kind, replica),
-		Job: job.Kind, Kind: structs.KindStanding, Class: job.Class.Class(), Size: job.Size,
-		ExpectedRunMS: job.ExpectedRunMS, MaxRunMS: job.MaxRunMS, Idempotent: job.Idempotent,
-	}
-}
--- a/lifecycle/config.go
+++ b/lifecycle/config.go
@@ -61,7 +61,11 @@
 	Limits Limits
 }
 
-// Default values of Config.
+// DefaultRestartMax is the longest delay before a standing job that ended is restarted.
+// A run that is longer resets the delay, which otherwise doubles with each restart.
+const DefaultRestartMax = time.Minute
+
+// Other default values of Config.
 const (
 	defaultTaskLease        = 20 * time.Second
 	defaultStartWindow      = time.Second
@@ -76,7 +80,6 @@
 	defaultRetryMin         = 100 * time.Millisecond
 	defaultRetryMax         = 2 * time.Second
 	defaultRestartMin       = time.Second
-	defaultRestartMax       = time.Minute
 	defaultMaxCalls         = 512
 	defaultMaxFailedWorkers = 3
 	defaultMaxFailures      = 6
@@ -94,7 +97,7 @@
 	defaults.Set(&c.RetryMin, defaultRetryMin)
 	defaults.Set(&c.RetryMax, defaultRetryMax)
 	defaults.Set(&c.RestartMin, defaultRestartMin)
-	defaults.Set(&c.RestartMax, defaultRestartMax)
+	defaults.Set(&c.RestartMax, DefaultRestartMax)
 	defaults.Set(&c.Shards, 1)
 	defaults.Set(&c.ScanPage, defaultScanPage)
 	defaults.Set(&c.CommitMax, defaultCommitMax)
--- a/routing/settings.go
+++ b/routing/settings.go
@@ -7,6 +7,9 @@
 	"bergamotstile/retry"
 )
 
+// DefaultMinClaimRetryPause is the shortest pause before the write of a claim is repeated.
+const DefaultMinClaimRetryPause = 20 * time.Millisecond
+
 // Settings holds the limits and times of a router. A zero value is replaced by
 // the default.
 type Settings struct {
@@ -102,7 +105,7 @@
 	setDefault(&s.UnreachablePause, 500*time.Millisecond)
 	setDefault(&s.LeavingPause, 3*time.Second)
 	setDefault(&s.TableTimeout, time.Second)
-	setDefault(&s.MinClaimRetryPause, 20*time.Millisecond)
+	setDefault(&s.MinClaimRetryPause, DefaultMinClaimRetryPause)
 	setDefault(&s.MaxClaimRetryPause, time.Second)
 	setDefault(&s.OutcomeWriteTimeout, 30*time.Second)
 	setDefault(&s.DefaultSlots, 8)
