Add preview, a report on a declaration before it is applied

check says whether an instance would accept a declaration. It does not see entries that have no effect, limits that an instance accepts although they contradict each other, or what an apply would do to work that runs.

A file of rules of its own was ruled out, as it would drift from the process.

Exit statuses: 0 nothing found, also with differences; 1 errors or findings; 2 an unreadable file or wrong usage. Those of check stay.

--- a/command/command.go
+++ b/command/command.go
@@ -16,11 +16,11 @@
 const (
 	// ExitSuccess means that the command was accepted and carried out.
 	ExitSuccess = 0
-	// ExitFailure means that the command was refused, that it failed, or that its
-	// outcome is not known.
+	// ExitFailure means that the command was refused, that it failed, that its
+	// outcome is not known, or that preview has errors or findings to report.
 	ExitFailure = 1
-	// ExitUsageError means that the command line is wrong, that check, apply,
-	// submit or entry cannot read a file, or that the command is not built into
+	// ExitUsageError means that the command line is wrong, that check, preview,
+	// apply, submit or entry cannot read a file, or that the command is not built into
 	// the program.
 	ExitUsageError = 2
 )
@@ -45,6 +45,7 @@
 	Entry   *entryCommand   `arg:"subcommand:entry" help:"run an entry instance"`
 	Serve   *ServeOptions   `arg:"subcommand:serve" help:"run an entry instance on the users' platform"`
 	Check   *checkCommand   `arg:"subcommand:check" help:"check a declaration without applying it"`
+	Preview *previewCommand `arg:"subcommand:preview" help:"report errors, findings and differences of a declaration before it is applied"`
 	Apply   *applyCommand   `arg:"subcommand:apply" help:"apply a declaration"`
 	Submit  *submitCommand  `arg:"subcommand:submit" help:"submit a work item"`
 	Status  *statusCommand  `arg:"subcommand:status" help:"show the state of an instance or a work item"`
--- a/command/operate.go
+++ b/command/operate.go
@@ -20,13 +20,9 @@
 }
 
 func (c *checkCommand) run(_ context.Context, _ Registry, out io.Writer) error {
-	limits := declaration.DefaultLimits()
-	if c.Settings != "" {
-		s, err := loadSettings(c.Settings)
-		if err != nil {
-			return err
-		}
-		limits = s.Limits()
+	limits, err := loadLimits(c.Settings)
+	if err != nil {
+		return err
 	}
 	d, err := loadDeclaration(c.File, limits)
 	if err != nil {
