--- a/command/preview.go
+++ b/command/preview.go
@@ -9,7 +9,9 @@
 	"bergamotstile/preview"
 )
 
-// previewCommand reports on a declaration before it is applied, without an instance.
+// previewCommand reports on a declaration before it is applied, without an instance. It is
+// not named plan or diff: a plan is what the scheduler makes, and a difference is only one
+// part of the report.
 type previewCommand struct {
 	File     string `arg:"positional,required" placeholder:"FILE" help:"declaration"`
 	InForce  string `arg:"--in-force" placeholder:"FILE" help:"declaration in force, to list what differs"`
--- a/preview/findings.go
+++ b/preview/findings.go
@@ -38,6 +38,16 @@
 	RuleRunBelowRestart      Rule = "run-below-restart"
 )
 
+// Rules returns the names of all rules.
+func Rules() []Rule {
+	return []Rule{
+		RuleUnusedShape, RuleUnusedWorkers, RuleUnusedAccelerators, RuleUnusedTeam, RuleEmptyDomain,
+		RuleDomainWithoutRunners, RuleShardWithoutRunners, RuleShardWithoutWorkers, RuleReplicasWithoutRoom,
+		RuleSharedKind, RuleReplicasAboveShare, RuleBatchBehindStanding, RuleQuotaNotHeld,
+		RuleQuotaNotLimited, RuleTimeoutWithoutRepeat, RuleRunBelowRestart,
+	}
+}
+
 // finder checks a valid deployment and collects the findings.
 type finder struct {
 	deployment *declaration.Deployment
