Start urgent steps between rounds, and compare as many runners as before

Callers of urgent jobs waited up to 0.1 s for a round of scheduling at each step beside a backlog, although there was room for their tasks.

Cause: steps are only served in rounds, which are spaced by their length. Change: plain steps of the most important priority that have just begun to wait are started between two rounds, unless other plain work of that priority waits (coordinator/urgent.go).

The one search for the tasks of a step compares as many runners as a search for each of them did.

--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -154,6 +154,7 @@
 	runnersByID    []*runner         // sorted by ID, see sortedRunners; nil after a runner was added or removed
 	searchStart    int               // index in runnersByID at which the next search begins
 	waitingSteps   []*openStep       // open steps with pending tasks
+	newlyWaiting   []*openStep       // those that were added since the last round
 	scheduledJobs  []*job            // jobs whose occurrences have due times
 	unstoredJobs   map[*job]struct{} // jobs whose progress has to be stored
 	storeNow       bool              // the progress of a job has to be stored at once
@@ -341,6 +342,7 @@
 	if !s.isWaiting && len(s.pending) > 0 {
 		s.isWaiting = true
 		c.waitingSteps = append(c.waitingSteps, s)
+		c.newlyWaiting = append(c.newlyWaiting, s)
 	}
 }
 
--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -248,6 +248,7 @@
 func (coord *coordinator) schedule(now time.Duration) {
 	began := time.Now()
 	if wait := coord.roundPacer.waitTime(began); wait > 0 {
+		coord.core.ScheduleUrgent(now)
 		coord.roundTimer.Reset(wait)
 		return
 	}
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -214,12 +214,13 @@
 // considered, unless it is nil, and only those that have changed after since, unless it is
 // zero.
 func (c *Core) pickRunner(s *openStep, now time.Duration, rack *string, since uint64) *runner {
-	return c.searchRunners(s, now, rack, since).best
+	return c.searchRunners(s, now, rack, since, 1).best
 }
 
-// searchRunners makes the search of pickRunner.
-func (c *Core) searchRunners(s *openStep, now time.Duration, rack *string, since uint64) *runnerSearch {
-	search := &runnerSearch{core: c, step: s, now: now, wasStarved: s.starved, isLastAttempt: s.isLastAttempt, isExhaustive: true}
+// searchRunners makes the search of pickRunner for a number of tasks of the step. It compares as
+// many runners as a search for each of them would.
+func (c *Core) searchRunners(s *openStep, now time.Duration, rack *string, since uint64, tasks int) *runnerSearch {
+	search := &runnerSearch{core: c, step: s, now: now, maxCompared: tasks * maxComparedRunners, wasStarved: s.starved, isLastAttempt: s.isLastAttempt, isExhaustive: true}
 	if since > 0 {
 		for r := range c.changes.after(since) {
 			if (rack == nil || r.Rack == *rack) && !search.consider(r) {
@@ -249,6 +250,8 @@
 	best     *runner
 	bestCost float64
 	compared int
+	// maxCompared bounds the eligible runners that are compared.
+	maxCompared int
 	// candidates are the runners that may take the task, with their costs.
 	candidates []candidate
 	// isExhaustive is set if no other runner may take the task.
@@ -313,7 +316,7 @@
 	if cost < 0 {
 		return true
 	}
-	if search.compared++; search.compared > maxComparedRunners {
+	if search.compared++; search.compared > search.maxCompared {
 		return false
 	}
 	c := candidate{r, cost}
--- a/coordinator/schedule.go
+++ b/coordinator/schedule.go
@@ -19,6 +19,7 @@
 	c.releaseStaleReservations(now)
 	c.updateServiceReservations(now)
 	c.failedSearches.rescansLeft = maxRescans
+	c.newlyWaiting = c.newlyWaiting[:0]
 	storeTime := now + c.storeOffset
 	for _, s := range c.waitingSteps {
 		s.starved = c.isStarved(s, now)
@@ -107,7 +108,7 @@
 		s.isLastAttempt = s.job.queue.MaxAttempts > 1 && s.job.Failures(s.taskID(index)) >= s.job.queue.MaxAttempts-1
 		if !search.servesNextTask() {
 			since = c.failedSearches.scanSince(s, now)
-			search = c.searchRunners(s, now, nil, since)
+			search = c.searchRunners(s, now, nil, since, len(tasks)-i)
 		}
 		r := search.best
 		if r == nil {
