Don't take the time since a takeover for the run time of adopted runs

Callers saw: after a takeover, urgent work was not preferred to batch work that the predecessor had started: all such runs that had made progress counted as ending within moments, so none was preempted, and their capacity counted as free soon. Those on draining runners counted as ending before the runner stops, and were not moved in time. Cause: timeLeft related the progress of a run to the time since startedAt, which is the time of the adoption for adopted runs. Ruled out: the field percent (as reported) and the estimates, which were right. The callers are endsWithin (preemption) and drain.go; no other place takes startedAt for the start of the work (checkruns.go takes the later of it and the last progress). Change: the time left of an adopted run follows from its progress and the estimate of its step.

--- a/coordinator/estimate.go
+++ b/coordinator/estimate.go
@@ -64,6 +64,8 @@
 	if taskTime <= 0 {
 		return
 	}
+	// Estimates are those of near places: the caller states them so, and the next task may get one.
+	taskTime = time.Duration(float64(taskTime) / c.slowdown(run))
 	times := &run.openStep.taskTimes
 	if run.workMeter.countedTime == 0 {
 		times.tasks++
@@ -80,6 +82,14 @@
 	}
 }
 
+// slowdown returns the factor by which a run takes longer because of its rack.
+func (c *Core) slowdown(run *taskRun) float64 {
+	if c.isFarFromData(run.step.DataRack, run.runner) {
+		return c.limits.RemoteDataFactor
+	}
+	return 1
+}
+
 // durationEstimatorOf returns the estimator that corrects the stated run times of the job's
 // queue.
 func (c *Core) durationEstimatorOf(j *job) *durations.Estimator {
--- a/coordinator/estimate_test.go
+++ b/coordinator/estimate_test.go
@@ -48,3 +48,27 @@
 		t.Errorf("measured %v, want %v", taskTime, want)
 	}
 }
+
+// Guards against measuring tasks that run away from their data as tasks with more work. The step's
+// estimate, and that of the whole queue, were then too long by the factor for far places.
+func TestFarTaskIsNotEstimatedAsLonger(t *testing.T) {
+	near, far := testRunner("a", 1000), testRunner("b", 8000)
+	near.Rack, far.Rack = "near", "far"
+	h := newCoreHarness(t, near, far)
+	step := plainStep(1, 2000)
+	step.DataRack = "near"
+	h.addJob(firstID, false, step)
+	orders := startOrders(h.schedule())
+	if len(orders) != 1 || orders[0].Runner != "b" {
+		t.Fatalf("orders %+v, want a start on the far runner, as the near one is too small", orders)
+	}
+	h.answer(orders[0], Accepted, false)
+	for percent := 0; percent <= 50; percent += 10 {
+		h.now += 499 * time.Millisecond // 1 ms more passes with the report
+		h.report(Report{Runner: "b", Incarnation: 1, Running: []RunStatus{{Task: orders[0].Task, Run: orders[0].Run, Percent: percent, Load: 2000}}})
+	}
+	const want = 2500 * time.Millisecond // a tenth of the work in 0.5 s at half speed
+	if got := h.core.jobs[firstID].measuredTaskTimes[0]; got < want*9/10 || got > want*11/10 {
+		t.Errorf("tasks are estimated at %v, want %v", got, want)
+	}
+}
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -208,9 +208,12 @@
 // there.
 func (c *Core) cost(s *openStep, r *runner, now time.Duration) float64 {
 	factor := 1.0
-	if s.step.DataRack != "" && s.step.DataRack != r.Rack && c.limits.RemoteDataFactor > 1 {
+	if c.isFarFromData(s.step.DataRack, r) {
 		factor *= c.limits.RemoteDataFactor
 	}
+	if s.step.DataRack != r.Rack && c.locality.isWanted(r) {
+		factor += wantedRackPenalty
+	}
 	if r.health.isUnreliable(now) || s.isLastAttempt && !r.health.isProven(now) {
 		factor *= unreliabilityPenalty
 	}
@@ -224,6 +227,11 @@
 	return factor + c.lostCapacity(s, r) + packingWeight*free
 }
 
+// isFarFromData reports whether a task with data on a rack is slow on the runner.
+func (c *Core) isFarFromData(dataRack string, r *runner) bool {
+	return dataRack != "" && dataRack != r.Rack && c.limits.RemoteDataFactor > 1
+}
+
 // expectedIdleMilli returns the processors, in thousandths, that are expected to be idle
 // if all best-effort tasks use what they ask for.
 func (r *runner) expectedIdleMilli() int64 {
--- a/coordinator/victim.go
+++ b/coordinator/victim.go
@@ -62,9 +62,13 @@
 	return left <= duration && !overdue
 }
 
-// timeLeft estimates how long a run will go on.
+// timeLeft estimates how long a run will go on. The start of an adopted run is not known, so its
+// progress can't be related to the time spent.
 func (run *taskRun) timeLeft(now time.Duration) time.Duration {
 	spent := now - run.startedAt
+	if run.percent > 0 && run.adoptedAt > 0 {
+		return run.job.taskEstimates[run.task.Step] * time.Duration(fullPace-run.percent) / fullPace
+	}
 	if run.percent > 0 {
 		return spent * time.Duration(fullPace-run.percent) / time.Duration(run.percent)
 	}
