Decide how long waiting for a place near a task's data pays

Callers saw: a task with data on a rack started at once on another rack although a place on its own was about to be free, took two or three times as long there and kept the place from others; likewise gangs that are slow across racks. Cause: pickRunner only compares runners that are free now, with the far factor as a cost. A fleet in which no waiting step names a rack pays nothing and is scheduled as before.

--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -133,6 +133,11 @@
 	// hasLargeEnoughRunner.
 	fitsSomewhere bool
 	fitCheckedAt  time.Duration
+	// nearWaits holds the pending tasks that have declined a far place, see startNearData.
+	nearWaits map[int]nearWait
+	// farPlace is a runner that the step's tasks have declined, see hasFarPlace.
+	farPlace *runner
+	gangWait gangWait
 }
 
 // Core holds the coordinator's state and makes its scheduling decisions. Only one
@@ -186,6 +191,7 @@
 	// nextPreemption is when runs may next be preempted.
 	nextPreemption     time.Duration
 	durationEstimators map[string]*durations.Estimator // by name of the queue
+	locality           locality
 }
 
 // Counter adds n to the counter of a name.
@@ -213,6 +219,7 @@
 		failedSearches:      failedSearches{},
 		durationEstimators:  map[string]*durations.Estimator{},
 		serviceReservations: serviceReservations{services: map[string]*serviceReservation{}},
+		locality:            locality{decide: decidePlacement},
 	}
 }
 
--- a/coordinator/gang.go
+++ b/coordinator/gang.go
@@ -20,10 +20,17 @@
 			}
 		}
 	}
-	if !c.tryStartGang(s, now, nil) {
+	chosen := c.chooseGangRunners(s, now, nil)
+	if chosen == nil {
 		c.logNoRunner(s, now)
 		c.requestAdvice(s, now)
+		return
+	}
+	if c.mayGangAwaitRack(s) && c.gangWaitsForRack(s, now) {
+		c.logWait(s, "one rack is expected to have room for all members", now)
+		return
 	}
+	c.startGangOn(s, chosen, now)
 }
 
 // racksByFreeCapacity returns the racks, the one with the most free processors first.
@@ -42,9 +49,20 @@
 	return racks
 }
 
-// tryStartGang finds a runner for every member before it orders the first start, and reports
-// whether it found them all. Only runners in rack are considered, unless it is nil.
+// tryStartGang starts all members on one rack and reports whether they all fit there.
 func (c *Core) tryStartGang(s *openStep, now time.Duration, rack *string) bool {
+	chosen := c.chooseGangRunners(s, now, rack)
+	if chosen == nil {
+		return false
+	}
+	c.recordGangOnRack(s)
+	c.startGangOn(s, chosen, now)
+	return true
+}
+
+// chooseGangRunners returns a runner for each member, or nil if they don't all fit. Only runners
+// in rack are considered, unless it is nil.
+func (c *Core) chooseGangRunners(s *openStep, now time.Duration, rack *string) []*runner {
 	var chosen []*runner
 	reserved := s.step.Reserved()
 	for range s.step.Count {
@@ -61,14 +79,18 @@
 		s.runsByRunner[r]--
 	}
 	if len(chosen) < s.step.Count {
-		return false
+		return nil
 	}
+	return chosen
+}
+
+// startGangOn starts the members on the chosen runners.
+func (c *Core) startGangOn(s *openStep, chosen []*runner, now time.Duration) {
 	number, checkpoint := c.gangRunAndCheckpoint(s)
 	for index, r := range chosen {
 		s.job.Task(s.taskID(index)).Checkpoint = checkpoint
 		c.startTask(s, index, number, r, now)
 	}
-	return true
 }
 
 // gangRunAndCheckpoint returns the run number and the checkpoint that all members of a gang
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -211,6 +211,9 @@
 	if c.isFarFromData(s.step.DataRack, r) {
 		factor *= c.limits.RemoteDataFactor
 	}
+	if s.step.DataRack != r.Rack && c.locality.isWanted(r) {
+		factor += wantedRackPenalty
+	}
 	if r.health.isUnreliable(now) || s.isLastAttempt && !r.health.isProven(now) {
 		factor *= unreliabilityPenalty
 	}
--- a/coordinator/precedence.go
+++ b/coordinator/precedence.go
@@ -136,9 +136,9 @@
 
 // isStarved reports whether the step has waited for longer than starvationTime and no task of
 // its job runs although more than largeFreeShare of the service's capacity is free.
-// Long-running steps are never starved. Without this rule, the last jobs of a backlog would wait
+// Long-running steps are never starved, nor are those that wait for a near place. Without this rule, the last jobs of a backlog would wait
 // for the capacity that serving tasks do not use, or for smaller jobs.
 func (c *Core) isStarved(s *openStep, now time.Duration) bool {
-	return !s.step.LongRunning && s.waitingSince > 0 && now-s.waitingSince > starvationTime && len(s.job.runs) == 0 &&
+	return !s.step.LongRunning && !s.awaitsNearPlace(now) && s.waitingSince > 0 && now-s.waitingSince > starvationTime && len(s.job.runs) == 0 &&
 		c.serviceReservations.forService(s.job.queue.Service).hasMuchFree()
 }
--- a/coordinator/runner.go
+++ b/coordinator/runner.go
@@ -61,6 +61,7 @@
 	overTargetSince time.Duration
 	health          health
 	reservations    []reservation
+	releases        releaseCache
 	// unusableSince is since when no new tasks may be started on the runner, as of the last
 	// scheduling round; zero if they may.
 	unusableSince time.Duration
--- a/coordinator/schedule.go
+++ b/coordinator/schedule.go
@@ -25,6 +25,7 @@
 	}
 	slices.SortFunc(c.waitingSteps, func(a, b *openStep) int { return a.precedence.compare(b.precedence) })
 	blockedJobs := c.collectBlockedJobs()
+	c.locality.startRound()
 	var unplaced []*openStep
 	for _, s := range c.waitingSteps {
 		tasks := c.startableTasks(s)
@@ -52,7 +53,11 @@
 			c.startGang(s, now)
 			continue
 		}
-		if !c.startTasks(s, tasks, now) {
+		start := c.startTasks
+		if c.mayAwaitNearPlace(s) {
+			start = c.startNearData
+		}
+		if !start(s, tasks, now) {
 			unplaced = append(unplaced, s)
 		}
 	}
@@ -91,6 +96,7 @@
 		s.isWaiting = len(s.pending) > 0 && !s.job.State.IsTerminal()
 		if !s.isWaiting {
 			s.waitingSince, s.reservationWait, s.displacedSince = 0, reservationWait{}, nil
+			s.nearWaits, s.farPlace, s.gangWait = nil, nil, gangWait{}
 		}
 		return !s.isWaiting
 	})
@@ -138,6 +144,7 @@
 		c.limitPaceForStart(r, s, now)
 	}
 	c.attachRun(run)
+	c.locality.recordStart(run)
 	if s.precedence.newLongRunning == 0 {
 		c.serviceReservations.forService(r.Service).freeMilli -= float64(s.step.Reserved().CPUMilli)
 	}
