--- a/coordinator/locality_test.go
+++ b/coordinator/locality_test.go
@@ -349,3 +349,16 @@
 		t.Errorf("orders %+v, want a far start, as the near place is free in 50 s", orders)
 	}
 }
+
+// Guards against a step that passes all other work as starved because it has chosen to wait.
+func TestWaitForNearPlaceIsNoStarvation(t *testing.T) {
+	h := newLocalityHarness(t)
+	h.addJob(firstID, false, nearStep(1))
+	h.wantStarts()
+	h.now += starvationTime + 50*time.Millisecond
+	h.reportBusy(60)
+	h.wantStarts()
+	if s := h.core.jobs[firstID].openSteps[[2]int{0, 0}]; !s.awaitsNearPlace(h.now) || s.starved {
+		t.Errorf("waits %v, starved %v", s.nearWaits, s.starved)
+	}
+}
