--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -135,6 +135,11 @@
 	// hasLargeEnoughRunner.
 	fitsSomewhere bool
 	fitCheckedAt  time.Duration
+	// nearWaits holds the pending tasks that have declined a far place, see startNearData.
+	nearWaits map[int]nearWait
+	// farPlace is a runner that the step's tasks have declined, see hasFarPlace.
+	farPlace *runner
+	gangWait gangWait
 }
 
 // Core holds the coordinator's state and makes its scheduling decisions. Only one
@@ -194,6 +199,7 @@
 	// Results of ended jobs change no progress, but a runner lists further results only once
 	// they are acknowledged.
 	hasNewResults bool
+	locality           locality
 }
 
 // Counter adds n to the counter of a name.
@@ -221,6 +227,7 @@
 		failedSearches:      newFailedSearches(),
 		durationEstimators:  map[string]*durations.Estimator{},
 		serviceReservations: serviceReservations{services: map[string]*serviceReservation{}},
+		locality:            locality{decide: decidePlacement},
 	}
 }
 
