Copy slow runs of speculative steps where that ends the job earlier

A task of a step with `speculative` got a second run only when its first run was proved gone, so a straggler of seven times the usual time held up its chain of steps. The coordinator now starts a copy of a slow run on idle capacity, from the measured run times of the queue and the step, the slowness of runners, the progress of the run, and what is left of the job's chain and objective (docs/design/speculative-copies.md). Copies are at most 10% of a service's runs, one of a task, none while tasks wait or a further failure would fail the job, and give way to tasks that wait later.

Without speculative steps nothing is examined, and steps that do not ask for copies start as before.

--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -69,6 +69,11 @@
 	// ownLoad estimates the part of a serving task's degradation that is attributed to the
 	// task's own load, see learnFromTail.
 	ownLoad ownLoadTracker
+	base    progressBase
+	// isResumed is set if the run was started from a checkpoint.
+	isResumed bool
+	// isCopy is set if this coordinator started the run while another run of its task existed.
+	isCopy bool
 }
 
 // job is an accepted job with its open steps and its runs.
@@ -133,6 +138,7 @@
 	// hasLargeEnoughRunner.
 	fitsSomewhere bool
 	fitCheckedAt  time.Duration
+	siblingTimes  siblingTimes
 }
 
 // Core holds the coordinator's state and makes its scheduling decisions. Only one
@@ -186,6 +192,7 @@
 	// nextPreemption is when runs may next be preempted.
 	nextPreemption     time.Duration
 	durationEstimators map[string]*durations.Estimator // by name of the queue
+	speculation        speculation
 }
 
 // Counter adds n to the counter of a name.
--- a/coordinator/health.go
+++ b/coordinator/health.go
@@ -36,6 +36,7 @@
 	avoidUntil    time.Duration
 	stalledRuns   int
 	lastStalledAt time.Duration
+	slowness      slowness
 }
 
 // recordRefusal records that the runner refused a start.
--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -123,6 +123,7 @@
 	if status.Percent != run.percent || run.progressedAt == 0 {
 		run.percent, run.progressedAt = status.Percent, now
 	}
+	run.recordProgressBase(status.Percent, now)
 	if status.Checkpoint != run.checkpoint {
 		run.checkpoint, run.checkpointPercent = status.Checkpoint, status.Percent
 	}
@@ -175,6 +176,7 @@
 	run.runner.addRun(run)
 	j := run.job
 	j.runs[run.task] = append(j.runs[run.task], run)
+	c.speculation.recordRun(run)
 	run.openStep = j.openSteps[[2]int{run.task.Occurrence, run.task.Step}]
 	if s := run.openStep; s != nil {
 		s.removePending(run.task.Index)
@@ -217,6 +219,7 @@
 // result of it, and makes its task pending again.
 func (c *Core) removeLostRun(run *taskRun, now time.Duration, cause string) {
 	c.detachRun(run)
+	c.recordCopyEnd(run, "lost", false)
 	c.counters("runs_lost", 1)
 	c.log.WithFields(logrus.Fields{"task": run.task, "run": run.number, "runner": run.runner.ID, "cause": cause}).Warn("run lost")
 	c.requeue(run.job, run.task)
@@ -250,6 +253,7 @@
 		c.detachRun(run)
 		j = run.job
 		c.updateHealth(run, result.Kind, now)
+		c.recordRunEnd(run, result.Kind, now)
 	}
 	c.log.WithFields(logrus.Fields{"task": result.Task, "run": result.Run, "runner": r.ID, "how": result.Kind}).Info("run ended")
 	if j == nil || j.State.IsTerminal() || j.Task(result.Task) == nil {
@@ -406,6 +410,7 @@
 		return
 	}
 	c.detachRun(run)
+	c.recordCopyEnd(run, answer.Outcome.String(), false)
 	if answer.Outcome == RefusedOther || answer.Outcome == RefusedNoCapacity {
 		// The runner would refuse another start at once in the same way.
 		run.runner.health.recordRefusal(now)
--- a/coordinator/schedule.go
+++ b/coordinator/schedule.go
@@ -56,10 +56,12 @@
 			unplaced = append(unplaced, s)
 		}
 	}
+	c.yieldCopies(now)
 	if c.limits.Preempt {
 		c.preempt(unplaced, now)
 	}
 	c.pruneWaiting()
+	c.startCopies(now)
 }
 
 // collectBlockedJobs returns the jobs for which no task may be started: a runner reports
@@ -147,6 +149,7 @@
 	if !s.step.Checkpoints {
 		checkpoint = ""
 	}
+	run.isResumed = checkpoint != ""
 	c.orders = append(c.orders, Order{Kind: Start, Runner: r.ID, Incarnation: r.incarnation, Address: r.Address, Task: id, Run: number,
 		Spec: s.job.Spec.Text, Checkpoint: checkpoint, Ticket: s.advice.tickets[r.ID].text, Settled: run.lastOrderSettled})
 	c.counters("starts", 1)
