Don't take the end of a run that may have a copy as hidden from a predecessor

Callers could see a task of a step that does not ask for copies run twice: after a takeover, a run that the successor has adopted ends done, and the next step starts although a runner has not answered.

Cause: hiddenend.go concludes that a predecessor that still acts can't learn that the task is done, as its runner refuses the predecessor. If the predecessor has started a copy on a runner that has not answered the successor, it can learn so from the copy, open the next step and start its tasks there. Ruled out: starting on fewer runners (the predecessor may use any of the others too).

Change: the end of an adopted run of a task that may have copies is never hidden. Its successors wait until every runner is resolved, as for other ends. Steps without copies keep the shortcut. The class, a conclusion from one run about its task, was looked for at each use of job.runs, hiddenEnds and openedByHiddenEnd.

TestEndOfARunThatMayHaveACopyIsNotHidden failed before (the next step started while runner b was not resolved) and passes now.

--- a/coordinator/copies.go
+++ b/coordinator/copies.go
@@ -72,6 +72,11 @@
 	return pairs
 }
 
+// mayHideEnd reports whether the end of an adopted run can be hidden from a predecessor. It can't
+// be if the predecessor may have started a copy of the run: the predecessor may learn that the
+// copy has done the task.
+func (run *taskRun) mayHideEnd() bool { return !mayHaveCopies(run.step) }
+
 // recordRunEnd records the run time of a run that has ended and, if it was a copy, its outcome.
 // It has to be called before the result is applied to the task.
 func (c *Core) recordRunEnd(run *taskRun, kind ResultKind, now time.Duration) {
--- a/coordinator/copies_test.go
+++ b/coordinator/copies_test.go
@@ -369,6 +369,25 @@
 	}
 }
 
+// Guards against two runs of a task of the next step: a predecessor that still acts may learn that a
+// copy which this coordinator does not know of has done the task, and may start the next step on a
+// runner that has not answered this coordinator. The end of the run that is known is then not hidden
+// from it.
+func TestEndOfARunThatMayHaveACopyIsNotHidden(t *testing.T) {
+	h, _ := newTakeoverHarness(t)
+	h.reportRunning(h.first)
+	h.now += 2 * hiddenEndTime
+	h.reportRunning(h.first)
+	h.end(h.first, 1, EndedDone)
+	if orders := startOrders(h.schedule()); len(orders) != 0 {
+		t.Errorf("starts %+v while runner b may run unknown tasks", orders)
+	}
+	h.core.ExpireRunnerLeases("b", h.now)
+	if orders := startOrders(h.schedule()); len(orders) != 1 {
+		t.Errorf("starts %+v once every runner is resolved, want the next step", orders)
+	}
+}
+
 // Guards against a copy that uses the number of a run of the predecessor, so that the failures of the
 // two would count once: the progress that is stored after the start of a copy has its number.
 func TestNumberOfACopyIsStored(t *testing.T) {
--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -106,7 +106,7 @@
 		return c.adoptRun(r, status, now)
 	}
 	c.markStarted(run.job)
-	run.endHiddenFromPredecessor = run.endHiddenFromPredecessor || report.Sent-run.adoptedAt >= hiddenEndTime
+	run.endHiddenFromPredecessor = run.endHiddenFromPredecessor || run.mayHideEnd() && report.Sent-run.adoptedAt >= hiddenEndTime
 	if run.state == stateStarting {
 		run.state = stateRunning
 		run.confirmedAt = report.Sent
