Don't fail a job because a copy fails after its task is done

A job could be reported as failed though the task had ended done: the first run ends done, and the copy fails before its stop is carried out.

Cause: applyFailure compares the failures of a task with the attempts of its queue, also when the task is done. Copies are not started when one more failure would reach the attempts, but the configuration may lower them while both runs go on. Ruled out: not counting the failure at all (failed copies are failed runs, of which a task has at most `attempts`).

Change: the failure is counted, but does not fail the job if the task of a speculative step is done. Other steps are handled as before.

TestFailureOfALoserDoesNotFailTheJob failed before (state failed) and passes now.

--- a/coordinator/copies.go
+++ b/coordinator/copies.go
@@ -77,6 +77,13 @@
 // copy has done the task.
 func (run *taskRun) mayHideEnd() bool { return !mayHaveCopies(run.step) }
 
+// isDoneByCopy reports whether another run has done the task of a speculative step, so that a
+// failure of a run that was to be stopped must not fail the job.
+func (j *job) isDoneByCopy(id jobs.TaskID) bool {
+	task := j.Task(id)
+	return j.Spec.Steps[id.Step].Speculative && task != nil && task.Done
+}
+
 // recordRunEnd records the run time of a run that has ended and, if it was a copy, its outcome.
 // It has to be called before the result is applied to the task.
 func (c *Core) recordRunEnd(run *taskRun, kind ResultKind, now time.Duration) {
--- a/coordinator/copies_test.go
+++ b/coordinator/copies_test.go
@@ -388,6 +388,21 @@
 	}
 }
 
+// Guards against a job that fails because the loser fails after the task is done: the number of
+// attempts may have been lowered since the copy was started.
+func TestFailureOfALoserDoesNotFailTheJob(t *testing.T) {
+	h := newCopyHarness(t, speculativeStep(1), plainStep(1, 1000, 0))
+	copied := h.startCopy()
+	queue := testQueue
+	queue.MaxAttempts = 1
+	h.core.Configure([]jobs.Queue{queue})
+	h.end(h.first, 1, EndedDone)
+	h.end(copied, 1, EndedFailed)
+	if j := h.core.jobs[firstID]; j.State != jobs.Running || j.Failures(h.first.Task) != 1 {
+		t.Errorf("state %v, %d failures, want a running job with one", j.State, j.Failures(h.first.Task))
+	}
+}
+
 // Guards against a copy that uses the number of a run of the predecessor, so that the failures of the
 // two would count once: the progress that is stored after the start of a copy has its number.
 func TestNumberOfACopyIsStored(t *testing.T) {
--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -325,6 +325,9 @@
 	if j.Spec.Steps[result.Task.Step].LongRunning {
 		return
 	}
+	if j.isDoneByCopy(result.Task) {
+		return
+	}
 	if j.queue.MaxAttempts > 0 && j.Failures(result.Task) >= j.queue.MaxAttempts {
 		c.finishJob(j, jobs.Failed, now)
 	}
