Keep the newest checkpoint of a task that has two runs

A task that lost both of its runs resumed from the older checkpoint and repeated work that was saved.

Cause: each report and each end of a run replaced the task's checkpoint, also one of a copy that is behind the first run. Ruled out: a comparison of the checkpoints themselves, which are opaque.

Change: a checkpoint is kept only if no other run of the task has saved one at a greater progress. A task with one run has no other, so nothing changes for it.

TestOlderCheckpointDoesNotReplaceANewerOne failed before (checkpoint "older") and passes now.

--- a/coordinator/copies.go
+++ b/coordinator/copies.go
@@ -84,6 +84,14 @@
 	return j.Spec.Steps[id.Step].Speculative && task != nil && task.Done
 }
 
+// isFurthest reports whether no other run of the task has saved a checkpoint of a greater progress
+// than the given one.
+func (run *taskRun) isFurthest(percent int) bool {
+	return !slices.ContainsFunc(run.job.runs[run.task], func(other *taskRun) bool {
+		return other != run && other.checkpointPercent > percent
+	})
+}
+
 // recordRunEnd records the run time of a run that has ended and, if it was a copy, its outcome.
 // It has to be called before the result is applied to the task.
 func (c *Core) recordRunEnd(run *taskRun, kind ResultKind, now time.Duration) {
--- a/coordinator/copies_test.go
+++ b/coordinator/copies_test.go
@@ -403,6 +403,24 @@
 	}
 }
 
+// Guards against the checkpoint of a copy that replaces a newer one of the first run: if both are
+// lost, the task would resume from the older one.
+func TestOlderCheckpointDoesNotReplaceANewerOne(t *testing.T) {
+	step := speculativeStep(1)
+	step.Checkpoints = true
+	h := newCopyHarness(t, step)
+	copied := h.startCopy()
+	h.report(Report{Runner: "a", Incarnation: 1, Running: []RunStatus{{Task: h.first.Task, Run: h.first.Run, Percent: 30, Checkpoint: "newer", Load: 1000}}})
+	h.report(Report{Runner: "b", Incarnation: 1, Running: []RunStatus{{Task: copied.Task, Run: copied.Run, Percent: 10, Checkpoint: "older", Load: 1000}}})
+	if got := h.core.jobs[firstID].Task(h.first.Task).Checkpoint; got != "newer" {
+		t.Errorf("checkpoint %q, want the newer one", got)
+	}
+	h.report(Report{Runner: "b", Incarnation: 1, Ended: []RunResult{{Number: 1, Task: copied.Task, Run: copied.Run, Kind: EndedStopped, Checkpoint: "older"}}})
+	if got := h.core.jobs[firstID].Task(h.first.Task).Checkpoint; got != "newer" {
+		t.Errorf("checkpoint %q after the end of the copy, want the newer one", got)
+	}
+}
+
 // Guards against a copy that uses the number of a run of the predecessor, so that the failures of the
 // two would count once: the progress that is stored after the start of a copy has its number.
 func TestNumberOfACopyIsStored(t *testing.T) {
--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -128,7 +128,7 @@
 		run.checkpoint, run.checkpointPercent = status.Checkpoint, status.Percent
 	}
 	run.load = status.Load
-	if task := run.job.Task(run.task); task != nil {
+	if task := run.job.Task(run.task); task != nil && run.isFurthest(run.checkpointPercent) {
 		task.RecordCheckpoint(status.Checkpoint)
 	}
 }
@@ -262,7 +262,7 @@
 	c.markStarted(j)
 	task := j.Task(result.Task)
 	task.LastRun = max(task.LastRun, result.Run)
-	if !task.RecordCheckpoint(result.Checkpoint) {
+	if (run == nil || run.isFurthest(run.percent)) && !task.RecordCheckpoint(result.Checkpoint) {
 		c.counters("checkpoints_too_long", 1)
 	}
 	switch result.Kind {
