--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -70,6 +70,11 @@
 	// ownLoad estimates the part of a serving task's degradation that is attributed to the
 	// task's own load, see learnFromTail.
 	ownLoad ownLoadTracker
+	base    progressBase
+	// isResumed is set if the run was started from a checkpoint.
+	isResumed bool
+	// isCopy is set if this coordinator started the run while another run of its task existed.
+	isCopy bool
 }
 
 // job is an accepted job with its open steps and its runs.
@@ -138,8 +143,9 @@
 	// nearWaits holds the pending tasks that have declined a far place, see startNearData.
 	nearWaits map[int]nearWait
 	// farPlace is a runner that the step's tasks have declined, see hasFarPlace.
-	farPlace *runner
-	gangWait gangWait
+	farPlace     *runner
+	gangWait     gangWait
+	siblingTimes siblingTimes
 }
 
 // Core holds the coordinator's state and makes its scheduling decisions. Only one
@@ -199,7 +205,8 @@
 	// Results of ended jobs change no progress, but a runner lists further results only once
 	// they are acknowledged.
 	hasNewResults bool
-	locality           locality
+	locality      locality
+	speculation   speculation
 }
 
 // Counter adds n to the counter of a name.
--- a/coordinator/nearwait.go
+++ b/coordinator/nearwait.go
@@ -163,7 +163,7 @@
 func (search *nearSearch) pickNear() *runner {
 	c, s := search.core, search.step
 	since := c.failedSearches.scanSince(s, search.now)
-	near := runnerSearch{core: c, step: s, now: search.now}
+	near := runnerSearch{core: c, step: s, now: search.now, maxCompared: maxComparedRunners}
 	for _, r := range c.locality.racks(c)[search.key] {
 		if r.lastChange > since && !near.consider(r) {
 			break
--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -122,7 +122,7 @@
 		return c.adoptRun(r, status, now)
 	}
 	c.markStarted(run.job)
-	run.endHiddenFromPredecessor = run.endHiddenFromPredecessor || report.Sent-run.adoptedAt >= hiddenEndTime
+	run.endHiddenFromPredecessor = run.endHiddenFromPredecessor || run.mayHideEnd() && report.Sent-run.adoptedAt >= hiddenEndTime
 	if run.state == stateStarting {
 		run.state = stateRunning
 		run.confirmedAt = report.Sent
@@ -139,11 +139,12 @@
 	if status.Percent != run.percent || run.progressedAt == 0 {
 		run.percent, run.progressedAt = status.Percent, now
 	}
+	run.recordProgressBase(status.Percent, now)
 	if status.Checkpoint != run.checkpoint {
 		run.checkpoint, run.checkpointPercent = status.Checkpoint, status.Percent
 	}
 	run.load = status.Load
-	if task := run.job.Task(run.task); task != nil {
+	if task := run.job.Task(run.task); task != nil && run.isFurthest(run.checkpointPercent) {
 		task.RecordCheckpoint(status.Checkpoint)
 	}
 }
@@ -191,6 +192,7 @@
 	run.runner.addRun(run)
 	j := run.job
 	j.runs[run.task] = append(j.runs[run.task], run)
+	c.speculation.recordRun(run)
 	run.openStep = j.openSteps[[2]int{run.task.Occurrence, run.task.Step}]
 	if s := run.openStep; s != nil {
 		s.removePending(run.task.Index)
@@ -233,6 +235,7 @@
 // result of it, and makes its task pending again.
 func (c *Core) removeLostRun(run *taskRun, now time.Duration, cause string) {
 	c.detachRun(run)
+	c.recordCopyEnd(run, "lost", false)
 	c.counters("runs_lost", 1)
 	c.log.WithFields(logrus.Fields{"task": run.task, "run": run.number, "runner": run.runner.ID, "cause": cause}).Warn("run lost")
 	c.requeue(run.job, run.task)
@@ -267,6 +270,7 @@
 		c.detachRun(run)
 		j = run.job
 		c.updateHealth(run, result.Kind, now)
+		c.recordRunEnd(run, result.Kind, now)
 	}
 	c.log.WithFields(logrus.Fields{"task": result.Task, "run": result.Run, "runner": r.ID, "how": result.Kind}).Info("run ended")
 	if j == nil || j.State.IsTerminal() || j.findTask(result.Task) == nil {
@@ -275,7 +279,7 @@
 	c.markStarted(j)
 	task := j.Task(result.Task)
 	task.LastRun = max(task.LastRun, result.Run)
-	if !task.RecordCheckpoint(result.Checkpoint) {
+	if (run == nil || run.isFurthest(run.percent)) && !task.RecordCheckpoint(result.Checkpoint) {
 		c.counters("checkpoints_too_long", 1)
 	}
 	switch result.Kind {
@@ -338,6 +342,9 @@
 	if j.Spec.Steps[result.Task.Step].LongRunning {
 		return
 	}
+	if j.isDoneByCopy(result.Task) {
+		return
+	}
 	if j.queue.MaxAttempts > 0 && j.Failures(result.Task) >= j.queue.MaxAttempts {
 		c.finishJob(j, jobs.Failed, now)
 	}
@@ -423,6 +430,7 @@
 		return
 	}
 	c.detachRun(run)
+	c.recordCopyEnd(run, answer.Outcome.String(), false)
 	if answer.Outcome == RefusedOther || answer.Outcome == RefusedNoCapacity {
 		// The runner would refuse another start at once in the same way.
 		run.runner.health.recordRefusal(now)
