--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -160,7 +160,9 @@
 	jobs       map[jobs.ID]*job
 	// finishedJobs holds the ended jobs that were removed from jobs or that ended under
 	// a predecessor.
-	finishedJobs   map[jobs.ID]struct{}
+	finishedJobs map[jobs.ID]struct{}
+	// absentJobs holds the unknown jobs for which results have waited in vain.
+	absentJobs     map[jobs.ID]struct{}
 	runners        map[string]*runner
 	runnersByID    []*runner         // sorted by ID, see sortedRunners; nil after a runner was added or removed
 	searchStart    int               // index in runnersByID at which the next search begins
@@ -223,6 +225,7 @@
 		queues:              map[string]jobs.Queue{},
 		jobs:                map[jobs.ID]*job{},
 		finishedJobs:        map[jobs.ID]struct{}{},
+		absentJobs:          map[jobs.ID]struct{}{},
 		runners:             map[string]*runner{},
 		unstoredJobs:        map[*job]struct{}{},
 		unresolved:          map[string]time.Duration{},
@@ -279,6 +282,7 @@
 	j.measuredTaskTimes = make([]time.Duration, len(j.Spec.Steps))
 	c.updateEstimates(j)
 	c.jobs[j.ID] = j
+	delete(c.absentJobs, j.ID)
 	if j.Spec.Repeats > 0 {
 		c.scheduledJobs = append(c.scheduledJobs, j)
 	}
--- a/coordinator/departure.go
+++ b/coordinator/departure.go
@@ -110,6 +110,9 @@
 	// capacity, so that none is found later either.
 	failed failedSearches
 	full   map[*openStep]bool
+	// trial is the number of holds for the members of a gang that are released if there is no
+	// runner for the next one. What a search does not find meanwhile may be found afterwards.
+	trial int
 }
 
 // hold is capacity that a plan holds on a runner for a task of a step.
@@ -121,6 +124,7 @@
 // apply adds n times the hold to the capacity in use on its runner; n may be negative.
 func (h hold) apply(n int) {
 	h.runner.held = h.runner.held.Add(multiplyResources(h.step.step.Reserved(), n))
+	h.runner.plannedStarts += n
 	h.step.runsByRunner[h.runner] += n
 }
 
@@ -143,8 +147,13 @@
 	r := p.core.pickRunner(s, p.now, nil, since)
 	p.countOwnReservations(s, -1)
 	if r == nil {
-		p.failed.record(s, since, p.core.changes.last, p.now)
+		if p.trial > 0 {
+			return nil
+		}
 		p.full[s] = true
+		if s.hasSharedDemand() { // else the search would be recorded in the step, beyond this plan
+			p.failed.record(s, since, p.core.changes.last, p.now)
+		}
 		return nil
 	}
 	h := hold{s, r}
@@ -170,9 +179,12 @@
 func (p *departurePlan) placeAll(s *openStep, n int) []*runner {
 	kept := len(p.holds)
 	var targets []*runner
-	for range n {
+	for i := range n {
+		p.trial = i
 		r := p.place(s)
+		p.trial = 0
 		if r == nil {
+			p.full[s] = true // for all of its members
 			p.releaseHolds(kept)
 			return nil
 		}
--- a/coordinator/events.go
+++ b/coordinator/events.go
@@ -83,7 +83,8 @@
 func (e progressStoredEvent) apply(coord *coordinator) {
 	coord.isStoringProgress = false
 	coord.recordRejectedProgress(e.writes, e.outcome)
-	if !coord.heldWrites.canAcknowledge(e.outcome.accepted) {
+	takesOthers := coord.sharedRowsStoredAt > 0 && coord.env.Clock()-coord.sharedRowsStoredAt < maxSharedRowsAge
+	if !coord.heldWrites.canAcknowledge(e.outcome.accepted, takesOthers) {
 		return
 	}
 	for id, acknowledged := range e.acknowledged {
--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -66,6 +66,7 @@
 	lastProgressStore   time.Duration             // when the last write of progress began
 	adviceSlot          chan struct{}             // holds a token while a request for advice is under way
 	isWritingSharedRows bool                      // a write of shared rows is under way or its event not applied
+	sharedRowsStoredAt  time.Duration             // when the store last took shared rows
 	sharedRows          map[rowstore.Key]string   // values last written, or being written
 	recordedExpiries    map[string]recordedExpiry // that the store may hold, by runner ID
 	// settledIncarnations holds, by runner ID, the processes that the predecessor's roster names
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -96,9 +96,11 @@
 }
 
 // isCurrent reports whether only runners that have changed since the search have to be compared.
-func (searches *failedSearches) isCurrent(failed *failedSearch, now time.Duration) bool {
+// For a starved step, which may start where others may not, a search does not hold longer than
+// fullScanInterval.
+func (searches *failedSearches) isCurrent(failed *failedSearch, isStarved bool, now time.Duration) bool {
 	age := now - failed.fullScanAt
-	return age < fullScanInterval || searches.rescansLeft == 0 && age < maxFullScanAge
+	return age < fullScanInterval || searches.rescansLeft == 0 && !isStarved && age < maxFullScanAge
 }
 
 // find returns the newest failed search that also holds for the step's next task, or nil. A
@@ -112,12 +114,12 @@
 	kept := searches.byDemand[s.demandKey(now)]
 	for i := range kept {
 		failed := &kept[i]
-		if searches.isCurrent(failed, now) && failed.leastRequested.Fits(s.step.Resources) && (newest == nil || failed.lastChange > newest.lastChange) {
+		if searches.isCurrent(failed, s.starved, now) && failed.leastRequested.Fits(s.step.Resources) && (newest == nil || failed.lastChange > newest.lastChange) {
 			newest = failed
 		}
 	}
 	own := &s.ownFailedSearch
-	if own.lastChange > 0 && own.waitedForFullPace == s.hasWaitedForFullPace(now) && own.rank == s.precedence.rank && searches.isCurrent(&own.failedSearch, now) &&
+	if own.lastChange > 0 && own.waitedForFullPace == s.hasWaitedForFullPace(now) && own.rank == s.precedence.rank && searches.isCurrent(&own.failedSearch, s.starved, now) &&
 		(newest == nil || own.lastChange > newest.lastChange) {
 		newest = &own.failedSearch
 	}
@@ -341,8 +343,6 @@
 		return notUsable
 	case r.health.isAvoided(now):
 		return runnerAvoided
-	case !r.domainReturn.mayStart(now):
-		return domainReturning
 	case s.step.RequiredLabel != "" && !slices.Contains(r.Labels, s.step.RequiredLabel):
 		return missingLabel
 	case s.step.MaxPerRunner > 0 && s.runsByRunner[r] >= s.step.MaxPerRunner:
@@ -351,6 +351,8 @@
 		return resultListFull
 	case !r.hasCapacityFor(s):
 		return noFreeCapacity
+	case !r.domainReturn.mayStart(now):
+		return domainReturning
 	case !s.isPermitted(r, now):
 		return noTicket
 	}
--- a/coordinator/rejectedrows.go
+++ b/coordinator/rejectedrows.go
@@ -126,8 +126,11 @@
 // covered. accepted is the number of rows that the store took. The results of a job whose rows
 // are refused are acknowledged although only this coordinator knows them: unacknowledged ones
 // would soon fill the lists of the runners, and no end of any job could be taken note of. If
-// the store took no row at all, it may refuse all of them, as in an outage.
-func (h heldWrites) canAcknowledge(accepted int) bool { return len(h) == 0 || accepted > 0 }
+// the store took no row at all, it may refuse all of them, as in an outage, unless it has just
+// taken others (takesOthers).
+func (h heldWrites) canAcknowledge(accepted int, takesOthers bool) bool {
+	return len(h) == 0 || accepted > 0 || takesOthers
+}
 
 // recordRejectedProgress counts and logs the rows of progress that the store has refused for
 // good, and holds their jobs' progress back.
--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -64,17 +64,21 @@
 
 // mustAwaitJob reports whether a result has to wait because its job is not known yet. After
 // a takeover a run may end before the feed of jobs has delivered its job. If the result were
-// acknowledged before that, the task would run again. The wait is bounded by unknownJobWait.
+// acknowledged before that, the task would run again. The wait is bounded by unknownJobWait for
+// all results of a job together: a runner may list hundreds of them, and takes no task meanwhile.
 func (c *Core) mustAwaitJob(r *runner, result RunResult, now time.Duration) bool {
 	if _, finished := c.finishedJobs[result.Task.Job]; finished || c.jobs[result.Task.Job] != nil {
 		r.unknownJobSince = 0
 		return false
 	}
-	if r.unknownJobSince == 0 {
-		r.unknownJobSince = now
-	}
-	if now-r.unknownJobSince < unknownJobWait {
-		return true
+	if _, absent := c.absentJobs[result.Task.Job]; !absent {
+		if r.unknownJobSince == 0 {
+			r.unknownJobSince = now
+		}
+		if now-r.unknownJobSince < unknownJobWait {
+			return true
+		}
+		c.absentJobs[result.Task.Job] = struct{}{}
 	}
 	r.unknownJobSince = 0
 	c.counters("ends_unknown", 1)
--- a/coordinator/roster.go
+++ b/coordinator/roster.go
@@ -269,6 +269,7 @@
 
 func (e rosterStoredEvent) apply(coord *coordinator) {
 	coord.isWritingSharedRows = false
+	coord.sharedRowsStoredAt = coord.env.Clock()
 	coord.confirmRecordedExpiries(e.expiries)
 }
 
--- a/coordinator/sharedrows.go
+++ b/coordinator/sharedrows.go
@@ -13,6 +13,8 @@
 	// sharedRowsInterval is the time between two writes of shared rows, unless an expiry
 	// has to be removed earlier.
 	sharedRowsInterval = time.Second
+	// maxSharedRowsAge is how long a stored write of shared rows shows that the store takes rows.
+	maxSharedRowsAge = 2 * sharedRowsInterval
 	// modelWriteInterval is the least time between two writes of the interference model.
 	modelWriteInterval = 4 * time.Second
 )
