--- a/harness/cluster.go
+++ b/harness/cluster.go
@@ -55,6 +55,7 @@
 	// platform. It is nil for runners and workers.
 	PlatformProxy *standin.Proxy
 	args          []string
+	peerAddress   string // of an entry instance
 }
 
 // Cluster is a running deployment. The proxies run in the process of the test. The
@@ -210,6 +211,7 @@
 func (c *Cluster) startEntry(domain, name string) error {
 	n := &Node{Domain: domain, Address: c.nextAddress()}
 	peerAddress := c.nextAddress()
+	n.peerAddress = peerAddress
 	var err error
 	if n.Proxy, err = c.startProxy(peerAddress); err != nil {
 		return err
@@ -251,6 +253,9 @@
 	}
 }
 
+// PeerAddress returns the address on which an entry instance listens for its peers.
+func (c *Cluster) PeerAddress(n *Node) string { return n.peerAddress }
+
 // Restart waits until a node's process has ended and starts it again with the same
 // name and arguments.
 func (c *Cluster) Restart(n *Node) error {
