Bound what the connections of clients may hold

What callers saw: 40 connections that kept to no limit made a process grow to gigabytes until it was ended, and more silent connections than there were descriptors kept all others out.

Cause: nbhttp bounds only the bytes of one unfinished request. Parsed requests that wait, answers that are not read, header lines, and all connections together were unbounded. Its allocator also hands out buffers of megabytes for a few bytes, and a list of nbio keeps what closed connections had buffered (found by a heap profile: 64 MB to 85 MB of 94 MB).

Ruled out: the settings of nbhttp, a scanner of our own, and closing instead of pausing, see docs/design/client-limits.md.

Change: all servers of a process share an account. A guard reads from each connection, passes what it reads to the parser in small pieces, and records what the connection holds. It reads nothing more while answers are unread. The account closes those that hold most, and silent connections first if there are too many. 408, 413 and 431 are sent in order and only for requests that were not passed on.

Processor time of ordinary requests was not compared.

--- a/builtin/builtin.go
+++ b/builtin/builtin.go
@@ -8,6 +8,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/sirupsen/logrus"
@@ -16,6 +17,7 @@
 	"bergamotstile/command"
 	"bergamotstile/demo"
 	"bergamotstile/entry"
+	"bergamotstile/httpserver"
 	"bergamotstile/logging"
 	"bergamotstile/platform/hosted"
 	"bergamotstile/settings"
@@ -63,6 +65,9 @@
 }
 
 func runEntry(ctx context.Context, s *settings.Settings) error {
+	if s.MemoryMB > 0 {
+		debug.SetMemoryLimit(httpserver.HeapLimit(s.MemoryMB << 20))
+	}
 	log := logging.New(os.Stderr, logrus.InfoLevel)
 	done := make(chan struct{})
 	defer close(done)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -122,12 +122,13 @@
 	if err != nil {
 		return err
 	}
-	peerServer, err := httpserver.StartOn(peerListener, peer.NewHandler(&peerService{i}))
+	account := i.newConnectionAccount()
+	peerServer, err := account.StartOn(peerListener, peer.NewHandler(&peerService{i}))
 	if err != nil {
 		return fmt.Errorf("peer address: %w", err)
 	}
 	defer peerServer.Close()
-	callerServer, err := httpserver.StartOn(callerListener, i.newCallerHandler(), "/healthz", "/readyz", "/debug/vars")
+	callerServer, err := account.StartOn(callerListener, i.newCallerHandler(), "/healthz", "/readyz", "/debug/vars")
 	if err != nil {
 		return fmt.Errorf("caller address: %w", err)
 	}
@@ -154,6 +155,12 @@
 	return err
 }
 
+// newConnectionAccount returns the account that the servers of the instance share.
+func (i *Instance) newConnectionAccount() *httpserver.Account {
+	limits := httpserver.Limits{MemoryBytes: i.settings.MemoryMB << 20, Descriptors: i.settings.MaxDescriptors}
+	return httpserver.NewAccount(limits, logging.ForComponent(i.log, "connections"), i.metrics.Count)
+}
+
 // listen opens both listeners, or neither if one of them fails.
 func (i *Instance) listen() (peers, callers net.Listener, err error) {
 	if peers, err = net.Listen("tcp", i.settings.PeerAddress); err != nil {
--- a/hostile/crowds_test.go
+++ b/hostile/crowds_test.go
@@ -97,6 +97,10 @@
 	unreadBodies = []crowd{
 		{connections: 40, next: text(requestLine + fmt.Sprintf("Content-Length: %d\r\n\r\n", legalBody) + strings.Repeat("[", legalBody))},
 	}
+	// manySteps pipeline jobs of legal size with very many empty steps.
+	manySteps = []crowd{
+		{connections: 120, next: text(requestLine + "Host: hostile.example\r\n" + fmt.Sprintf("Content-Length: %d\r\n\r\n", 90_002+len(`{"steps":[]}`)) + `{"steps":[` + strings.Repeat("{},", 30_000) + `{}]}`)},
+	}
 	// manyLines send heads of legal size that consist of very many lines.
 	manyLines = []crowd{
 		{connections: 30, next: func(r *rand.Rand) string { return "GET / HTTP/1.1\r\n" + shortLines(r, legalHead-64) + "\r\n" }},
--- a/hostile/hostile_test.go
+++ b/hostile/hostile_test.go
@@ -277,6 +277,7 @@
 func TestServeOutlivesEmptyLines(t *testing.T)        { serveOutlives(t, emptyLines) }
 func TestServeOutlivesUnreadAnswers(t *testing.T)     { serveOutlives(t, unreadAnswers) }
 func TestServeOutlivesUnreadBodies(t *testing.T)      { serveOutlives(t, unreadBodies) }
+func TestServeOutlivesManySteps(t *testing.T)         { serveOutlives(t, manySteps) }
 func TestServeOutlivesManyHeaderLines(t *testing.T)   { serveOutlives(t, manyLines) }
 func TestServeOutlivesSlowRequests(t *testing.T)      { serveOutlives(t, slowRequests) }
 func TestServeOutlivesSilentConnections(t *testing.T) { serveOutlives(t, silentConnections) }
--- a/httpserver/disconnect.go
+++ b/httpserver/disconnect.go
@@ -53,6 +53,9 @@
 		return nil
 	}
 	conn := response.Parser.Conn
+	if counted, ok := conn.(*countedConn); ok {
+		conn = counted.Conn
+	}
 	if wrapped, ok := conn.(*nbhttp.Conn); ok {
 		conn = wrapped.Conn
 	}
--- a/httpserver/engine.go
+++ b/httpserver/engine.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/lesismal/nbio"
@@ -16,24 +15,55 @@
 // of an engine to run.
 const pollerStartTimeout = 5 * time.Second
 
-// signalFirstRead returns a channel that is closed when the engine reads from a
-// connection for the first time. It also orders the accept of a connection before
-// each read from it in terms of the Go memory model. nbio orders them only by
-// epoll_ctl, which the race detector does not see. The detector would therefore
-// report a data race on the address of the connection.
-func signalFirstRead(engine *nbhttp.Engine) <-chan struct{} {
-	var opened atomic.Int64
+// guardConnections puts a guard in front of the parser of each connection. It returns a
+// channel that is closed when the engine reads from a connection for the first time. The
+// lock of the account also orders the accept of a connection before each read from it in
+// terms of the Go memory model. nbio orders them only by epoll_ctl, which the race detector
+// does not see. The detector would therefore report a data race on the address of the
+// connection.
+func (s *Server) guardConnections() <-chan struct{} {
 	var once sync.Once
 	firstRead := make(chan struct{})
-	engine.OnOpen(func(net.Conn) { opened.Add(1) })
-	engine.OnReadBufferAlloc(func(c *nbio.Conn) *[]byte {
-		opened.Load()
+	// nbio calls this after nbhttp has set the parser and before the poller knows the
+	// connection, so that nothing else uses the parser yet.
+	s.engine.Engine.OnOpen(func(c *nbio.Conn) {
+		if parser, ok := c.Session().(*nbhttp.Parser); ok {
+			s.account.open(s, c, parser)
+		}
+	})
+	s.engine.OnClose(func(conn net.Conn, _ error) {
+		if c, ok := conn.(*nbio.Conn); ok {
+			s.account.forget(c)
+		}
+	})
+	s.engine.OnRead(func(c *nbio.Conn) {
 		once.Do(func() { close(firstRead) })
-		return engine.PollerBufferPtr(c)
+		if g := s.account.guardOf(c); g != nil {
+			g.pump()
+		}
+	})
+	s.engine.OnWrittenSize(func(c *nbio.Conn, _ []byte, n int) {
+		if g := s.account.guardOf(c); g != nil {
+			g.written(n)
+		}
 	})
 	return firstRead
 }
 
+// sweepConnections checks the time limits of connections until the server is closed.
+func (s *Server) sweepConnections() {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-s.watcher.stop:
+			return
+		case now := <-ticker.C:
+			s.account.sweep(s, now)
+		}
+	}
+}
+
 // awaitPoller waits until the engine's listener and its only poller run. A stop
 // before that has no effect on them (nbio 1.6.8), and the engine would never end.
 // awaitPoller opens a connection and closes it at once, which makes the poller
--- a/httpserver/httpserver.go
+++ b/httpserver/httpserver.go
@@ -11,7 +11,9 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
+	"github.com/lesismal/nbio/mempool"
 	"github.com/lesismal/nbio/nbhttp"
 )
 
@@ -23,9 +25,9 @@
 	// request that is being received. It allows for headers in addition to the
 	// largest body.
 	readLimitBytes = MaxBodyBytes + 64<<10
-	// keepaliveTimeout is the time after which a connection is closed if it
-	// sends nothing or sends a request too slowly.
-	keepaliveTimeout = 30 * time.Second
+	// engineTimeout is the time after which nbhttp closes a connection. It is longer than
+	// any connection lives without a request in flight; Account closes those in time.
+	engineTimeout = 24 * time.Hour
 	// drainPollInterval is the interval at which Drain checks whether the quiet
 	// period has passed.
 	drainPollInterval = 10 * time.Millisecond
@@ -33,6 +35,9 @@
 
 func init() {
 	logging.SetLevel(logging.LevelNone)
+	// The default allocator of nbio keeps large buffers and returns them for small sizes,
+	// so that a few bytes can hold megabytes.
+	mempool.DefaultMemPool = mempool.NewSTD()
 }
 
 // Server serves a handler on one address.
@@ -45,17 +50,28 @@
 	// began or ended, in nanoseconds since the Unix epoch.
 	lastActivityUnixNS atomic.Int64
 	watcher            *disconnectWatcher
+	account            *Account
+}
+
+// Start starts a server as Account.Start does, with an account of its own.
+func Start(address string, handler http.Handler, probePaths ...string) (*Server, error) {
+	return NewAccount(Limits{}, nil, nil).Start(address, handler, probePaths...)
+}
+
+// StartOn starts a server as Account.StartOn does, with an account of its own.
+func StartOn(listener net.Listener, handler http.Handler, probePaths ...string) (*Server, error) {
+	return NewAccount(Limits{}, nil, nil).StartOn(listener, handler, probePaths...)
 }
 
 // Start listens on address and serves handler until Close is called. Requests
 // for probePaths do not prolong a drain, since a load balancer sends them for as
-// long as the server answers.
-func Start(address string, handler http.Handler, probePaths ...string) (*Server, error) {
+// long as the server answers. All servers of a process should share one account.
+func (a *Account) Start(address string, handler http.Handler, probePaths ...string) (*Server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	return StartOn(listener, handler, probePaths...)
+	return a.StartOn(listener, handler, probePaths...)
 }
 
 // StartOn serves handler on a listener, as Start does. The listener is opened
@@ -63,20 +79,23 @@
 // return: it stops its pollers, and a stop has no effect on a poller that does
 // not run yet (nbio 1.6.8). A caller that needs several addresses should
 // therefore listen on all of them before it starts the first server.
-func StartOn(listener net.Listener, handler http.Handler, probePaths ...string) (*Server, error) {
+func (a *Account) StartOn(listener net.Listener, handler http.Handler, probePaths ...string) (*Server, error) {
 	address := listener.Addr().String()
-	s := &Server{probePaths: probePaths, watcher: newDisconnectWatcher()}
+	s := &Server{probePaths: probePaths, watcher: newDisconnectWatcher(), account: a}
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
-		Network:         "tcp",
-		Addrs:           []string{address},
-		NPoller:         1, // see awaitPoller
-		Listen:          func(string, string) (net.Listener, error) { return listener, nil },
+		Network: "tcp",
+		Addrs:   []string{address},
+		NPoller: 1, // see awaitPoller
+		Listen: func(string, string) (net.Listener, error) {
+			return &limitedListener{listener, a}, nil
+		},
+		EpollMod:        nbio.EPOLLET, // a guard that pauses would be called again and again otherwise
 		MaxHTTPBodySize: MaxBodyBytes,
 		ReadLimit:       readLimitBytes,
-		KeepaliveTime:   keepaliveTimeout,
+		KeepaliveTime:   engineTimeout,
 		Handler:         s.trackRequests(handler),
 	})
-	firstRead := signalFirstRead(s.engine)
+	firstRead := s.guardConnections()
 	if err := s.engine.Start(); err != nil {
 		_ = listener.Close()
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
@@ -85,6 +104,7 @@
 		return nil, fmt.Errorf("serve on %s: %w", address, err)
 	}
 	go s.watcher.run()
+	go s.sweepConnections()
 	return s, nil
 }
 
--- a/settings/check.go
+++ b/settings/check.go
@@ -41,6 +41,12 @@
 	if s.CommitMax < 1 || s.CommitMax > maxCommitMax {
 		c.Addf("commit_max", "must be between 1 and %d, not %d", maxCommitMax, s.CommitMax)
 	}
+	if s.MemoryMB < 0 {
+		c.Addf("memory_mb", "must not be negative, not %d", s.MemoryMB)
+	}
+	if s.MaxDescriptors < 0 {
+		c.Addf("max_descriptors", "must not be negative, not %d", s.MaxDescriptors)
+	}
 	if c.Count() == 0 {
 		c.checkLeaseRelations()
 		c.checkOtherRelations()
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -82,6 +82,14 @@
 	// DrainMaxMS is the longest time that a drain may take. It includes the wait
 	// for requests in flight.
 	DrainMaxMS Millis `json:"drain_max_ms,omitempty"`
+
+	// MemoryMB is the memory that the process may use. A quarter of it bounds what the
+	// connections of callers and peers hold together. Zero selects the default of
+	// package httpserver for that, and leaves the process as a whole unbounded.
+	MemoryMB int64 `json:"memory_mb,omitempty"`
+	// MaxDescriptors is the number of descriptors that the process may have open. Zero
+	// selects the resource limit of the process.
+	MaxDescriptors int `json:"max_descriptors,omitempty"`
 }
 
 // Default returns settings in which the name, the domain and the addresses are
