--- a/coordinator/link.go
+++ b/coordinator/link.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"sync"
 	"time"
 
@@ -29,25 +28,6 @@
 	maxOrdersInFlight = 6
 )
 
-// Limits of the repetition of an order that is not answered.
-const (
-	minOrderRetryPause = 100 * time.Millisecond
-	maxOrderRetryPause = 800 * time.Millisecond
-	maxPaceAttempts    = 3
-)
-
-const (
-	// generationBits is the number of low bits of a fencing token that hold the generation of a
-	// link. Tokens are numbers in JSON, of which 53 bits are exact, so 29 bits are left for the
-	// epoch of the coordinator.
-	generationBits = 24
-	// maxClockDeviation is how far a reading of a runner's clock may be from the one expected,
-	// beyond the drift of the clocks and the time that the call took. It covers the time that the
-	// answer to the last poll took. A new process starts a new clock, whose readings are
-	// unrelated to those of the earlier one.
-	maxClockDeviation = 2 * time.Second
-)
-
 // link is the coordinator's side of the communication with one runner. It holds the state of
 // the leases on the runner. pollLoop polls the runner, which extends the leases, and posts the
 // reports in the answers. sendOrder sends an order to the runner and posts the answer.
@@ -116,76 +96,6 @@
 		lease: leaseState{expiresBy: inheritedExpiry}, generation: coord.tokens.nextGeneration(runnerID), restarted: make(chan struct{}, 1)}
 }
 
-// token returns the fencing token of calls to the runner. It is higher than that of each call
-// of an earlier coordinator, and than that of each call of this one to an earlier process of the
-// runner. The caller holds mu.
-func (l *link) token() uint64 { return l.coordinator.term.Epoch<<generationBits | l.generation }
-
-// isSuperseded reports whether a token has been replaced by a higher one of this coordinator,
-// also by that of a later link to the runner, so that a call with it may be refused although no
-// later coordinator exists.
-func (l *link) isSuperseded(token uint64) bool {
-	return token < l.coordinator.term.Epoch<<generationBits|l.coordinator.tokens.newest(l.runnerID)
-}
-
-// setRegistration records the runner's registry entry. An entry of another process than the one
-// that answered last shows that the runner has restarted.
-func (l *link) setRegistration(info RunnerInfo, now time.Duration) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.address = info.Address
-	changed := info.Incarnation != l.registeredIncarnation
-	l.registeredIncarnation = info.Incarnation
-	known := l.incarnation
-	if known == 0 {
-		known = l.settledIncarnation
-	}
-	if !changed || info.Incarnation == 0 || known == 0 || info.Incarnation == known {
-		return
-	}
-	l.suspectRestart(now, "registry entry of another process")
-	l.raiseGeneration()
-	select {
-	case l.restarted <- struct{}{}:
-	default:
-	}
-}
-
-// raiseGeneration makes the next calls carry a higher token. Once the runner has answered one,
-// it refuses all earlier calls. The caller holds mu.
-func (l *link) raiseGeneration() {
-	l.generation = l.coordinator.tokens.nextGeneration(l.runnerID)
-	l.isFenced = false
-}
-
-// suspectRestart records that the process that answered last is not the present one. Calls to it
-// that are under way may be carried out by the present one. The caller holds mu.
-func (l *link) suspectRestart(now time.Duration, evidence string) {
-	if l.restartSuspectedAt == 0 {
-		l.misdirectedExpiryBefore = l.lease.misdirectedExpiresBy
-		l.coordinator.env.Count("restarts_suspected", 1)
-		l.coordinator.env.Log.WithFields(logrus.Fields{"runner": l.runnerID, "evidence": evidence}).Warn("runner may have restarted")
-	}
-	l.restartSuspectedAt = now
-	l.lease.allowMisdirectedCalls(now+maxCallDelay, l.coordinator.env.MaxLeaseDuration)
-}
-
-// checkClock compares a reading of the runner's clock in a response to an order with the one
-// expected. The order was sent, and the response received, at the given local times.
-func (l *link) checkClock(reading, sent, received time.Duration) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if reading == 0 || l.lease.clockReading == 0 {
-		return
-	}
-	elapsed := received - l.lease.receivedAt
-	deviation := (reading - l.lease.clockReading - elapsed).Abs()
-	allowed := maxClockDeviation + (received - sent) + elapsed.Abs()*maxClockDriftPercent/100
-	if deviation > allowed {
-		l.suspectRestart(received, "reading of another clock")
-	}
-}
-
 // setAcknowledged records up to which number the runner's results are stored. The next polls
 // report to the runner that it may forget them.
 func (l *link) setAcknowledged(acknowledged Acknowledgement) {
@@ -272,34 +182,6 @@
 	return pollAnswer{canExtend: l.newLeaseEnd() > 0, unfenced: !l.isFenced}
 }
 
-// recordFencing records that the present process has answered a poll with a token. Once it has
-// seen the present token, it carries out no more misdirected calls. The caller holds mu.
-func (l *link) recordFencing(token uint64, now time.Duration) {
-	if l.isFenced || token != l.token() {
-		return
-	}
-	l.isFenced = true
-	l.lease.misdirectedExpiresBy = 0
-	if l.incarnation != l.settledIncarnation {
-		l.lease.allowMisdirectedCalls(now, l.coordinator.env.MaxLeaseDuration)
-	}
-}
-
-// findSettledIncarnation identifies the runner's process if no misdirected call can hold a lease
-// on it any more. Otherwise it returns what the predecessor knew, or zero.
-func (l *link) findSettledIncarnation(now time.Duration) int64 {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	switch {
-	case l.incarnation == 0:
-		return l.settledIncarnation
-	case l.isFenced && l.restartSuspectedAt == 0 && now > l.lease.misdirectedExpiresBy:
-		l.settledIncarnation = l.incarnation
-		return l.incarnation
-	}
-	return 0
-}
-
 // recordUnanswered records that a poll failed: it was not answered, or another runner
 // answered at the address.
 func (l *link) recordUnanswered(now time.Duration) {
@@ -319,38 +201,6 @@
 	l.mayHaveRestarted = true
 }
 
-// orderTarget is where and how to send an order.
-type orderTarget struct {
-	address  string
-	token    uint64
-	deadline time.Duration // for a start: of its lease, on the runner's clock
-}
-
-// errOtherProcess means that a start was not sent because the runner's process for which it was
-// decided has ended. The new one may differ in service, capacity and labels.
-var errOtherProcess = fmt.Errorf("%w: runner has restarted", ErrNotSent)
-
-// findOrderTarget returns where to send an order. It returns errAttemptSkipped for a start while
-// no lease can be granted: if the start carried an old deadline, a process of the runner that has
-// started since would compare the deadline with its own, new clock.
-func (l *link) findOrderTarget(order Order) (orderTarget, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	target := orderTarget{address: l.address, token: l.token()}
-	if order.Kind != Start {
-		return target, nil
-	}
-	if order.Incarnation != 0 && l.incarnation != 0 && order.Incarnation != l.incarnation {
-		return target, errOtherProcess
-	}
-	until := l.newLeaseEnd()
-	if until == 0 {
-		return target, errAttemptSkipped
-	}
-	target.deadline = min(l.lease.extend(until), l.lease.startDeadline(l.coordinator.env.Clock()))
-	return target, nil
-}
-
 // pollLoop polls the runner until ctx ends or the runner refuses this coordinator because
 // of a later one.
 func (l *link) pollLoop(ctx context.Context) {
@@ -447,77 +297,6 @@
 	}
 }
 
-// errAttemptSkipped means that an attempt to send an order was skipped because the order is
-// settled, see Order.Settled, or because it is a start and no lease can be granted yet.
-var errAttemptSkipped = fmt.Errorf("%w: order no longer needed, or no lease can be granted", ErrNotSent)
-
-// errSupersededToken means that the runner refused an attempt to send an order, and did nothing,
-// because it has seen a later token of this coordinator.
-var errSupersededToken = fmt.Errorf("%w: the fencing token has been replaced", ErrNotSent)
-
-// sendOrder attempts to send an order until the runner answers it, and posts the answer. It
-// stops without an answer once the order is settled or ctx ends. If the runner refuses it
-// because of a later coordinator, sendOrder ends the term. It makes at most maxPaceAttempts
-// attempts to send a pace order, and posts no answer to it.
-func (l *link) sendOrder(ctx context.Context, order Order) {
-	repeated := false
-	retry := minOrderRetryPause
-	for attempt := 1; ctx.Err() == nil && !order.Settled.Load(); attempt++ {
-		outcome, err := l.trySendOrder(ctx, order)
-		switch {
-		case errors.Is(err, ErrFenced):
-			l.coordinator.fail(ErrFenced)
-			return
-		case errors.Is(err, errOtherProcess):
-			l.coordinator.post(ctx, answerEvent{Answer{Order: order, Outcome: RunnerRestarted, Repeated: repeated}})
-			return
-		case err == nil && order.Kind == Pace:
-			return // the core ignores the answer
-		case err == nil:
-			l.coordinator.post(ctx, answerEvent{Answer{Order: order, Outcome: outcome, Repeated: repeated}})
-			return
-		case !errors.Is(err, errAttemptSkipped) && !errors.Is(err, errSupersededToken):
-			l.markPossibleRestart()
-			l.coordinator.env.Count("order_retry", 1)
-		}
-		repeated = repeated || !errors.Is(err, ErrNotSent)
-		if order.Kind == Pace && attempt >= maxPaceAttempts {
-			return
-		}
-		pause(ctx, retry)
-		retry = min(2*retry, maxOrderRetryPause)
-	}
-}
-
-// trySendOrder makes one attempt to send an order. It first waits while maxOrdersInFlight
-// orders to the runner are under way. It returns errAttemptSkipped without sending the order
-// if the order is settled, or if it is a start and no lease can be granted.
-func (l *link) trySendOrder(ctx context.Context, order Order) (Outcome, error) {
-	select {
-	case l.orderSlots <- struct{}{}:
-		defer func() { <-l.orderSlots }()
-	case <-ctx.Done():
-		return 0, ctx.Err()
-	}
-	target, err := l.findOrderTarget(order)
-	if err != nil {
-		return 0, err
-	}
-	if !order.beginAttempt() {
-		return 0, errAttemptSkipped
-	}
-	order.Address = target.address
-	sent := l.coordinator.env.Clock()
-	response, err := l.coordinator.env.Runners.Send(ctx, order, target.token, target.deadline)
-	if errors.Is(err, ErrFenced) && l.isSuperseded(target.token) {
-		return 0, errSupersededToken
-	}
-	if err == nil {
-		l.checkClock(response.Clock, sent, l.coordinator.env.Clock())
-	}
-	return response.Outcome, err
-}
-
 // pause waits for a time or until ctx ends.
 func pause(ctx context.Context, d time.Duration) {
 	select {
