--- a/coordinator/link.go
+++ b/coordinator/link.go
@@ -5,8 +5,6 @@
 	"errors"
 	"sync"
 	"time"
-
-	"github.com/sirupsen/logrus"
 )
 
 // Limits of the polls of one runner and of the orders to it.
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -5,9 +5,6 @@
 	"maps"
 	"slices"
 	"time"
-
-	"bergamotstile/interference"
-	"bergamotstile/structs"
 )
 
 // Parameters of the choice of a runner.
