--- a/coordinator/copies.go
+++ b/coordinator/copies.go
@@ -230,7 +230,7 @@
 		}
 		var paths *jobPaths // computed if a run of the job is slow
 		for _, run := range runs {
-			option := c.copyOption(run, now)
+			option := c.copyInputs(run, now)
 			if !option.isSlow() && c.speculation.policy == nil {
 				continue
 			}
@@ -246,10 +246,10 @@
 	return candidates
 }
 
-// copyOption returns what is known of a run, without otherPath.
-func (c *Core) copyOption(run *taskRun, now time.Duration) copyOption {
+// copyInputs returns what is known of a run, without otherPath.
+func (c *Core) copyInputs(run *taskRun, now time.Duration) copyInputs {
 	s := run.openStep
-	o := copyOption{task: run.task, stated: s.step.Estimate, elapsed: now - run.startedAt, restShare: 1,
+	o := copyInputs{task: run.task, stated: s.step.Estimate, elapsed: now - run.startedAt, restShare: 1,
 		timeAfterStep: max(0, s.chainTime-run.job.taskEstimates[s.index]), untilObjective: run.job.objective - now - c.storeOffset}
 	var fromSiblings bool
 	o.usual, fromSiblings = c.usualRunTime(s)
@@ -284,7 +284,7 @@
 func (c *Core) expectedEnd(runs []*taskRun, now time.Duration) time.Duration {
 	end := noDeadline
 	for _, run := range runs {
-		option := c.copyOption(run, now)
+		option := c.copyInputs(run, now)
 		if c.mayCopy(run) && option.isSlow() {
 			end = min(end, option.expectedEndWithCopy())
 		} else {
--- a/coordinator/departure.go
+++ b/coordinator/departure.go
@@ -16,9 +16,9 @@
 	// deadline is when the run is stopped at the latest, whatever free capacity or disruption
 	// budget there is. Before that, the run is stopped only if its task can start elsewhere.
 	deadline time.Duration
-	// needsNoCapacity is set if the run is to be stopped, within the disruption budget, although
+	// mayStopWithoutCapacity is set if the run is to be stopped, within the disruption budget, although
 	// no other runner has free capacity for its task.
-	needsNoCapacity bool
+	mayStopWithoutCapacity bool
 	// oneAtATime is set if, of a long-running step without a disruption budget, only one task
 	// may be unavailable.
 	oneAtATime bool
@@ -67,7 +67,7 @@
 		}
 		first := &merged[i]
 		first.deadline = min(first.deadline, d.deadline)
-		first.needsNoCapacity = first.needsNoCapacity || d.needsNoCapacity
+		first.mayStopWithoutCapacity = first.mayStopWithoutCapacity || d.mayStopWithoutCapacity
 		first.oneAtATime = first.oneAtATime && d.oneAtATime
 	}
 	return merged
@@ -280,7 +280,7 @@
 	targets := make([]*runner, len(unit))
 	if s := unit[0].run.openStep; s != nil {
 		found := p.placeAll(s, len(unit))
-		if found == nil && !isDue && !unit[0].needsNoCapacity {
+		if found == nil && !isDue && !unit[0].mayStopWithoutCapacity {
 			return
 		}
 		copy(targets, found)
--- a/coordinator/drain.go
+++ b/coordinator/drain.go
@@ -76,7 +76,7 @@
 	}
 	if r.cordon != nil {
 		end = min(end, r.cordon.Until)
-		d.needsNoCapacity = r.cordon.Urgent
+		d.mayStopWithoutCapacity = r.cordon.Urgent
 	}
 	if run.step.LongRunning {
 		return d, true
--- a/coordinator/failedsearches.go
+++ b/coordinator/failedsearches.go
@@ -54,7 +54,7 @@
 // failedSearches holds, for each demand, the last searches that found no runner. They make it
 // unnecessary to compare all runners again for each of many equal tasks and, in the next
 // scheduling rounds, to compare those that have not changed. With hundreds of runners and a
-// backlog, these comparisons took most of the coordinator's processor time. Several searches are
+// backlog, these comparisons would take most of the coordinator's processor time. Several searches are
 // kept because tasks of one demand differ in size: a search for a small task also holds for
 // larger ones, but not the other way round.
 type failedSearches struct {
--- a/coordinator/incarnation_test.go
+++ b/coordinator/incarnation_test.go
@@ -246,16 +246,16 @@
 	h.coordinator.env.MaxLeaseDuration = 10 * time.Second
 	l := h.register()
 	l.recordAnswer(1, time.Hour, h.clock.now(), h.clock.now(), l.token())
-	if got := l.findSettledIncarnation(h.clock.now()); got != 0 {
+	if got := l.updateSettledIncarnation(h.clock.now()); got != 0 {
 		t.Errorf("process %d is settled at its first answer", got)
 	}
 	h.clock.advance(11 * time.Second)
-	if got := l.findSettledIncarnation(h.clock.now()); got != 1 {
+	if got := l.updateSettledIncarnation(h.clock.now()); got != 1 {
 		t.Errorf("settled process %d after the longest lease, want 1", got)
 	}
 	l.recordAnswer(2, time.Minute, h.clock.now(), h.clock.now(), l.token())
 	h.clock.advance(time.Minute)
-	if got := l.findSettledIncarnation(h.clock.now()); got != 0 {
+	if got := l.updateSettledIncarnation(h.clock.now()); got != 0 {
 		t.Errorf("process %d is settled although it may carry out calls to the earlier one", got)
 	}
 }
--- a/coordinator/lease.go
+++ b/coordinator/lease.go
@@ -13,7 +13,7 @@
 	// have expired.
 	expiryMargin = 400 * time.Millisecond
 	// maxCallDelay is how long after it was sent a call without an answer may be carried out.
-	// Calls have been carried out 12 s late.
+	// Delays of 12 s occur.
 	maxCallDelay = 15 * time.Second
 )
 
@@ -70,7 +70,7 @@
 
 // newLeaseEnd returns the local time at which leases on the runner end if they are granted
 // now, or zero if none can be granted: the runner does not answer or may have restarted, the
-// store may hold its expiry, or the coordinator may grant no leases.
+// store may hold its expiry, or the coordinator may grant no leases. The caller holds mu.
 func (l *link) newLeaseEnd() time.Duration {
 	if !l.isAnswering() || l.isExpiryRecorded || l.restartSuspectedAt > 0 {
 		return 0
@@ -107,7 +107,8 @@
 	}
 }
 
-// isAnswering reports whether the runner answered the last poll that has ended.
+// isAnswering reports whether the runner answered the last poll that has ended. The caller holds
+// mu.
 func (l *link) isAnswering() bool { return !l.isSilent && l.lease.clockReading > 0 }
 
 // stopLeaseExtension makes the link extend no lease on the runner until clearRecordedExpiry is
--- a/coordinator/link.go
+++ b/coordinator/link.go
@@ -82,8 +82,8 @@
 	misdirectedExpiryBefore time.Duration
 	// restarted signals that a poll under way need not be waited for, since its process has ended.
 	restarted chan struct{}
-	// settledIncarnation identifies a process on which no misdirected call can hold a lease, as
-	// the predecessor knew it; zero if it knew of none.
+	// settledIncarnation identifies the last process known to hold no lease of a misdirected call,
+	// from the roster or from this coordinator; zero if none is known.
 	settledIncarnation int64
 }
 
--- a/coordinator/locality.go
+++ b/coordinator/locality.go
@@ -26,8 +26,8 @@
 	// placeDelay is the time from the end of a run until a task can start in its place: the report
 	// of the end and a round of scheduling.
 	placeDelay = 100 * time.Millisecond
-	// notDrainingTime is how long nothing waits for a rack on which a place has not come in time.
-	notDrainingTime = 2 * time.Second
+	// waitSuspension is how long nothing waits for a rack on which a place has not come in time.
+	waitSuspension = 2 * time.Second
 	// wantedRackPenalty is added to the expected time, relative to the usual one, on a rack for
 	// which other tasks wait. Work that runs equally well elsewhere leaves the rack to them.
 	wantedRackPenalty = 0.5
@@ -54,8 +54,8 @@
 	slack time.Duration
 	// freeShare is the free share of the service's capacity, from 0 to 1.
 	freeShare float64
-	// rackIsDraining is false while the rack counts as not draining.
-	rackIsDraining bool
+	// mayAwaitRack is false while the rack counts as not draining.
+	mayAwaitRack bool
 	// waited is how long the task has declined far places. remaining is the time until the
 	// deadline of that wait, and isWaiting says that there is one.
 	waited, remaining time.Duration
@@ -110,8 +110,8 @@
 	switch {
 	case q.isWaiting && q.remaining <= 0:
 		return placementAnswer{reason: "no place by the deadline", isOvertaken: true}
-	case !q.rackIsDraining:
-		return placementAnswer{reason: "rack is not draining"}
+	case !q.mayAwaitRack:
+		return placementAnswer{reason: "waits for the rack are suspended"}
 	case !q.near.isKnown:
 		return placementAnswer{reason: "no place expected"}
 	case q.risksObjective():
--- a/coordinator/locality_test.go
+++ b/coordinator/locality_test.go
@@ -13,7 +13,7 @@
 // soonQuestion is a question for which a wait pays.
 func soonQuestion() placementQuestion {
 	return placementQuestion{estimate: 4 * time.Second, factor: 2, near: placeForecast{isKnown: true, in: time.Second, deviation: 200 * time.Millisecond},
-		slack: time.Minute, freeShare: 0.5, rackIsDraining: true}
+		slack: time.Minute, freeShare: 0.5, mayAwaitRack: true}
 }
 
 // Guards against a wait that costs more than it saves, against a far start where a short wait
@@ -35,7 +35,7 @@
 		{"on time only far", func(q *placementQuestion) { q.slack, q.near.in, q.factor = 2*time.Second, 1900*time.Millisecond, 1.5 }, false, "objective at risk"},
 		{"no usable runner", func(q *placementQuestion) { q.near = placeForecast{} }, false, "no place expected"},
 		{"no usable runner any more", func(q *placementQuestion) { q.near, q.isWaiting, q.remaining = placeForecast{}, true, time.Second }, false, "no place expected"},
-		{"rack is not draining", func(q *placementQuestion) { q.rackIsDraining = false }, false, "rack is not draining"},
+		{"waits for the rack are suspended", func(q *placementQuestion) { q.mayAwaitRack = false }, false, "waits for the rack are suspended"},
 		{"waits", func(q *placementQuestion) { q.isWaiting, q.remaining = true, 2*time.Second }, true, "waits on"},
 		{"forecast later than the deadline", func(q *placementQuestion) { q.isWaiting, q.remaining = true, 900*time.Millisecond }, false, "place expected after the deadline"},
 		{"deadline passed", func(q *placementQuestion) { q.isWaiting, q.near.in = true, 0 }, false, "no place by the deadline"},
@@ -59,7 +59,7 @@
 	for range 10_000 {
 		q := placementQuestion{estimate: duration(time.Minute), factor: 1 + 2*rng.Float64(), slack: duration(time.Minute) - 30*time.Second,
 			near:  placeForecast{isKnown: rng.IntN(10) > 0, in: duration(20 * time.Second), deviation: duration(5 * time.Second)},
-			ahead: rng.IntN(20), freeShare: rng.Float64(), rackIsDraining: rng.IntN(10) > 0}
+			ahead: rng.IntN(20), freeShare: rng.Float64(), mayAwaitRack: rng.IntN(10) > 0}
 		answer := decidePlacement(q)
 		if !answer.wait {
 			continue
@@ -218,7 +218,7 @@
 }
 
 // Guards against endless waits on a rack whose runs always seem to end soon. The first task goes far
-// at the end of its bound. Later ones don't wait for notDrainingTime, and wait again after it.
+// at the end of its bound. Later ones don't wait for waitSuspension, and wait again after it.
 func TestRackThatDoesNotDrainIsGivenUp(t *testing.T) {
 	h := newLocalityHarness(t)
 	h.addJob(firstID, false, nearStep(1))
@@ -239,7 +239,7 @@
 	h.wantStarts("far2")
 	h.core.UpdateRunner(rackRunner("far3", "far"), h.now)
 	h.report(Report{Runner: "far3", Incarnation: 1})
-	h.now += notDrainingTime
+	h.now += waitSuspension
 	h.reportBusy(99)
 	h.addJob("00000000000000c3", false, nearStep(1))
 	h.wantStarts()
@@ -258,7 +258,7 @@
 	h.addJob(firstID, false, plainStep(3, 1000), gang)
 	h.addJob(secondID, false, plainStep(8, 1000))
 	h.schedule()
-	if l := h.core.locality; l.runnersByRack != nil || l.plans != nil || l.wanted != nil || l.notDrainingUntil != nil {
+	if l := h.core.locality; l.runnersByRack != nil || l.plans != nil || l.wanted != nil || l.waitsSuspendedUntil != nil {
 		t.Errorf("state of placements %+v", l)
 	}
 }
--- a/coordinator/nearwait.go
+++ b/coordinator/nearwait.go
@@ -16,16 +16,16 @@
 	gangForecastInterval = 200 * time.Millisecond
 )
 
-// locality is the state of the choice between near and far places. Apart from racks that are not
-// draining, it lasts for one scheduling round, and it is built only for racks that a waiting step
-// names and that have no free place. Nothing of it has to outlast the coordinator.
+// locality is the state of the choice between near and far places, known as delay scheduling.
+// runnersByRack and plans last for one scheduling round, the other fields longer. Nothing of it is
+// stored.
 type locality struct {
 	decide func(placementQuestion) placementAnswer
 	// runnersByRack and plans are those of the current round; nil if nothing has needed them.
 	runnersByRack map[rackKey][]*runner
 	plans         map[rackKey]*rackPlan
-	// notDrainingUntil holds until when nothing waits for a rack.
-	notDrainingUntil map[rackKey]time.Duration
+	// waitsSuspendedUntil holds until when nothing waits for a rack.
+	waitsSuspendedUntil map[rackKey]time.Duration
 	// lastPlaceAt is when a task last got a place on the rack of its data.
 	lastPlaceAt map[rackKey]time.Duration
 	nextLogAt   time.Duration
@@ -71,26 +71,26 @@
 	return now || before
 }
 
-// isDraining reports whether tasks may wait for the rack.
-func (l *locality) isDraining(key rackKey, now time.Duration) bool {
-	return now >= l.notDrainingUntil[key]
+// mayAwait reports whether tasks may wait for the rack.
+func (l *locality) mayAwait(key rackKey, now time.Duration) bool {
+	return now >= l.waitsSuspendedUntil[key]
 }
 
-// markNotDraining ends the waits for a rack for notDrainingTime, unless the rack has had a place for
+// suspendWaits ends the waits for a rack for waitSuspension, unless the rack has had a place for
 // another task since the given time: then only the order of the queue has changed.
-func (l *locality) markNotDraining(key rackKey, since, now time.Duration) {
+func (l *locality) suspendWaits(key rackKey, since, now time.Duration) {
 	if l.lastPlaceAt[key] >= since {
 		return
 	}
-	if l.notDrainingUntil == nil {
-		l.notDrainingUntil = map[rackKey]time.Duration{}
+	if l.waitsSuspendedUntil == nil {
+		l.waitsSuspendedUntil = map[rackKey]time.Duration{}
 	}
-	for other, until := range l.notDrainingUntil {
+	for other, until := range l.waitsSuspendedUntil {
 		if now >= until {
-			delete(l.notDrainingUntil, other)
+			delete(l.waitsSuspendedUntil, other)
 		}
 	}
-	l.notDrainingUntil[key] = now + notDrainingTime
+	l.waitsSuspendedUntil[key] = now + waitSuspension
 }
 
 // recordNearPlace records that a task gets a place on the rack of its data.
@@ -209,14 +209,14 @@
 	}
 	q := c.placementQuestion(s, now)
 	q.isWaiting, q.waited, q.remaining = isWaiting, now-wait.since, wait.deadline-now
-	q.rackIsDraining = c.locality.isDraining(search.key, now)
+	q.mayAwaitRack = c.locality.mayAwait(search.key, now)
 	plan := c.locality.plan(c, search.key, now)
 	var place, releases int
 	q.near, place, releases = plan.place(s.step.Reserved(), s.acceptsPlan())
 	q.ahead = plan.ahead
 	answer := c.locality.decide(q)
 	if answer.isOvertaken {
-		c.locality.markNotDraining(search.key, wait.since, now)
+		c.locality.suspendWaits(search.key, wait.since, now)
 	}
 	if !answer.wait {
 		search.allFar = true
@@ -309,10 +309,10 @@
 	q := c.placementQuestion(s, now)
 	q.isWaiting, q.waited, q.remaining = w.waits, now-w.since, w.deadline-now
 	key, forecast, members := c.bestGangRack(s, now)
-	q.near, q.rackIsDraining = forecast, true
+	q.near, q.mayAwaitRack = forecast, true
 	answer := c.locality.decide(q)
 	if answer.isOvertaken {
-		c.locality.markNotDraining(w.rack, w.since, now)
+		c.locality.suspendWaits(w.rack, w.since, now)
 	}
 	if answer.wait != w.waits || !answer.wait {
 		c.logPlacement(s, key, q, answer, now)
@@ -339,7 +339,7 @@
 func (c *Core) bestGangRack(s *openStep, now time.Duration) (best rackKey, forecast placeForecast, members []*runner) {
 	for _, rack := range c.racksByFreeCapacity() {
 		key := rackKey{s.job.queue.Service, rack}
-		if !c.locality.isDraining(key, now) {
+		if !c.locality.mayAwait(key, now) {
 			continue
 		}
 		p := c.locality.plan(c, key, now).clone()
--- a/coordinator/rejectedrows.go
+++ b/coordinator/rejectedrows.go
@@ -125,7 +125,7 @@
 // canAcknowledge reports whether runners may forget the results that a write of progress
 // covered. accepted is the number of rows that the store took. The results of a job whose rows
 // are refused are acknowledged although only this coordinator knows them: unacknowledged ones
-// would soon fill the lists of the runners, and no end of any job could be taken note of. If
+// would soon fill the lists of the runners, and no result of any job could be processed. If
 // the store took no row at all, it may refuse all of them, as in an outage, unless it has just
 // taken others (takesOthers).
 func (h heldWrites) canAcknowledge(accepted int, takesOthers bool) bool {
--- a/coordinator/restart.go
+++ b/coordinator/restart.go
@@ -9,7 +9,7 @@
 const (
 	// generationBits is the number of low bits of a fencing token that hold the generation of a
 	// link. Tokens are numbers in JSON, of which 53 bits are exact, so 29 bits are left for the
-	// epoch of the coordinator.
+	// epoch of the coordinator. A term does not see 16 million restarts of runners.
 	generationBits = 24
 	// maxClockDeviation is how far a reading of a runner's clock may be from the one expected,
 	// beyond the drift of the clocks and the time that the call took. It covers the time that the
@@ -21,13 +21,16 @@
 // token returns the fencing token of calls to the runner. It is higher than that of each call
 // of an earlier coordinator, and than that of each call of this one to an earlier process of the
 // runner. The caller holds mu.
-func (l *link) token() uint64 { return l.coordinator.term.Epoch<<generationBits | l.generation }
+func (l *link) token() uint64 { return fencingToken(l.coordinator.term.Epoch, l.generation) }
+
+// fencingToken returns the token of an epoch and a generation.
+func fencingToken(epoch, generation uint64) uint64 { return epoch<<generationBits | generation }
 
 // isSuperseded reports whether a token has been replaced by a higher one of this coordinator,
 // also by that of a later link to the runner, so that a call with it may be refused although no
 // later coordinator exists.
 func (l *link) isSuperseded(token uint64) bool {
-	return token < l.coordinator.term.Epoch<<generationBits|l.coordinator.tokens.newest(l.runnerID)
+	return token < fencingToken(l.coordinator.term.Epoch, l.coordinator.tokens.newest(l.runnerID))
 }
 
 // setRegistration records the runner's registry entry. An entry of another process than the one
@@ -85,9 +88,10 @@
 	}
 }
 
-// findSettledIncarnation identifies the runner's process if no misdirected call can hold a lease
-// on it any more. Otherwise it returns what the predecessor knew, or zero.
-func (l *link) findSettledIncarnation(now time.Duration) int64 {
+// updateSettledIncarnation returns the incarnation of the process on which no misdirected call can
+// hold a lease any more, and records it. It returns zero if there may be such a call. Before the
+// first answer it returns the recorded one.
+func (l *link) updateSettledIncarnation(now time.Duration) int64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
--- a/coordinator/roster.go
+++ b/coordinator/roster.go
@@ -197,7 +197,7 @@
 	for _, id := range coord.core.Roster() {
 		e := rosterEntry{id: id, settledIncarnation: coord.settledIncarnations[id]}
 		if l := coord.links[id]; l != nil {
-			e.settledIncarnation = l.findSettledIncarnation(now)
+			e.settledIncarnation = l.updateSettledIncarnation(now)
 		}
 		local, isAnswering, ok := coord.stopLeaseExtension(id, now, isStopping)
 		_, latest, known := coord.env.StoreClockBounds(local)
--- a/coordinator/search.go
+++ b/coordinator/search.go
@@ -70,9 +70,8 @@
 // servesNextTask reports whether the search also holds for the step's next task, after a task of
 // it was started. Costs on the other runners do not depend on that start.
 //
-// It answers this load: a backlog of wide steps in a fleet of hundreds of runners, in which more
-// than a thousand tasks are started in a second. A search of its own for each task made a round
-// take 100 ms, and every job waited for that long.
+// With hundreds of runners and a thousand starts a second, a search for each task would make a
+// round take 100 ms.
 func (search *runnerSearch) servesNextTask() bool {
 	return search != nil && !search.wasStarved && search.isLastAttempt == search.step.isLastAttempt &&
 		(search.isExhaustive || len(search.candidates) >= minReusedCandidates)
--- a/coordinator/speculation.go
+++ b/coordinator/speculation.go
@@ -27,8 +27,8 @@
 	onTimeGainShare = 1.0
 )
 
-// copyOption is a run together with what a decision on a copy of it depends on.
-type copyOption struct {
+// copyInputs is a run together with what a decision on a copy of it depends on.
+type copyInputs struct {
 	task jobs.TaskID
 	// stated is the run time that the caller states, and usual the one that is expected of a
 	// whole task on a usual runner. elapsed is how long the run has gone on as far as this
@@ -61,12 +61,12 @@
 
 // copyPolicy decides whether a copy pays on a runner on which tasks take factor times the usual
 // time.
-type copyPolicy func(option copyOption, factor float64) (forecast copyForecast, pays bool)
+type copyPolicy func(option copyInputs, factor float64) (forecast copyForecast, pays bool)
 
 // remainingTimes returns equally probable values of how long the run will go on. Without a
 // projection they are those of the runs that took longer than this one has taken. If none has,
 // the run is expected to go on for as long as it has taken.
-func (o copyOption) remainingTimes() []time.Duration {
+func (o copyInputs) remainingTimes() []time.Duration {
 	if o.hasProjection {
 		return []time.Duration{o.remaining}
 	}
@@ -83,19 +83,19 @@
 }
 
 // copyTime returns how long a copy takes if its run time has the given ratio to the usual one.
-func (o copyOption) copyTime(ratio, factor float64) time.Duration {
+func (o copyInputs) copyTime(ratio, factor float64) time.Duration {
 	return copyDelay + time.Duration(ratio*factor*o.restShare*float64(o.usual))
 }
 
 // expectedRemaining returns the median of how long the run will go on.
-func (o copyOption) expectedRemaining() time.Duration {
+func (o copyInputs) expectedRemaining() time.Duration {
 	times := o.remainingTimes()
 	return times[len(times)/2]
 }
 
 // expectedEndWithCopy returns how long the task is expected to go on if it may get a copy on a
 // usual runner.
-func (o copyOption) expectedEndWithCopy() time.Duration {
+func (o copyInputs) expectedEndWithCopy() time.Duration {
 	if len(o.ratios) == 0 {
 		return o.expectedRemaining()
 	}
@@ -103,7 +103,7 @@
 }
 
 // isSlow reports whether the run is too slow to be explained by the usual spread of run times.
-func (o copyOption) isSlow() bool {
+func (o copyInputs) isSlow() bool {
 	if len(o.ratios) == 0 || o.usual <= 0 {
 		return false
 	}
@@ -114,7 +114,7 @@
 
 // forecastCopy compares the run with a copy on a runner on which tasks take factor times the
 // usual time.
-func (o copyOption) forecastCopy(factor float64) copyForecast {
+func (o copyInputs) forecastCopy(factor float64) copyForecast {
 	remaining := o.remainingTimes()
 	var forecast copyForecast
 	var wins, gain float64
@@ -137,12 +137,12 @@
 
 // jobGain returns by how much earlier the job ends if a run that goes on for left has a copy that
 // goes on for end.
-func (o copyOption) jobGain(left, end time.Duration) time.Duration {
+func (o copyInputs) jobGain(left, end time.Duration) time.Duration {
 	return max(left+o.timeAfterStep, o.otherPath) - max(min(left, end)+o.timeAfterStep, o.otherPath)
 }
 
 // copyPays is the copyPolicy in use.
-func copyPays(o copyOption, factor float64) (copyForecast, bool) {
+func copyPays(o copyInputs, factor float64) (copyForecast, bool) {
 	if !o.isSlow() {
 		return copyForecast{}, false
 	}
@@ -182,7 +182,7 @@
 
 // copyCandidate is a copy that pays on a usual runner, or on the target once that is set.
 type copyCandidate struct {
-	option   copyOption
+	option   copyInputs
 	run      *taskRun
 	target   *runner
 	forecast copyForecast
--- a/coordinator/speculation_replay_test.go
+++ b/coordinator/speculation_replay_test.go
@@ -258,9 +258,9 @@
 
 // noCopies never makes a copy. copyAfterFixedMultiple is the baseline: it makes a copy of a run that has
 // gone on for baselineFactor times the time that its caller stated.
-func noCopies(copyOption, float64) (copyForecast, bool) { return copyForecast{}, false }
+func noCopies(copyInputs, float64) (copyForecast, bool) { return copyForecast{}, false }
 
-func copyAfterFixedMultiple(o copyOption, _ float64) (copyForecast, bool) {
+func copyAfterFixedMultiple(o copyInputs, _ float64) (copyForecast, bool) {
 	return copyForecast{}, o.elapsed > baselineFactor*o.stated
 }
 
--- a/coordinator/speculation_test.go
+++ b/coordinator/speculation_test.go
@@ -10,8 +10,8 @@
 
 // slowOption returns a run that has taken one second of the two that are usual, and will go on for the
 // given time.
-func slowOption(remaining time.Duration) copyOption {
-	return copyOption{usual: 2 * time.Second, elapsed: time.Second, hasProjection: true, fullTime: time.Second + remaining,
+func slowOption(remaining time.Duration) copyInputs {
+	return copyInputs{usual: 2 * time.Second, elapsed: time.Second, hasProjection: true, fullTime: time.Second + remaining,
 		remaining: remaining, ratios: usualRatios, restShare: 1, untilObjective: 3 * time.Second}
 }
 
@@ -19,22 +19,22 @@
 // job, or that gain too little for a job that is on time.
 func TestCopyPaysOnlyIfTheJobEndsEarlier(t *testing.T) {
 	tests := map[string]struct {
-		change func(o *copyOption)
+		change func(o *copyInputs)
 		factor float64
 		pays   bool
 	}{
-		"straggler":                    {func(*copyOption) {}, 1, true},
-		"runner too slow":              {func(*copyOption) {}, 6, false},
-		"other tasks take as long":     {func(o *copyOption) { o.otherPath = 12 * time.Second }, 1, false},
-		"other tasks end a bit before": {func(o *copyOption) { o.otherPath = 8 * time.Second }, 1, true},
-		"long chain after it":          {func(o *copyOption) { o.otherPath, o.timeAfterStep = 12*time.Second, 6*time.Second }, 1, true},
-		"nearly done":                  {func(o *copyOption) { o.remaining = 100 * time.Millisecond }, 1, false},
-		"late job, small gain":         {func(o *copyOption) { o.remaining, o.untilObjective = 3*time.Second, 0 }, 1, true},
-		"job on time, small gain":      {func(o *copyOption) { o.remaining, o.untilObjective = 3*time.Second, time.Minute }, 1, false},
-		"copy from a checkpoint":       {func(o *copyOption) { o.remaining, o.restShare, o.untilObjective = 3*time.Second, 0.2, time.Minute }, 1, true},
-		"no progress reported, late":   {func(o *copyOption) { o.hasProjection, o.fullTime, o.remaining, o.elapsed = false, 0, 0, 6*time.Second }, 1, true},
-		"no progress reported, early":  {func(o *copyOption) { o.hasProjection, o.fullTime, o.remaining = false, 0, 0 }, 1, false},
-		"nothing measured":             {func(o *copyOption) { o.ratios = nil }, 1, false},
+		"straggler":                    {func(*copyInputs) {}, 1, true},
+		"runner too slow":              {func(*copyInputs) {}, 6, false},
+		"other tasks take as long":     {func(o *copyInputs) { o.otherPath = 12 * time.Second }, 1, false},
+		"other tasks end a bit before": {func(o *copyInputs) { o.otherPath = 8 * time.Second }, 1, true},
+		"long chain after it":          {func(o *copyInputs) { o.otherPath, o.timeAfterStep = 12*time.Second, 6*time.Second }, 1, true},
+		"nearly done":                  {func(o *copyInputs) { o.remaining = 100 * time.Millisecond }, 1, false},
+		"late job, small gain":         {func(o *copyInputs) { o.remaining, o.untilObjective = 3*time.Second, 0 }, 1, true},
+		"job on time, small gain":      {func(o *copyInputs) { o.remaining, o.untilObjective = 3*time.Second, time.Minute }, 1, false},
+		"copy from a checkpoint":       {func(o *copyInputs) { o.remaining, o.restShare, o.untilObjective = 3*time.Second, 0.2, time.Minute }, 1, true},
+		"no progress reported, late":   {func(o *copyInputs) { o.hasProjection, o.fullTime, o.remaining, o.elapsed = false, 0, 0, 6*time.Second }, 1, true},
+		"no progress reported, early":  {func(o *copyInputs) { o.hasProjection, o.fullTime, o.remaining = false, 0, 0 }, 1, false},
+		"nothing measured":             {func(o *copyInputs) { o.ratios = nil }, 1, false},
 	}
 	for name, test := range tests {
 		o := slowOption(9 * time.Second)
--- a/coordinator/urgent.go
+++ b/coordinator/urgent.go
@@ -6,12 +6,11 @@
 )
 
 // ScheduleUrgent orders the start of waiting tasks that need not wait for the next round of
-// Schedule: those of plain steps of the most important priority that have begun to wait since the
-// last round, unless other plain work of that priority waits already.
+// Schedule: those of finite steps of the highest priority, which are neither gangs nor best-effort,
+// that have begun to wait since the last round, unless other such work waits already.
 //
-// It answers this load: short urgent jobs, of which one step follows another, beside a backlog of
-// less important work. Rounds are then up to 100 ms apart, and each step of an urgent job would
-// wait for one although there is room for its tasks.
+// Rounds may be 100 ms apart. Without this, each step of a short urgent job would wait for one
+// beside a backlog of less important work, although there is room for its tasks.
 func (c *Core) ScheduleUrgent(now time.Duration) {
 	if len(c.newlyWaiting) == 0 {
 		return
@@ -51,7 +50,7 @@
 	c.newlyWaiting = c.newlyWaiting[:0]
 	var urgent []*openStep
 	for _, s := range c.waitingSteps {
-		if !s.isPlain() || len(s.pending) == 0 || s.job.State.IsTerminal() || s.job.queue.Priority != mostImportantPriority {
+		if !s.isFiniteSingle() || len(s.pending) == 0 || s.job.State.IsTerminal() || s.job.queue.Priority != highestPriority {
 			continue
 		}
 		if !newly[s] {
@@ -62,11 +61,12 @@
 	return urgent
 }
 
-// mostImportantPriority is the priority of the queues that come first.
-const mostImportantPriority = 0
+// highestPriority is the priority of the queues that come first; smaller numbers are more
+// important.
+const highestPriority = 0
 
-// isPlain reports whether the step's tasks end by themselves, are placed one by one and count
+// isFiniteSingle reports whether the step's tasks end by themselves, are placed one by one and count
 // against the capacity of runners.
-func (s *openStep) isPlain() bool {
+func (s *openStep) isFiniteSingle() bool {
 	return !s.step.LongRunning && !s.step.BestEffort && !s.step.Gang
 }
--- a/httpserver/account.go
+++ b/httpserver/account.go
@@ -22,9 +22,9 @@
 	DefaultMemoryBytes = 160 << 20
 	// DefaultMaxHeadBytes is the size of the largest request head that is accepted.
 	DefaultMaxHeadBytes = 16384
-	// memoryShare is the part of the process's memory that connections may hold together,
+	// memoryDivisor is the part of the process's memory that connections may hold together,
 	// as a divisor.
-	memoryShare = 4
+	memoryDivisor = 4
 	// reservedDescriptors are kept for files.
 	reservedDescriptors = 200
 	// minConnections is the least number of connections that is accepted, however few
@@ -116,7 +116,7 @@
 		limits.MemoryBytes = DefaultMemoryBytes
 	}
 	a := &Account{
-		budget:         limits.MemoryBytes / memoryShare,
+		budget:         limits.MemoryBytes / memoryDivisor,
 		maxConnections: connectionsWithin(descriptorsWithin(limits.Descriptors)),
 		log:            log,
 		count:          count,
@@ -182,7 +182,7 @@
 	if g == nil {
 		return
 	}
-	wasBraking := a.isBraking()
+	wasThrottling := a.isThrottling()
 	delete(a.guards, conn)
 	// A list of nbio (timer.Timer) refers to closed connections for some time, but not to
 	// what their parsers hold.
@@ -194,19 +194,19 @@
 		a.closing--
 	}
 	g.isForgotten = true
-	if wasBraking && !a.isBraking() {
+	if wasThrottling && !a.isThrottling() {
 		a.resumeAll()
 	}
 }
 
-// brakeShare is the part of the budget that connections which are being closed may hold
+// throttleDivisor is the part of the budget that connections which are being closed may hold
 // before reading pauses for them to be gone, as a divisor.
-const brakeShare = 8
+const throttleDivisor = 8
 
-// isBraking reports whether connections that are being closed still hold so much that only
+// isThrottling reports whether connections that are being closed still hold so much that only
 // small requests are read meanwhile. That takes as long as the poller needs to close them.
 // The caller holds mu.
-func (a *Account) isBraking() bool { return a.releasedHeld > a.budget/brakeShare }
+func (a *Account) isThrottling() bool { return a.releasedHeld > a.budget/throttleDivisor }
 
 // resumeAll lets all connections go on that have paused and need not any more. The caller
 // holds mu.
@@ -265,9 +265,9 @@
 	a.report(reasonMemory, len(taken))
 }
 
-// shedBatch is the part of all connections that is closed at a time when there are too many,
+// shedBatchDivisor is the part of all connections that is closed at a time when there are too many,
 // as a divisor. Closing several at once makes the search for them cheap.
-const shedBatch = 64
+const shedBatchDivisor = 64
 
 // admit makes room for another connection if there are too many. It returns false if there
 // is none, because the connections that it closed still exist.
@@ -275,9 +275,9 @@
 	a.mu.Lock()
 	var taken []*guard
 	if len(a.guards)-a.closing >= a.maxConnections {
-		taken = a.takeLeastUseful()
+		taken = a.takeForClosing()
 	}
-	admitted := len(a.guards) < a.maxConnections+a.maxConnections/shedBatch+1
+	admitted := len(a.guards) < a.maxConnections+a.maxConnections/shedBatchDivisor+1
 	a.mu.Unlock()
 	shutDownAll(taken)
 	a.report(reasonConnections, len(taken))
@@ -287,11 +287,11 @@
 	return admitted
 }
 
-// takeLeastUseful marks a batch of connections as closing and returns them: those that have
+// takeForClosing marks a batch of connections as closing and returns them: those that have
 // never sent a request first, then idle ones, then those with an unfinished request, and
 // among these those that have been so for longest. It takes none with a request in flight.
 // The caller holds mu.
-func (a *Account) takeLeastUseful() []*guard {
+func (a *Account) takeForClosing() []*guard {
 	var candidates []*guard
 	for _, g := range a.guards {
 		if !g.isClosing && len(g.inFlight) == 0 {
@@ -299,9 +299,9 @@
 		}
 	}
 	slices.SortFunc(candidates, func(x, y *guard) int {
-		return cmp.Or(cmp.Compare(x.usefulness(), y.usefulness()), x.activeAt.Compare(y.activeAt))
+		return cmp.Or(cmp.Compare(x.closingOrder(), y.closingOrder()), x.activeAt.Compare(y.activeAt))
 	})
-	taken := candidates[:min(len(candidates), 1+len(a.guards)/shedBatch)]
+	taken := candidates[:min(len(candidates), 1+len(a.guards)/shedBatchDivisor)]
 	for _, g := range taken {
 		a.markClosing(g)
 	}
--- a/httpserver/guard.go
+++ b/httpserver/guard.go
@@ -100,11 +100,11 @@
 	charged, released int64
 	beganAt           time.Time
 	writtenAt         time.Time
-	activeAt          time.Time // last begin or end of a request
+	activeAt          time.Time // last start or end of a request
 }
 
-// usefulness orders connections by how much their clients lose if they are closed.
-func (g *guard) usefulness() int {
+// closingOrder orders connections by how much their clients lose if they are closed.
+func (g *guard) closingOrder() int {
 	switch {
 	case g.received > 0:
 		return 2
@@ -169,7 +169,7 @@
 func (g *guard) mustPause() bool {
 	return g.isClosing || g.refusal != nil || g.unsent > 0 ||
 		len(g.inFlight) >= maxPipelined || g.inFlightHeld > maxPipelinedBytes ||
-		g.charged > smallBytes && g.account.isBraking()
+		g.charged > smallBytes && g.account.isThrottling()
 }
 
 // update changes fields that account.mu protects, records what the connection holds then,
@@ -552,7 +552,7 @@
 	p.Processor.Close(parser, err)
 }
 
-// OnMethod is called at the begin of a request.
+// OnMethod is called at the start of a request.
 func (p *countingProcessor) OnMethod(parser *nbhttp.Parser, method string) {
 	p.guard.phase = inHead
 	p.Processor.OnMethod(parser, method)
--- a/signals/processes/states_test.go
+++ b/signals/processes/states_test.go
@@ -105,7 +105,7 @@
 	dir, name        string
 	address          string   // for clients
 	readiness        string   // URL of the readiness probe
-	drainLine        string   // log line at the begin of a drain
+	drainLine        string   // log line at the start of a drain
 	args             []string // of the process
 	beginSlowRequest func() <-chan bool
 }
