Keep one function for the factor of a far rack

slowdown and farFactor were the same function. No change of behaviour; the tests of copies, of waits for a near place and of estimates pass.

--- a/coordinator/copies.go
+++ b/coordinator/copies.go
@@ -297,7 +297,7 @@
 // copyFactor returns the factor by which one of the step's tasks is expected to take longer on a
 // runner than on a usual one.
 func (c *Core) copyFactor(s *openStep, r *runner) float64 {
-	return c.farFactor(s, r) * r.health.slowness.factor()
+	return c.farFactor(s.step.DataRack, r) * r.health.slowness.factor()
 }
 
 // pickCopyRunner returns the runner on which a copy of the run is expected to end first, or nil.
--- a/coordinator/estimate.go
+++ b/coordinator/estimate.go
@@ -65,7 +65,7 @@
 		return
 	}
 	// Estimates are those of near places: the caller states them so, and the next task may get one.
-	taskTime = time.Duration(float64(taskTime) / c.slowdown(run))
+	taskTime = time.Duration(float64(taskTime) / c.farFactor(run.step.DataRack, run.runner))
 	times := &run.openStep.taskTimes
 	if run.workMeter.countedTime == 0 {
 		times.tasks++
@@ -82,9 +82,9 @@
 	}
 }
 
-// slowdown returns the factor by which a run takes longer because of its rack.
-func (c *Core) slowdown(run *taskRun) float64 {
-	if c.isFarFromData(run.step.DataRack, run.runner) {
+// farFactor returns the factor by which a task with data on a rack takes longer on a runner.
+func (c *Core) farFactor(dataRack string, r *runner) float64 {
+	if c.isFarFromData(dataRack, r) {
 		return c.limits.RemoteDataFactor
 	}
 	return 1
--- a/coordinator/rackforecast.go
+++ b/coordinator/rackforecast.go
@@ -112,7 +112,7 @@
 		return 0, 0, false
 	}
 	spread := max(minSpread, c.durationEstimatorOf(run.job).Spread())
-	total := time.Duration(c.slowdown(run) * float64(run.job.taskEstimates[run.task.Step]))
+	total := time.Duration(c.farFactor(run.step.DataRack, run.runner) * float64(run.job.taskEstimates[run.task.Step]))
 	left := time.Duration(fullPace-run.percent) * total / fullPace
 	spent := now - run.startedAt
 	switch {
--- a/coordinator/runtimes.go
+++ b/coordinator/runtimes.go
@@ -158,15 +158,6 @@
 	return c.durationEstimatorOf(s.job).Estimate(s.step.Estimate), false
 }
 
-// farFactor returns the factor by which the step's tasks take longer on the runner because of
-// its distance from their data.
-func (c *Core) farFactor(s *openStep, r *runner) float64 {
-	if s.step.DataRack != "" && s.step.DataRack != r.Rack && c.limits.RemoteDataFactor > 1 {
-		return c.limits.RemoteDataFactor
-	}
-	return 1
-}
-
 // recordRunTime records the run time of a run that has ended: the measured one of a run that
 // is done, and the projected one of a run whose task another run has done before. Without the
 // latter, stragglers would be missing in the distribution since they are stopped.
@@ -187,7 +178,7 @@
 	if usual <= 0 || runTime <= 0 {
 		return
 	}
-	onUsualRack := float64(runTime) / c.farFactor(s, run.runner)
+	onUsualRack := float64(runTime) / c.farFactor(s.step.DataRack, run.runner)
 	onUsualRunner := onUsualRack / run.runner.health.slowness.factor()
 	c.speculation.runTimes.add(s.job.Queue.Name, fromSiblings, onUsualRunner/float64(usual))
 	run.runner.health.slowness.add(onUsualRack / float64(usual))
