Split the roster over several rows

The roster is one row of 25 to 50 bytes a runner since it names settled processes (39 KB became 75 KB at 3,000 runners), and a row holds 64 KB: the store would refuse it for good from 1,400 runners on, and a successor would not learn which leases have expired.

Change: a row for each 900 runners, split by a hash of the runner, so that a change writes one row; all rows are read at a takeover and replaced together.

--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -67,6 +67,7 @@
 	adviceSlot          chan struct{}             // holds a token while a request for advice is under way
 	isWritingSharedRows bool                      // a write of shared rows is under way or its event not applied
 	sharedRowsStoredAt  time.Duration             // when the store last took shared rows
+	rosterRowCount      int                       // rows of the roster that the store may hold
 	sharedRows          map[rowstore.Key]string   // values last written, or being written
 	recordedExpiries    map[string]recordedExpiry // that the store may hold, by runner ID
 	// settledIncarnations holds, by runner ID, the processes that the predecessor's roster names
--- a/coordinator/rejectedrows.go
+++ b/coordinator/rejectedrows.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -49,11 +50,6 @@
 	return e
 }
 
-// hasRow reports whether the row with the key was refused.
-func (e *rejectedRowsError) hasRow(key rowstore.Key) bool {
-	return slices.ContainsFunc(e.rows, func(row rejectedRow) bool { return row.Key == key })
-}
-
 // withoutRejectedJobs returns the writes without those of jobs one of whose rows was refused.
 func (e *rejectedRowsError) withoutRejectedJobs(writes []rowWrite) []rowWrite {
 	if len(e.rows) == 0 {
@@ -160,7 +156,10 @@
 func (sharedRowsRejectedEvent) apply(coord *coordinator) {
 	coord.isWritingSharedRows = false
 	coord.sharedRowsHeldUntil = coord.env.Clock() + sharedRowsInterval
-	delete(coord.sharedRows, rosterKey)
+	maps.DeleteFunc(coord.sharedRows, func(key rowstore.Key, _ string) bool {
+		_, isRoster := parseRosterRowKey(key)
+		return isRoster
+	})
 }
 
 // recordRejectedSharedRows counts and logs shared rows that the store refuses for good.
--- a/coordinator/roster.go
+++ b/coordinator/roster.go
@@ -9,10 +9,9 @@
 	"time"
 
 	"bergamotstile/leadership"
-	"bergamotstile/rowstore"
 )
 
-// The roster is a stored row that tells a successor which runners may run tasks. For a
+// The roster is stored in one row or more and tells a successor which runners may run tasks. For a
 // runner that does not answer, it also says when every lease there has expired: the
 // runner's expiry. While the store holds an expiry, the coordinator extends no lease on the
 // runner, so a successor can rely on the expiry whenever it was stored. A coordinator that
@@ -185,9 +184,9 @@
 	if !changed {
 		return nil
 	}
-	value := encodeRoster(entries)
-	coord.sharedRows[rosterKey] = value
-	return coord.journal.put(ctx, sharedPart, []rowstore.Put{{Key: rosterKey, Value: []byte(value)}})
+	rows := coord.encodeRosterRows(entries)
+	maps.Copy(coord.sharedRows, rows)
+	return coord.journal.put(ctx, sharedPart, toPuts(rows))
 }
 
 // buildRoster returns the roster to store now, and the expiries in it by runner ID. If the
@@ -279,8 +278,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), handoverTimeout)
 	defer cancel()
 	entries, _ := coord.buildRoster(coord.env.Clock(), true)
-	value := encodeRoster(entries)
-	if err := coord.journal.put(ctx, sharedPart, []rowstore.Put{{Key: rosterKey, Value: []byte(value)}}); err != nil {
+	if err := coord.journal.put(ctx, sharedPart, toPuts(coord.encodeRosterRows(entries))); err != nil {
 		coord.env.Log.WithError(err).Warn("expiries of runner leases not handed over")
 		return
 	}
--- a/coordinator/sharedrows.go
+++ b/coordinator/sharedrows.go
@@ -34,7 +34,7 @@
 	}
 	coord.isWritingSharedRows = true
 	roster, expiries := coord.buildRoster(now, false)
-	rows := map[rowstore.Key]string{rosterKey: encodeRoster(roster)}
+	rows := coord.encodeRosterRows(roster)
 	coord.addPendingCounts(rows)
 	coord.addInterferenceModel(rows, now)
 	maps.DeleteFunc(rows, func(k rowstore.Key, v string) bool { return coord.sharedRows[k] == v })
@@ -45,7 +45,7 @@
 		switch {
 		case err != nil:
 			coord.fail(err)
-		case rejected.hasRow(rosterKey):
+		case rejected.hasRosterRow():
 			coord.post(coord.ctx, sharedRowsRejectedEvent{})
 		default:
 			coord.post(coord.ctx, rosterStored)
@@ -85,12 +85,8 @@
 // putSharedRows writes rows and returns those that the store refuses for good. An error ends
 // the term.
 func (coord *coordinator) putSharedRows(rows map[rowstore.Key]string) (*rejectedRowsError, error) {
-	var puts []rowstore.Put
-	for key, value := range rows {
-		puts = append(puts, rowstore.Put{Key: key, Value: []byte(value)})
-	}
 	rejected := &rejectedRowsError{}
-	if err := coord.journal.put(coord.ctx, sharedPart, puts); err != nil && !errors.As(err, &rejected) {
+	if err := coord.journal.put(coord.ctx, sharedPart, toPuts(rows)); err != nil && !errors.As(err, &rejected) {
 		return nil, err
 	}
 	if len(rejected.rows) > 0 {
--- a/coordinator/takeover.go
+++ b/coordinator/takeover.go
@@ -164,10 +164,12 @@
 	var roster []rosterEntry
 	for _, row := range shared.Rows {
 		coord.journal.setVersion(row.Key, row.Version)
-		switch row.Key {
-		case rosterKey:
+		if index, ok := parseRosterRowKey(row.Key); ok {
 			coord.sharedRows[row.Key] = string(row.Value)
-			roster = decodeRoster(string(row.Value))
+			coord.rosterRowCount = max(coord.rosterRowCount, index+1)
+			roster = append(roster, decodeRoster(string(row.Value))...)
+		}
+		switch row.Key {
 		case wavesKey:
 			if err := coord.restoreWaves(ctx, store, row.Value); err != nil {
 				return err
