--- a/review/standin2/deployment.go
+++ b/review/standin2/deployment.go
@@ -130,8 +130,8 @@
 // register writes a runner's entry.
 func (d *deployment) register(r *runner) {
 	d.store.write("servers", r.id, fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":"ogbomoso","version":"v1","slots":8,"state":"ready","warmup-left-ms":0,`+
-		`"capacity":{"cpu":%d,"mem-mb":128000,"gpu":0},"labels":["a","r1-1"],"born":%d,"timestamp-ms":%d,"sequence":1}`,
-		serviceName, r.address, r.cpuMilli, r.born.UnixMilli(), r.clock().Milliseconds()))
+		`"capacity":{"cpu":%d,"mem-mb":128000,"gpu":0},"labels":[%q,"r1-1"],"born":%d,"timestamp-ms":%d,"sequence":1}`,
+		serviceName, r.address, r.cpuMilli, r.kind, r.born.UnixMilli(), r.clock().Milliseconds()))
 }
 
 const settingsText = `node = %q
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -25,6 +25,7 @@
 
 var scripts = map[string]script{
 	"schedule":  playSchedule,
+	"longtask":  playLongTask,
 	"cancel":    playCancel,
 	"retention": playRetention,
 }
--- a/review/standin2/runner.go
+++ b/review/standin2/runner.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	maxLease      = 10 * time.Second // hold-max-ms
-	stopTime      = 100 * time.Millisecond
+	maxLease      = 10 * time.Second      // hold-max-ms
+	stopTime      = 10 * time.Millisecond // stop-ms at most
 	runnerTick    = 10 * time.Millisecond
 	maxListedEnds = 500
 )
@@ -29,6 +29,8 @@
 	rec         *record
 	plan        func(task string, run int) taskPlan
 	onStart     func(task string)
+	onEnd       func(task string)
+	kind        string // the label of its kind of machine
 
 	mu        sync.Mutex
 	born      time.Time
@@ -70,7 +72,7 @@
 }
 
 func startRunner(id string, cpuMilli int64, rec *record, plan func(string, int) taskPlan) (*runner, error) {
-	r := &runner{id: id, cpuMilli: cpuMilli, rec: rec, plan: plan, closed: make(chan struct{})}
+	r := &runner{id: id, kind: "a", cpuMilli: cpuMilli, rec: rec, plan: plan, closed: make(chan struct{})}
 	r.reset()
 	var err error
 	if r.server, r.address, err = serve("127.0.0.1:0", r); err != nil {
@@ -129,6 +131,9 @@
 	r.lastEnd++
 	r.ended = append(r.ended, endedRun{r.lastEnd, task, t.run, how})
 	r.rec.write("%s: run %d of %s ends %s", r.id, t.run, task, how)
+	if r.onEnd != nil {
+		r.onEnd(task)
+	}
 	close(r.changed)
 	r.changed = make(chan struct{})
 }
