Show that a late order runs a task twice beside a cut

Cause: the leases on a silent runner are taken as expired by the clock of the process that answered last. An order without an answer may still be carried out by the runner's next process, on a clock of its own, and hold a longer lease.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 # built by the command in deploy/system.toml.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -o target/review-2/ ./review/standin2
+go build -tags review -o target/review-2/ ./review/standin2
--- a/review/standin2/cancel.go
+++ b/review/standin2/cancel.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -89,7 +91,7 @@
 	var starts []time.Time
 	for _, r := range d.runners {
 		r.mu.Lock()
-		r.onStart = func(task string) {
+		r.onStart = func(_ *runner, task string) {
 			if strings.HasPrefix(task, cancelledID+".") {
 				mu.Lock()
 				starts = append(starts, time.Now())
--- a/review/standin2/deployment.go
+++ b/review/standin2/deployment.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -20,6 +22,7 @@
 const (
 	instanceCount  = 7
 	memoryMB       = 284
+	heartbeat      = 1500 * time.Millisecond // heartbeat-ms
 	restartDelay   = 500 * time.Millisecond
 	memoryInterval = 50 * time.Millisecond
 	program        = "target/bergamotstile"
--- a/review/standin2/doc.go
+++ b/review/standin2/doc.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command standin2 plays the scripts of the second independent review: it starts entry
 // instances as separate processes with the command of the deploy file, on loopback addresses
 // and the real clock, together with stand-ins of the users' platform, runners and clients,
--- a/review/standin2/longtask.go
+++ b/review/standin2/longtask.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -28,7 +30,7 @@
 	longest time.Duration
 }
 
-func (g *gaps) start(task string) {
+func (g *gaps) start(_ *runner, task string) {
 	if !strings.HasPrefix(task, longID+".") {
 		return
 	}
@@ -41,7 +43,7 @@
 	g.since = time.Time{}
 }
 
-func (g *gaps) end(task string) {
+func (g *gaps) end(_ *runner, task string) {
 	if !strings.HasPrefix(task, longID+".") {
 		return
 	}
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -27,6 +29,7 @@
 	"schedule":  playSchedule,
 	"longtask":  playLongTask,
 	"cancel":    playCancel,
+	"recut":     playRecut,
 	"retention": playRetention,
 }
 
--- a/review/standin2/record.go
+++ b/review/standin2/record.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
--- a/review/standin2/runner.go
+++ b/review/standin2/runner.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -12,6 +14,7 @@
 	stopTime      = 10 * time.Millisecond // stop-ms at most
 	runnerTick    = 10 * time.Millisecond
 	maxListedEnds = 500
+	runnerUptime  = 8 * time.Minute // of a runner at the start of a script
 )
 
 // taskPlan is how the runs of a task proceed: how long one takes (zero for one that lasts)
@@ -28,9 +31,13 @@
 	cpuMilli    int64
 	rec         *record
 	plan        func(task string, run int) taskPlan
-	onStart     func(task string)
-	onEnd       func(task string)
-	kind        string // the label of its kind of machine
+	onStart     func(r *runner, task string)
+	onEnd       func(r *runner, task string)
+	// intercept, if set, may handle a call instead of the runner; it reports whether it did.
+	intercept func(r *runner, w http.ResponseWriter, req *http.Request, body callBody) bool
+	// isCut, if set, reports whether the runner is cut off, so that nothing reaches a caller.
+	isCut func(r *runner) bool
+	kind  string // the label of its kind of machine
 
 	mu        sync.Mutex
 	born      time.Time
@@ -74,6 +81,7 @@
 func startRunner(id string, cpuMilli int64, rec *record, plan func(string, int) taskPlan) (*runner, error) {
 	r := &runner{id: id, kind: "a", cpuMilli: cpuMilli, rec: rec, plan: plan, closed: make(chan struct{})}
 	r.reset()
+	r.born = r.born.Add(-runnerUptime)
 	var err error
 	if r.server, r.address, err = serve("127.0.0.1:0", r); err != nil {
 		return nil, err
@@ -132,7 +140,7 @@
 	r.ended = append(r.ended, endedRun{r.lastEnd, task, t.run, how})
 	r.rec.write("%s: run %d of %s ends %s", r.id, t.run, task, how)
 	if r.onEnd != nil {
-		r.onEnd(task)
+		r.onEnd(r, task)
 	}
 	close(r.changed)
 	r.changed = make(chan struct{})
@@ -152,6 +160,9 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if r.intercept != nil && r.intercept(r, w, req, body) {
+		return
+	}
 	reason, wait := r.execute(req.URL.Path, body)
 	if wait != nil {
 		select {
@@ -160,6 +171,10 @@
 		case <-req.Context().Done():
 		}
 	}
+	if r.isCut != nil && r.isCut(r) {
+		<-req.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	r.mu.Lock()
 	res := map[string]any{"timestamp-ms": r.clock().Milliseconds(), "born": r.born.UnixMilli()}
 	if req.URL.Path == "/api/hold" && reason == "" {
@@ -227,7 +242,7 @@
 	r.running[body.Task] = &taskRun{run: body.Run, began: time.Now(), plan: r.plan(body.Task, body.Run)}
 	r.rec.write("%s: run %d of %s starts, fence %d", r.id, body.Run, body.Task, body.Token)
 	if r.onStart != nil {
-		r.onStart(body.Task)
+		r.onStart(r, body.Task)
 	}
 	return ""
 }
