--- a/review/standin2/cancel.go
+++ b/review/standin2/cancel.go
@@ -103,7 +103,7 @@
 	c := newClients(d)
 	stop := make(chan struct{})
 	var traffic sync.WaitGroup
-	traffic.Go(func() { c.ordinaryTraffic(stop) })
+	traffic.Go(func() { c.ordinaryTraffic(stop, "") })
 	defer func() {
 		close(stop)
 		traffic.Wait()
@@ -147,15 +147,19 @@
 	return "", nil
 }
 
-// ordinaryTraffic hands in ordinary jobs until stop is closed.
-func (c *clients) ordinaryTraffic(stop <-chan struct{}) {
+// ordinaryTraffic hands in ordinary jobs, which may require a label, until stop is closed.
+func (c *clients) ordinaryTraffic(stop <-chan struct{}, label string) {
 	for n := 0; ; n++ {
 		select {
 		case <-stop:
 			return
 		case <-time.After(100 * time.Millisecond):
 		}
-		c.submit(fmt.Sprintf("%016x", 0xabc0000+n), ordinaryJob())
+		job := ordinaryJob()
+		if label != "" {
+			job["steps"].([]any)[0].(map[string]any)["requires"] = label
+		}
+		c.submit(fmt.Sprintf("%016x", 0xabc0000+n), job)
 	}
 }
 
--- a/review/standin2/longtask.go
+++ b/review/standin2/longtask.go
@@ -113,7 +113,7 @@
 		_ = sleep(ctx, shortTraffic)
 		close(stop)
 	}()
-	c.ordinaryTraffic(stop)
+	c.ordinaryTraffic(stop, "")
 	if err := sleep(ctx, finishTime); err != nil {
 		return "", err
 	}
--- a/review/standin2/recut.go
+++ b/review/standin2/recut.go
@@ -20,6 +20,9 @@
 	cutAfter    = 300 * time.Millisecond  // from the answer to the second order
 	rebornAfter = 500 * time.Millisecond  // from the beginning of the cut
 	cutTime     = 9 * time.Second
+	// lateOrders is the largest share of orders that are late, in lateWindow from the first one.
+	lateOrders = 0.063
+	lateWindow = 5500 * time.Millisecond
 )
 
 // recut is the disruption: the runner that gets the first order for the task leaves it without an
@@ -30,14 +33,23 @@
 
 	mu     sync.Mutex
 	target *runner
-	orders int
+	orders int  // to start the task
 	cut    bool // the target gets nothing and sends nothing
+	// all counts the orders to start anything in lateWindow from lateAt on, when the late one came.
+	all    int
+	lateAt time.Time
 }
 
 // intercept handles the calls of one runner.
 func (c *recut) intercept(r *runner, w http.ResponseWriter, req *http.Request, body callBody) bool {
 	c.mu.Lock()
 	isStart := req.URL.Path == "/api/run-start" && strings.HasPrefix(body.Task, recutID+".")
+	if isStart && c.lateAt.IsZero() {
+		c.lateAt = time.Now()
+	}
+	if req.URL.Path == "/api/run-start" && !c.lateAt.IsZero() && time.Since(c.lateAt) < lateWindow {
+		c.all++
+	}
 	if isStart && c.target == nil {
 		c.target = r
 	}
@@ -105,9 +117,14 @@
 	c.cut = cut
 }
 
-// playRecut hands in a job of one task and watches whether two runs of it go on at the same time.
+// playRecut hands in a job of one task, beside ordinary jobs on other runners, and watches whether two runs of it go on at the same time.
 func playRecut(ctx context.Context, rec *record, trouble bool) (string, error) {
-	d, err := deploy(ctx, rec, 12, 32000, 3, 0, func(string, int) taskPlan { return taskPlan{work: recutWork} })
+	d, err := deploy(ctx, rec, 12, 32000, 3, 0, func(task string, _ int) taskPlan {
+		if strings.HasPrefix(task, recutID+".") {
+			return taskPlan{work: recutWork}
+		}
+		return taskPlan{work: ordinaryWork}
+	})
 	if d != nil {
 		defer d.close()
 	}
@@ -118,8 +135,11 @@
 	running := map[string]string{} // runner by task
 	var broken string
 	disruption := &recut{d: d}
-	for _, r := range d.runners {
+	for i, r := range d.runners {
 		r.mu.Lock()
+		if i < 2 {
+			r.kind = longLabel // the others have the ordinary jobs
+		}
 		r.onStart = func(r *runner, task string) {
 			mu.Lock()
 			defer mu.Unlock()
@@ -139,18 +159,33 @@
 			r.intercept, r.isCut = disruption.intercept, disruption.isCut
 		}
 		r.mu.Unlock()
+		d.register(r)
 	}
+	c := newClients(d)
+	stop := make(chan struct{})
+	var traffic sync.WaitGroup
+	traffic.Go(func() { c.ordinaryTraffic(stop, "a") })
+	defer func() {
+		close(stop)
+		traffic.Wait()
+	}()
 	if err := sleep(ctx, 2*time.Second); err != nil {
 		return "", err
 	}
-	c := newClients(d)
-	if !c.submit(recutID, map[string]any{"spec": "once only", "steps": []any{map[string]any{"count": 1, "cpu": 2000, "mem-mb": 256, "estimate-ms": recutWork.Milliseconds()}}}) {
+	if !c.submit(recutID, map[string]any{"spec": "once only", "steps": []any{map[string]any{"count": 1, "cpu": 2000, "mem-mb": 256, "estimate-ms": recutWork.Milliseconds(), "requires": longLabel}}}) {
 		return "", errors.New("the job was not accepted")
 	}
 	if err := sleep(ctx, 30*time.Second); err != nil {
 		return "", err
 	}
 	rec.write("the job is shown as %s", c.state(recutID))
+	disruption.mu.Lock()
+	all := disruption.all
+	disruption.mu.Unlock()
+	rec.write("1 of %d orders was late", all)
+	if trouble && lateOrders*float64(all) < 1 {
+		return "", errors.New("the disruption exceeded its share")
+	}
 	mu.Lock()
 	defer mu.Unlock()
 	return broken, nil
