Hold the tasks of starts without an answer on a lost runner

Cause: an attempt to start a task had no answer, the next one was answered. The runner was cut off, crashed and started again unseen; its new process carried the first attempt out, without a fencing token and by another clock, and kept the run for the longest lease of the platform. The coordinator counted only the leases that it had granted to the earlier process, and started the task elsewhere 8.6 s after the last answer.

Ruled out: the longest lease for every silent runner, as all tasks of each lost runner would wait for 25 s. A deadline that does no harm on another clock, as clocks of processes are unrelated.

Change: each link remembers the starts without an answer. Once the leases on a silent runner have expired, the tasks of these starts stay there until the last possible run has ended or the runner reports; all others start elsewhere as before. A successor learns of them from rows beside the roster.

--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -73,6 +73,9 @@
 	base    progressBase
 	// isResumed is set if the run was started from a checkpoint.
 	isResumed bool
+	// delayedStartExpiry is the time until which HoldDelayedStarts keeps the run; zero if it does
+	// not.
+	delayedStartExpiry time.Duration
 	// isCopy is set if this coordinator started the run while another run of its task existed.
 	isCopy bool
 }
@@ -209,6 +212,11 @@
 	hasNewResults bool
 	locality      locality
 	speculation   speculation
+	// delayedStartRuns holds the runs that HoldDelayedStarts keeps, and some that no longer exist.
+	delayedStartRuns map[*taskRun]struct{}
+	// inheritedDelays holds, by task and runner ID, the times until which the predecessor's starts
+	// without an answer keep a task from being started.
+	inheritedDelays map[jobs.TaskID]map[string]time.Duration
 }
 
 // Counter adds n to the counter of a name.
@@ -238,6 +246,7 @@
 		durationEstimators:  map[string]*durations.Estimator{},
 		serviceReservations: serviceReservations{services: map[string]*serviceReservation{}},
 		locality:            locality{decide: decidePlacement},
+		delayedStartRuns:    map[*taskRun]struct{}{},
 	}
 }
 
--- /dev/null
+++ b/coordinator/delayedstartrows.go
@@ -0,0 +1,144 @@
+package coordinator
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"bergamotstile/jobs"
+	"bergamotstile/rowstore"
+)
+
+// delayedStartsKey is the key of the first of the rows that tell a successor which starts had no
+// answer. Each such row covers the runners of one row of the roster. The successor keeps the tasks
+// from being started elsewhere, like HoldDelayedStarts, until their runner reports or a run of them
+// has ended for certain.
+var delayedStartsKey = rowstore.Key{Table: rosterKey.Table, Part: sharedPart, Key: "delayed-starts"}
+
+// delayedStart is a start without an answer.
+type delayedStart struct {
+	runner string
+	task   jobs.TaskID
+}
+
+// encode returns the line for the start.
+func (d delayedStart) encode() string { return d.runner + " " + d.task.String() + "\n" }
+
+// decodeDelayedStarts returns the starts in a row, without unreadable lines.
+func decodeDelayedStarts(value string) []delayedStart {
+	var starts []delayedStart
+	for line := range strings.Lines(value) {
+		runner, name, _ := strings.Cut(strings.TrimSpace(line), " ")
+		if task, err := jobs.ParseTaskID(name); err == nil {
+			starts = append(starts, delayedStart{runner, task})
+		}
+	}
+	return starts
+}
+
+// delayedStartsRowKey returns the key of one of the rows.
+func delayedStartsRowKey(index int) rowstore.Key {
+	key := delayedStartsKey
+	if index > 0 {
+		key.Key += "/" + strconv.Itoa(index)
+	}
+	return key
+}
+
+// isDelayedStartsRow reports whether a key is that of one of the rows.
+func isDelayedStartsRow(key rowstore.Key) bool {
+	return key == delayedStartsKey || strings.HasPrefix(key.Key, delayedStartsKey.Key+"/")
+}
+
+// collectDelayedStarts returns the starts without an answer that a successor has to know: those of
+// this term, and those of a predecessor that still count.
+func (coord *coordinator) collectDelayedStarts() []delayedStart {
+	starts := coord.core.inheritedDelayedStarts()
+	for id, l := range coord.links {
+		for task := range l.delayedStartExpiries() {
+			starts = append(starts, delayedStart{id, task})
+		}
+	}
+	return starts
+}
+
+// addDelayedStarts adds the rows with the starts without an answer. A row that would be too large
+// for the store gets as many as fit.
+func (coord *coordinator) addDelayedStarts(rows map[rowstore.Key]string) {
+	lines := make([][]string, max(1, coord.rosterRowCount))
+	for _, start := range coord.collectDelayedStarts() {
+		i := rosterRowOf(start.runner, len(lines))
+		lines[i] = append(lines[i], start.encode())
+	}
+	for i, group := range lines {
+		slices.Sort(group)
+		group = slices.Compact(group)
+		size := 0
+		kept := slices.IndexFunc(group, func(line string) bool {
+			size += len(line)
+			return size > coord.env.Limits.maxRowBytes()
+		})
+		if kept >= 0 {
+			coord.env.Log.WithFields(logrus.Fields{"starts": len(group), "kept": kept}).Warn("not all starts without an answer fit into their row")
+			group = group[:kept]
+		}
+		rows[delayedStartsRowKey(i)] = strings.Join(group, "")
+	}
+}
+
+// inheritDelayedStarts keeps the tasks of a predecessor's starts without an answer from being
+// started elsewhere.
+func (coord *coordinator) inheritDelayedStarts(starts []delayedStart) {
+	expiry := misdirectedExpiry(max(coord.env.Clock(), coord.predecessor.actingUntil)+maxCallDelay, coord.env.MaxLeaseDuration)
+	for _, start := range starts {
+		coord.core.inheritDelayedStart(start, expiry)
+	}
+}
+
+// inheritDelayedStart keeps a task from being started until a local time, or until its runner
+// reports.
+func (c *Core) inheritDelayedStart(start delayedStart, expiry time.Duration) {
+	if c.inheritedDelays == nil {
+		c.inheritedDelays = map[jobs.TaskID]map[string]time.Duration{}
+	}
+	if c.inheritedDelays[start.task] == nil {
+		c.inheritedDelays[start.task] = map[string]time.Duration{}
+	}
+	c.inheritedDelays[start.task][start.runner] = expiry
+}
+
+// inheritedDelayedStarts returns the predecessor's starts without an answer that still count.
+func (c *Core) inheritedDelayedStarts() []delayedStart {
+	var starts []delayedStart
+	for task, expiries := range c.inheritedDelays {
+		for runner := range expiries {
+			starts = append(starts, delayedStart{runner, task})
+		}
+	}
+	return starts
+}
+
+// releaseInheritedDelays ends the waits for a predecessor's starts for which the function returns
+// true.
+func (c *Core) releaseInheritedDelays(isOver func(runner string, expiry time.Duration) bool) {
+	for task, expiries := range c.inheritedDelays {
+		for runner, expiry := range expiries {
+			if isOver(runner, expiry) {
+				delete(expiries, runner)
+			}
+		}
+		if len(expiries) == 0 {
+			delete(c.inheritedDelays, task)
+		}
+	}
+}
+
+// isDelayedByPredecessor reports whether a task may run because of a predecessor's start without
+// an answer.
+func (c *Core) isDelayedByPredecessor(task jobs.TaskID) bool {
+	_, ok := c.inheritedDelays[task]
+	return ok
+}
--- a/coordinator/hiddenend.go
+++ b/coordinator/hiddenend.go
@@ -26,16 +26,18 @@
 }
 
 // startableTasks returns the indexes of the pending tasks that may be started now. It
-// leaves out the tasks that a predecessor may have started on unresolved runners; of a
-// gang it returns all tasks or none. The result may share its memory with the pending
-// tasks of the step.
+// leaves out the tasks that a predecessor may have started on unresolved runners, or of whose
+// starts by a predecessor one had no answer; of a gang it returns all tasks or none. The
+// result may share its memory with the pending tasks of the step.
 func (c *Core) startableTasks(s *openStep) []int {
-	if !s.job.inherited || len(c.unresolved) == 0 || s.openedByHiddenEnd {
+	awaitsRunners := len(c.unresolved) > 0 && !s.openedByHiddenEnd
+	if !s.job.inherited || !awaitsRunners && len(c.inheritedDelays) == 0 {
 		return s.pending
 	}
 	var tasks []int
 	for _, index := range s.pending {
-		if _, hidden := s.hiddenEnds[index]; hidden {
+		_, hidden := s.hiddenEnds[index]
+		if (hidden || !awaitsRunners) && !c.isDelayedByPredecessor(s.taskID(index)) {
 			tasks = append(tasks, index)
 		}
 	}
--- a/coordinator/incarnation_test.go
+++ b/coordinator/incarnation_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"bergamotstile/jobs"
 	"bergamotstile/leadership"
 	"bergamotstile/structs"
 )
@@ -19,29 +20,32 @@
 	clockOffset time.Duration // what the clock of the present process is ahead of the local one
 	token       uint64
 	leaseEnd    time.Duration // local time; zero without a lease
-	hasRun      bool
+	runs        map[jobs.TaskID]struct{}
 }
 
 // restart replaces the runner's process.
 func (r *restartingRunner) restart(clockOffset time.Duration) {
 	r.incarnation++
-	r.clockOffset, r.token, r.leaseEnd, r.hasRun = clockOffset, 0, 0, false
+	r.clockOffset, r.token, r.leaseEnd, r.runs = clockOffset, 0, 0, map[jobs.TaskID]struct{}{}
 }
 
-// carryOut carries out a call with a deadline, or refuses it because of its token.
-func (r *restartingRunner) carryOut(token uint64, deadline time.Duration, isStart bool, now time.Duration) bool {
+// carryOut carries out a call with a deadline, or refuses it because of its token. A call that
+// starts no task has none.
+func (r *restartingRunner) carryOut(token uint64, deadline time.Duration, task *jobs.TaskID, now time.Duration) bool {
 	if token < r.token {
 		return false
 	}
 	r.token = token
 	if now > r.leaseEnd {
-		r.hasRun = false
+		clear(r.runs)
 	}
 	if deadline > 0 {
 		left := min(deadline-(now+r.clockOffset), r.maxLease)
 		r.leaseEnd = max(r.leaseEnd, now+left*100/(100-maxClockDriftPercent))
 	}
-	r.hasRun = r.hasRun || isStart && r.leaseEnd > now
+	if task != nil && deadline > now+r.clockOffset {
+		r.runs[*task] = struct{}{}
+	}
 	return true
 }
 
@@ -50,15 +54,16 @@
 	at       time.Duration
 	token    uint64
 	deadline time.Duration
+	task     *jobs.TaskID // to start; nil for a poll
 }
 
 // Guards against leases that are taken as expired while a run still holds one: a start that was
 // meant for an earlier process of a runner is carried out by the present one, which compares its
-// deadline with another clock and keeps the run for the longest lease of the platform. Tasks ran
-// twice at the same time because of this fault.
+// deadline with another clock and keeps the run for the longest lease of the platform. It may do so
+// before it has answered or registered. Tasks ran twice at the same time because of this fault.
 func TestLeasesOfARestartedRunnerAreNotTakenAsExpiredTooEarly(t *testing.T) {
-	restarts, expiries := 0, 0
-	for seed := range uint64(400) {
+	restarts, expiries, held := 0, 0, 0
+	for seed := range uint64(1000) {
 		random := rand.New(rand.NewPCG(seed, 35))
 		between := func(shortest, longest time.Duration) time.Duration {
 			return shortest + time.Duration(random.Int64N(int64(longest-shortest)))
@@ -67,28 +72,41 @@
 		clock := func() time.Duration { return now }
 		env := Environment{Clock: clock, LeaseDuration: 8 * time.Second, MaxLeaseDuration: 10 * time.Second, Log: discardLog(), Count: func(string, int64) {}}
 		l := newLink(&coordinator{term: leadership.NewTerm(1, 24*time.Hour, clock), env: env}, "r", "a", 0)
-		r := &restartingRunner{maxLease: env.MaxLeaseDuration, incarnation: 1, clockOffset: between(0, time.Hour)}
+		r := &restartingRunner{maxLease: env.MaxLeaseDuration}
+		r.restart(between(0, time.Hour))
 		var delayed []delayedCall
 		reachable := true
+		var lastTask jobs.TaskID
+		heldUntil := map[jobs.TaskID]time.Duration{}
 		poll := func() {
 			request := l.nextRequest()
-			if !reachable || !r.carryOut(request.Token, request.Deadline, false, now) {
+			if random.IntN(12) == 0 { // carried out late, without an answer
+				delayed = append(delayed, delayedCall{now + between(0, 12*time.Second), request.Token, request.Deadline, nil})
+				l.recordUnanswered(now)
+				return
+			}
+			if !reachable || !r.carryOut(request.Token, request.Deadline, nil, now) {
 				l.recordUnanswered(now)
 				return
 			}
 			l.recordAnswer(r.incarnation, now+r.clockOffset, now, now, request.Token)
 		}
 		start := func() {
-			target, err := l.findOrderTarget(Order{Kind: Start, Incarnation: l.incarnation})
+			lastTask.Index++
+			order := Order{Kind: Start, Incarnation: l.incarnation, Task: lastTask}
+			target, err := l.findOrderTarget(order)
 			if err != nil || !reachable {
 				return
 			}
 			if random.IntN(4) == 0 { // the answer is lost, and the call is carried out late
-				delayed = append(delayed, delayedCall{now + between(0, 12*time.Second), target.token, target.deadline})
-				l.markPossibleRestart()
-				return
+				delayed = append(delayed, delayedCall{now + between(0, 12*time.Second), target.token, target.deadline, &order.Task})
+				l.recordUnansweredOrder(order, now, errNoAnswer)
+				if random.IntN(2) == 0 {
+					return
+				}
+				// The next attempt is answered.
 			}
-			if r.carryOut(target.token, target.deadline, true, now) {
+			if r.carryOut(target.token, target.deadline, &order.Task, now) {
 				l.checkClock(now+r.clockOffset, now, now)
 			}
 		}
@@ -96,11 +114,8 @@
 		for range 300 {
 			now += between(0, 400*time.Millisecond)
 			for i, call := range delayed {
-				// Left out: late calls to a process that has neither answered nor registered (see
-				// docs/incidents/open.md).
-				isKnown := r.incarnation == l.incarnation || r.incarnation == l.registeredIncarnation
-				if call.at <= now && call.at > 0 && isKnown {
-					r.carryOut(call.token, call.deadline, true, now)
+				if call.at <= now && call.at > 0 {
+					r.carryOut(call.token, call.deadline, call.task, now)
 					delayed[i].at = 0
 				}
 			}
@@ -120,14 +135,23 @@
 			}
 			if l.markExpired(now) {
 				expiries++
-				if r.hasRun && r.leaseEnd > now {
-					t.Fatalf("seed %d: leases taken as expired %v too early", seed, r.leaseEnd-now)
+				heldUntil = l.delayedStartExpiries()
+			}
+			if !l.isGone {
+				continue
+			}
+			for task := range r.runs {
+				if r.leaseEnd > now && heldUntil[task] > now {
+					held++
+				}
+				if r.leaseEnd > now && heldUntil[task] <= now {
+					t.Fatalf("seed %d: the lease on the run of %v is taken as expired %v too early", seed, task, r.leaseEnd-now)
 				}
 			}
 		}
 	}
-	if restarts < 400 || expiries < 100 {
-		t.Errorf("%d restarts and %d expiries show too little", restarts, expiries)
+	if restarts < 400 || expiries < 100 || held < 20 {
+		t.Errorf("%d restarts, %d expiries and %d runs of late starts show too little", restarts, expiries, held)
 	}
 }
 
--- a/coordinator/journal_test.go
+++ b/coordinator/journal_test.go
@@ -213,7 +213,7 @@
 		t.Errorf("acknowledged %d after a poll without an answer", got)
 	}
 	l.recordAnswer(incarnation, time.Second, time.Second, time.Second, l.token())
-	l.markPossibleRestart()
+	l.recordUnansweredOrder(Order{Kind: Stop}, 0, errNoAnswer)
 	if got := l.nextRequest().Acknowledged; got != 0 {
 		t.Errorf("acknowledged %d after an order without an answer", got)
 	}
--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -319,9 +319,11 @@
 	for id, l := range coord.links {
 		if l.markExpired(now) {
 			l.expiredAt = now
+			coord.core.HoldDelayedStarts(id, l.delayedStartExpiries(), now)
 			coord.core.ExpireRunnerLeases(id, now)
 		}
 	}
+	coord.core.ExpireDelayedStarts(now)
 }
 
 // lowerInheritedExpiries brings forward the times at which the predecessor's leases are
--- a/coordinator/link.go
+++ b/coordinator/link.go
@@ -80,6 +80,7 @@
 	// misdirectedExpiryBefore is the expiry of misdirected leases before the restart was
 	// suspected. It holds again if the same process answers.
 	misdirectedExpiryBefore time.Duration
+	delayedStarts           delayedStarts
 	// restarted signals that a poll under way need not be waited for, since its process has ended.
 	restarted chan struct{}
 	// settledIncarnation identifies the last process known to hold no lease of a misdirected call,
@@ -130,7 +131,7 @@
 	}
 	until := l.newLeaseEnd()
 	if until > 0 {
-		request.Deadline = l.lease.extend(until)
+		request.Deadline = l.extendLeases(until)
 	}
 	switch {
 	case l.incarnation != 0 && !l.isFenced:
@@ -191,14 +192,6 @@
 	l.isSilent, l.mayHaveRestarted = true, true
 }
 
-// markPossibleRestart records that an order was not answered: a new process of the runner
-// may have started.
-func (l *link) markPossibleRestart() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.mayHaveRestarted = true
-}
-
 // pollLoop polls the runner until ctx ends or the runner refuses this coordinator because
 // of a later one.
 func (l *link) pollLoop(ctx context.Context) {
--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -38,6 +38,9 @@
 		c.resolveRunner(report.Runner)
 	}
 	r.hasReported, r.cannotExtendLeases, r.isUnfenced = true, report.CannotExtendLeases, report.Unfenced
+	if !report.Unfenced && !report.Incomplete {
+		c.releaseDelayedStarts(r)
+	}
 	r.blockedJobs = nil
 	listed := make(map[*taskRun]struct{}, len(report.Running))
 	for i, result := range report.Ended {
--- a/coordinator/roster.go
+++ b/coordinator/roster.go
@@ -278,7 +278,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), handoverTimeout)
 	defer cancel()
 	entries, _ := coord.buildRoster(coord.env.Clock(), true)
-	if err := coord.journal.put(ctx, sharedPart, toPuts(coord.encodeRosterRows(entries))); err != nil {
+	rows := coord.encodeRosterRows(entries)
+	coord.addDelayedStarts(rows)
+	if err := coord.journal.put(ctx, sharedPart, toPuts(rows)); err != nil {
 		coord.env.Log.WithError(err).Warn("expiries of runner leases not handed over")
 		return
 	}
--- a/coordinator/runner.go
+++ b/coordinator/runner.go
@@ -153,7 +153,8 @@
 }
 
 // ExpireRunnerLeases records that every lease on a runner has expired. None of its runs
-// exists any more, so their tasks become pending again.
+// exists any more, except for those that HoldDelayedStarts keeps, so their tasks become pending
+// again.
 func (c *Core) ExpireRunnerLeases(id string, now time.Duration) {
 	c.resolveRunner(id)
 	r := c.runners[id]
@@ -163,14 +164,22 @@
 	c.log.WithFields(logrus.Fields{"runner": id, "runs": len(r.runs)}).Warn("leases on runner expired")
 	r.results.isIncomplete = false
 	for run := range r.runs {
-		c.removeLostRun(run, now, "lease expired")
+		if _, held := c.delayedStartRuns[run]; !held {
+			c.removeLostRun(run, now, "lease expired")
+		}
 	}
 	r.forgetUnexpectedRuns()
-	if !r.registered {
-		r.releaseReservations()
-		delete(c.runners, id)
-		c.runnersByID = nil
+	c.removeIfGone(r)
+}
+
+// removeIfGone removes a runner that is no longer registered and on which nothing can run.
+func (c *Core) removeIfGone(r *runner) {
+	if r.registered || len(r.runs) > 0 {
+		return
 	}
+	r.releaseReservations()
+	delete(c.runners, r.ID)
+	c.runnersByID = nil
 }
 
 // forgetUnexpectedRuns ends the block of the jobs whose unexpected runs the runner has listed, once
--- a/coordinator/sendorder.go
+++ b/coordinator/sendorder.go
@@ -58,7 +58,7 @@
 	if until == 0 {
 		return target, errAttemptSkipped
 	}
-	target.deadline = min(l.lease.extend(until), l.lease.startDeadline(l.coordinator.env.Clock()))
+	target.deadline = min(l.extendLeases(until), l.lease.startDeadline(l.coordinator.env.Clock()))
 	return target, nil
 }
 
@@ -92,7 +92,6 @@
 			l.coordinator.post(ctx, answerEvent{Answer{Order: order, Outcome: outcome, Repeated: repeated}})
 			return
 		case !errors.Is(err, errAttemptSkipped) && !errors.Is(err, errSupersededToken):
-			l.markPossibleRestart()
 			l.coordinator.env.Count("order_retry", 1)
 		}
 		repeated = repeated || !errors.Is(err, ErrNotSent)
@@ -127,8 +126,11 @@
 	if errors.Is(err, ErrFenced) && l.isSuperseded(target.token) {
 		return 0, errSupersededToken
 	}
-	if err == nil {
+	switch {
+	case err == nil:
 		l.checkClock(response.Clock, sent, l.coordinator.env.Clock())
+	case !errors.Is(err, ErrFenced):
+		l.recordUnansweredOrder(order, sent, err)
 	}
 	return response.Outcome, err
 }
--- a/coordinator/sharedrows.go
+++ b/coordinator/sharedrows.go
@@ -35,6 +35,7 @@
 	coord.isWritingSharedRows = true
 	roster, expiries := coord.buildRoster(now, false)
 	rows := coord.encodeRosterRows(roster)
+	coord.addDelayedStarts(rows)
 	coord.addPendingCounts(rows)
 	coord.addInterferenceModel(rows, now)
 	maps.DeleteFunc(rows, func(k rowstore.Key, v string) bool { return coord.sharedRows[k] == v })
--- a/coordinator/takeover.go
+++ b/coordinator/takeover.go
@@ -162,6 +162,7 @@
 		return err
 	}
 	var roster []rosterEntry
+	var delayed []delayedStart
 	for _, row := range shared.Rows {
 		coord.journal.setVersion(row.Key, row.Version)
 		if index, ok := parseRosterRowKey(row.Key); ok {
@@ -169,6 +170,10 @@
 			coord.rosterRowCount = max(coord.rosterRowCount, index+1)
 			roster = append(roster, decodeRoster(string(row.Value))...)
 		}
+		if isDelayedStartsRow(row.Key) {
+			coord.sharedRows[row.Key] = string(row.Value)
+			delayed = append(delayed, decodeDelayedStarts(string(row.Value))...)
+		}
 		switch row.Key {
 		case wavesKey:
 			if err := coord.restoreWaves(ctx, store, row.Value); err != nil {
@@ -193,6 +198,7 @@
 		coord.setMisdirectedExpiries(inherited, registered)
 	}
 	coord.core.SetInheritedRunners(inherited, latest)
+	coord.inheritDelayedStarts(delayed)
 	return coord.removeAnsweringExpiries(ctx, roster)
 }
 
