Bound the open occurrences of scheduled jobs

Cause: each occurrence that is due was opened at once, at 80 bytes a task. The class: state that grows with the backlog and not with what can run.

Change: the open occurrences of all scheduled jobs have at most 100,000 tasks together; each job has an equal share and at least one occurrence. Occurrences that runners report or whose progress is stored are opened beside it. The steps of a finished occurrence are dropped, which stayed in memory until the whole job had ended.

--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -88,6 +88,7 @@
 	objective          time.Duration
 	allowedTime        time.Duration        // from acceptance to objective
 	openSteps          map[[2]int]*openStep // by number of the occurrence and index of the step
+	window             occurrenceWindow
 	runs               map[jobs.TaskID][]*taskRun
 	started            bool  // a task has started, see markStarted
 	remainingCPUTimeMS int64 // estimated processor time of the tasks that are not done
@@ -285,55 +286,25 @@
 	if _, exists := c.jobs[accepted.ID]; exists || accepted.State.IsTerminal() {
 		return
 	}
-	j := &job{Job: accepted, openSteps: map[[2]int]*openStep{}, runs: map[jobs.TaskID][]*taskRun{}, inherited: inherited, preemptions: map[jobs.TaskID]int{}}
+	j := &job{Job: accepted, openSteps: map[[2]int]*openStep{}, runs: map[jobs.TaskID][]*taskRun{}, inherited: inherited, preemptions: map[jobs.TaskID]int{},
+		window: occurrenceWindow{unopened: map[int]struct{}{}}}
 	j.queue = c.queueOf(accepted)
 	j.started = j.State == jobs.Running
 	j.measuredTaskTimes = make([]time.Duration, len(j.Spec.Steps))
 	c.updateEstimates(j)
 	c.jobs[j.ID] = j
 	delete(c.absentJobs, j.ID)
+	for number := range j.Current {
+		j.window.unopened[number] = struct{}{}
+	}
 	if j.Spec.Repeats > 0 {
 		c.scheduledJobs = append(c.scheduledJobs, j)
 	}
-	c.openJobOccurrences(j, timeOfDay)
+	c.openRestoredOccurrences(j, timeOfDay)
+	c.openNextOccurrences(j, 0, c.now, timeOfDay)
 	c.log.WithFields(logrus.Fields{"job": j.ID, "queue": j.Queue.Name, "inherited": inherited}).Info("job loaded")
 }
 
-// openJobOccurrences opens those occurrences of a job that may start at the time of
-// day.
-func (c *Core) openJobOccurrences(j *job, timeOfDay time.Duration) {
-	for number := range j.Occurrences() {
-		if j.Finished[number] || j.Current[number] != nil && j.openSteps[[2]int{number, 0}] != nil {
-			continue
-		}
-		if j.Spec.Repeats > 0 && j.DueTime(number) > timeOfDay+c.limits.ScheduleLead {
-			break
-		}
-		if occurrence := j.OpenOccurrence(number); occurrence != nil {
-			c.openReadySteps(j, occurrence, false)
-		}
-	}
-}
-
-// findTask returns the progress of a task that a runner reports, or nil if there is no such task
-// or its occurrence is finished. An occurrence that is not due yet by the local clock was due by
-// that of the predecessor that started the run. Its progress counts from now on, but its steps
-// stay closed until it is due.
-func (j *job) findTask(id jobs.TaskID) *jobs.Task {
-	j.OpenOccurrence(id.Occurrence)
-	return j.Task(id)
-}
-
-// hasOpened reports whether the occurrence has been due, so that steps of it were opened.
-func (j *job) hasOpened(occurrence int) bool {
-	for i := range j.Spec.Steps {
-		if j.openSteps[[2]int{occurrence, i}] != nil {
-			return true
-		}
-	}
-	return false
-}
-
 // openReadySteps opens the steps of an occurrence all of whose preceding steps are done, and
 // adds them to the waiting steps. byHiddenEnd is set if no predecessor can have learned of
 // the result that made them ready.
--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -330,6 +330,9 @@
 			s.pending = nil
 		}
 	}
+	if j.Current[result.Task.Occurrence] == nil {
+		j.closeOccurrence(result.Task.Occurrence)
+	}
 	if j.State == jobs.Completed {
 		c.finishJob(j, jobs.Completed, now)
 		return
--- a/coordinator/schedule.go
+++ b/coordinator/schedule.go
@@ -14,7 +14,7 @@
 // preemption is allowed, the stop of less important runs. The time of day is given as the
 // time since 1970.
 func (c *Core) Schedule(now, timeOfDay time.Duration) {
-	c.openDueOccurrences(timeOfDay)
+	c.openDueOccurrences(now, timeOfDay)
 	c.pruneWaiting()
 	c.releaseStaleReservations(now)
 	c.updateServiceReservations(now)
@@ -32,7 +32,7 @@
 	for _, s := range c.waitingSteps {
 		tasks := c.startableTasks(s)
 		if len(tasks) == 0 {
-			c.logWait(s, "a runner that has not answered may run a task of the predecessor", now)
+			c.logWait(s, "a runner that has not answered may run the task for a predecessor", now)
 			continue
 		}
 		if blockedJobs[s.job.ID] {
@@ -87,13 +87,6 @@
 	return blockedJobs
 }
 
-// openDueOccurrences opens the occurrences of scheduled jobs that are due.
-func (c *Core) openDueOccurrences(timeOfDay time.Duration) {
-	for _, j := range c.scheduledJobs {
-		c.openJobOccurrences(j, timeOfDay)
-	}
-}
-
 // pruneWaiting removes steps without pending tasks, or of ended jobs, from the waiting list.
 func (c *Core) pruneWaiting() {
 	c.waitingSteps = slices.DeleteFunc(c.waitingSteps, func(s *openStep) bool {
