Make the cancel of an unknown job binding

Cause: the cancel of an unknown job wrote nothing, so the condition of the late submission still held. The class: a negative answer that nothing in the store makes binding.

The store's answers are linearizable, which rules out an old read.

The coordinator removes such marks after the retention, and only the mark. The mark of a job that this version can't read stays.

--- a/coordinator/events.go
+++ b/coordinator/events.go
@@ -143,16 +143,18 @@
 	}
 	now := coord.env.Clock()
 	if isCancel {
-		coord.core.Cancel(id, now)
+		coord.cancelJob(id, now)
 		return
 	}
+	if ended, ok := coord.endedJobs[id]; ok && ended.neverAccepted {
+		delete(coord.endedJobs, id) // the mark was removed, and the job was submitted again
+	}
 	if _, hasEnded := coord.endedJobs[id]; hasEnded || coord.core.HasJob(id) {
 		return
 	}
 	j, err := jobs.DecodeAccepted(id, row.Value, row.Version)
 	if err != nil {
-		coord.env.Count("jobs_unreadable", 1)
-		coord.env.Log.WithError(err).Error("unreadable job ignored")
+		coord.recordUnreadableJob(id, err)
 		return
 	}
 	coord.core.AddJob(j, inherited, time.Duration(time.Now().UnixNano()))
--- a/coordinator/journal.go
+++ b/coordinator/journal.go
@@ -368,10 +368,13 @@
 	return conflict
 }
 
-// removeJobs deletes all rows of some jobs, first the further rows of their progress.
-func (j *journal) removeJobs(ctx context.Context, part string, ids []jobs.ID) error {
+// removeJobs deletes all rows of some jobs, first the further rows of their progress. Of a job that
+// was never accepted it deletes only the mark: a client may have submitted another one under its ID
+// when a late call is carried out.
+func (j *journal) removeJobs(ctx context.Context, part string, expired []expiredJob) error {
 	var parts []rowWrite
-	for _, id := range ids {
+	for _, job := range expired {
+		id := job.id
 		j.mu.Lock()
 		for number := range j.parts[id] {
 			parts = append(parts, rowWrite{Put: rowstore.Put{Key: gateway.ProgressPartKey(id, number)}, isRemoval: true, jobID: id})
@@ -384,8 +387,11 @@
 		}
 	}
 	tx := rowstore.Transaction{Conditions: []rowstore.Condition{j.epochCondition(part)}}
-	for _, id := range ids {
-		tx.Deletes = append(tx.Deletes, gateway.AcceptedKey(id), gateway.CancelKey(id), gateway.ProgressKey(id))
+	for _, job := range expired {
+		tx.Deletes = append(tx.Deletes, gateway.CancelKey(job.id))
+		if !job.neverAccepted {
+			tx.Deletes = append(tx.Deletes, gateway.AcceptedKey(job.id), gateway.ProgressKey(job.id))
+		}
 	}
 	_, err := j.store.Commit(ctx, tx)
 	return err
--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -77,9 +77,10 @@
 	nextModelWrite      time.Duration
 	nextJobRemoval      time.Duration
 	endedJobs           map[jobs.ID]*endedJob
-	heldWrites          heldWrites    // progress that the store refuses for good
-	sharedRowsHeldUntil time.Duration // no shared rows are written before
-	waveManager         *waveManager  // nil if this term ignores maintenance waves
+	unreadableJobs      map[jobs.ID]struct{} // accepted jobs whose rows can't be read
+	heldWrites          heldWrites           // progress that the store refuses for good
+	sharedRowsHeldUntil time.Duration        // no shared rows are written before
+	waveManager         *waveManager         // nil if this term ignores maintenance waves
 }
 
 // Lead takes over from the predecessor and coordinates. It returns when ctx ends, when
@@ -103,6 +104,7 @@
 		recordedExpiries:    map[string]recordedExpiry{},
 		settledIncarnations: map[string]int64{},
 		endedJobs:           map[jobs.ID]*endedJob{},
+		unreadableJobs:      map[jobs.ID]struct{}{},
 		heldWrites:          heldWrites{},
 		waveManager:         newWaveManager(env.Maintenance, env.Log),
 	}
--- a/coordinator/retention.go
+++ b/coordinator/retention.go
@@ -23,15 +23,37 @@
 // as it is kept, its rows do not make the coordinator accept the job again.
 type endedJob struct {
 	endedAt        time.Duration // on the store's clock
+	neverAccepted  bool          // cancelled before it was accepted; its only row is the mark
 	isBeingRemoved bool          // a removal of the job's rows is under way or its event not applied
 	removedAt      time.Duration // on the local clock; zero while the rows may be stored
 }
 
+// cancelJob applies a row that marks a job as cancelled. If the job is not known, it was cancelled
+// before it was accepted, and the mark keeps it from being accepted until it is removed.
+func (coord *coordinator) cancelJob(id jobs.ID, now time.Duration) {
+	_, hasEnded := coord.endedJobs[id]
+	_, isUnreadable := coord.unreadableJobs[id]
+	if !hasEnded && !isUnreadable && !coord.core.HasJob(id) {
+		coord.env.Count("cancels_before_acceptance", 1)
+		coord.endedJobs[id] = &endedJob{endedAt: coord.env.StoreClock(), neverAccepted: true}
+		return
+	}
+	coord.core.Cancel(id, now)
+}
+
+// recordUnreadableJob records that the row of an accepted job can't be read. The job is ignored, and
+// its mark as cancelled, if there is one, is kept for a version that can read it.
+func (coord *coordinator) recordUnreadableJob(id jobs.ID, err error) {
+	coord.env.Count("jobs_unreadable", 1)
+	coord.env.Log.WithError(err).Error("unreadable job ignored")
+	coord.unreadableJobs[id] = struct{}{}
+}
+
 // removeExpiredJobRows starts to remove the rows of jobs that ended longer ago than the
 // retention plus retentionMargin, and forgets the jobs whose rows were removed longer than
 // forgetDelay ago.
 func (coord *coordinator) removeExpiredJobRows(now time.Duration) {
-	expired := map[string][]jobs.ID{}
+	expired := map[string][]expiredJob{}
 	endedBefore := coord.env.StoreClock() - coord.env.Retention - retentionMargin
 	for id, ended := range coord.endedJobs {
 		part := gateway.PartOf(id)
@@ -43,37 +65,47 @@
 		case !ended.isBeingRemoved && ended.endedAt < endedBefore && len(expired[part]) < maxJobsPerRemoval:
 			ended.isBeingRemoved = true
 			delete(coord.heldWrites, id)
-			expired[part] = append(expired[part], id)
+			expired[part] = append(expired[part], expiredJob{id, ended.neverAccepted})
 		}
 	}
-	for part, ids := range expired {
-		go coord.removeJobRows(part, ids)
+	for part, expiredJobs := range expired {
+		go coord.removeJobRows(part, expiredJobs)
 	}
 }
 
+// expiredJob is an ended job whose rows are to be removed.
+type expiredJob struct {
+	id            jobs.ID
+	neverAccepted bool // as in endedJob
+}
+
 // removeJobRows removes the rows of ended jobs from one part of the store, and posts the
 // outcome.
-func (coord *coordinator) removeJobRows(part string, ids []jobs.ID) {
+func (coord *coordinator) removeJobRows(part string, expired []expiredJob) {
 	ctx, cancel := context.WithTimeout(coord.ctx, journalTimeout)
 	defer cancel()
-	err := coord.journal.removeJobs(ctx, part, ids)
+	err := coord.journal.removeJobs(ctx, part, expired)
 	if err != nil {
-		coord.env.Log.WithError(err).WithField("jobs", len(ids)).Warn("rows of ended jobs not removed")
+		coord.env.Log.WithError(err).WithField("jobs", len(expired)).Warn("rows of ended jobs not removed")
 	}
-	coord.post(coord.ctx, jobRowsRemovedEvent{ids, err})
+	coord.post(coord.ctx, jobRowsRemovedEvent{expired, err})
 }
 
 // jobRowsRemovedEvent brings the outcome of a removal of the rows of ended jobs.
 type jobRowsRemovedEvent struct {
-	ids []jobs.ID
-	err error
+	jobs []expiredJob
+	err  error
 }
 
 func (e jobRowsRemovedEvent) apply(coord *coordinator) {
-	for _, id := range e.ids {
-		ended := coord.endedJobs[id]
+	for _, expired := range e.jobs {
+		ended := coord.endedJobs[expired.id]
 		ended.isBeingRemoved = false
-		if e.err == nil {
+		switch {
+		case e.err != nil:
+		case expired.neverAccepted:
+			delete(coord.endedJobs, expired.id) // no row was read that would accept the job
+		default:
 			ended.removedAt = coord.env.Clock()
 		}
 	}
--- a/coordinator/retention_test.go
+++ b/coordinator/retention_test.go
@@ -108,3 +108,55 @@
 		t.Error("the job counts as stored after its rows were removed")
 	}
 }
+
+// Guards against marks of jobs that were cancelled before they were accepted and that are kept in
+// the store for good.
+func TestMarkOfAJobThatWasNeverAcceptedIsRemoved(t *testing.T) {
+	h := newRetentionHarness(t)
+	delete(h.coordinator.endedJobs, endedID)
+	h.coordinator.core.ForgetFinished(endedID)
+	mark := rowstore.Row{Key: gateway.CancelKey(endedID), Version: 1}
+	// The row of another job under this ID stays: it may have been accepted since.
+	if _, err := h.store.Commit(t.Context(), rowstore.Transaction{Puts: []rowstore.Put{{Key: mark.Key}}}); err != nil {
+		t.Fatal(err)
+	}
+	jobsEvent{rows: []rowstore.Row{mark}}.apply(h.coordinator)
+	h.coordinator.removeExpiredJobRows(h.clock.now())
+	if h.coordinator.endedJobs[endedID].isBeingRemoved {
+		t.Fatal("the mark is removed before the retention is over")
+	}
+	now := h.coordinator.env.StoreClock()
+	h.coordinator.env.StoreClock = func() time.Duration { return now + h.coordinator.env.Retention + retentionMargin + time.Second }
+	h.removeRows()
+	res, err := h.store.Read(t.Context(), gateway.JobRange(endedID))
+	if err != nil || len(res.Rows) != 1 || res.Rows[0].Key != gateway.AcceptedKey(endedID) {
+		t.Errorf("rows %v after the removal, error %v, want only that of the accepted job", res.Rows, err)
+	}
+	if len(h.coordinator.endedJobs) != 0 {
+		t.Errorf("%d jobs are remembered", len(h.coordinator.endedJobs))
+	}
+}
+
+// Guards against a job that is accepted and never runs, because its ID was cancelled once before
+// and the removal of that mark is not noticed yet.
+func TestJobIsAcceptedOnceTheMarkUnderItsIDIsRemoved(t *testing.T) {
+	h := newRetentionHarness(t)
+	h.coordinator.endedJobs = map[jobs.ID]*endedJob{endedID: {neverAccepted: true}}
+	h.coordinator.core.ForgetFinished(endedID)
+	jobsEvent{rows: []rowstore.Row{h.acceptedRow}}.apply(h.coordinator)
+	if !h.coordinator.core.HasJob(endedID) {
+		t.Error("the job is not accepted")
+	}
+}
+
+// Guards against a job that can't be read, was cancelled, and runs once a later version can read
+// it, because its mark was removed as one of a job that was never accepted.
+func TestMarkOfAnUnreadableJobIsKept(t *testing.T) {
+	h := newRetentionHarness(t)
+	h.coordinator.endedJobs, h.coordinator.unreadableJobs = map[jobs.ID]*endedJob{}, map[jobs.ID]struct{}{}
+	rows := []rowstore.Row{{Key: gateway.AcceptedKey(endedID), Value: []byte("?"), Version: 1}, {Key: gateway.CancelKey(endedID), Version: 2}}
+	jobsEvent{rows: rows}.apply(h.coordinator)
+	if len(h.coordinator.endedJobs) != 0 {
+		t.Error("the mark of an unreadable job is to be removed")
+	}
+}
--- a/coordinator/takeover.go
+++ b/coordinator/takeover.go
@@ -124,12 +124,11 @@
 			continue
 		}
 		if err := coord.restoreJob(id, row, progressByID[id], row.Version < fenceVersion); err != nil {
-			coord.env.Count("jobs_unreadable", 1)
-			coord.env.Log.WithError(err).Error("unreadable job ignored")
+			coord.recordUnreadableJob(id, err)
 		}
 	}
 	for _, id := range cancelled {
-		coord.core.Cancel(id, coord.env.Clock())
+		coord.cancelJob(id, coord.env.Clock())
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -21,6 +21,9 @@
 	// ErrTooLarge means that the job is not accepted because its row would be larger than
 	// the store allows. The same call fails whenever and wherever it is sent again.
 	ErrTooLarge = errors.New("job too large to be stored")
+	// ErrCancelled means that the job is not accepted because its client has cancelled it before.
+	// The job never runs.
+	ErrCancelled = errors.New("job was cancelled before it was accepted")
 	// ErrRejected means that the job is not accepted because the store refuses its row for
 	// good, for a reason other than a size known to the gateway.
 	ErrRejected = errors.New("job refused by the store")
@@ -44,7 +47,8 @@
 }
 
 // Submit records a job in the store. It returns nil once the job is durable, also if
-// an earlier call has already recorded it.
+// an earlier call has already recorded it, and ErrCancelled if the job was cancelled before any
+// call has recorded it.
 func (g *Gateway) Submit(ctx context.Context, queue jobs.Queue, id jobs.ID, spec jobs.Spec) error {
 	value, err := jobs.EncodeAccepted(queue, spec, g.Clock())
 	if err != nil {
@@ -54,10 +58,17 @@
 		return g.refuseTooLarge(ctx, id, len(value))
 	}
 	key := AcceptedKey(id)
-	return g.write(ctx, rowstore.Transaction{
-		Conditions: []rowstore.Condition{{Key: key}},
+	conflict, err := g.write(ctx, rowstore.Transaction{
+		Conditions: []rowstore.Condition{{Key: key}, {Key: CancelKey(id)}},
 		Puts:       []rowstore.Put{{Key: key, Value: value}},
 	})
+	if err != nil || conflict == nil {
+		return err
+	}
+	if _, isAccepted := conflict.Find(key); !isAccepted {
+		return ErrCancelled
+	}
+	return nil
 }
 
 // refuseTooLarge returns the error for a job whose row would be too large, or nil if an
@@ -129,13 +140,26 @@
 
 // Cancel marks a job as cancelled unless it has ended, and reports whether the job
 // exists. The report is meaningful only if the error is nil.
+//
+// A job that does not exist is marked too: the store may still carry out a write that submits it,
+// and the mark makes the condition of that write fail. The coordinator removes such marks after the
+// retention of ended jobs.
 func (g *Gateway) Cancel(ctx context.Context, id jobs.ID) (bool, error) {
 	found, err := g.readJobRows(ctx, id)
-	if err != nil || found.accepted == nil {
+	if err != nil {
 		return false, err
 	}
 	if found.cancelled {
-		return true, nil
+		return found.accepted != nil, nil
+	}
+	key := CancelKey(id)
+	mark := rowstore.Transaction{
+		Conditions: []rowstore.Condition{{Key: key}},
+		Puts:       []rowstore.Put{{Key: key}},
+	}
+	if found.accepted == nil {
+		_, err := g.write(ctx, mark)
+		return false, err
 	}
 	state, _, err := g.readProgress(ctx, id)
 	if err != nil {
@@ -144,12 +168,9 @@
 	if state.IsTerminal() {
 		return true, nil
 	}
-	key := CancelKey(id)
-	// The rows of the job may be deleted in the meantime. The conditions make a
-	// delayed write fail then, so that it does not mark a job that no longer exists.
-	err = g.write(ctx, rowstore.Transaction{
-		Conditions: []rowstore.Condition{{Key: key}, {Key: found.accepted.Key, Version: found.accepted.Version}},
-		Puts:       []rowstore.Put{{Key: key}},
-	})
+	// The rows of the job may be deleted in the meantime. The condition makes a delayed write
+	// fail then, so that it does not mark a job that no longer exists.
+	mark.Conditions = append(mark.Conditions, rowstore.Condition{Key: found.accepted.Key, Version: found.accepted.Version})
+	_, err = g.write(ctx, mark)
 	return err == nil, err
 }
--- a/gateway/keys.go
+++ b/gateway/keys.go
@@ -46,7 +46,8 @@
 	return rowstore.Key{Table: JobsTable, Part: PartOf(id), Key: string(id) + acceptedSuffix}
 }
 
-// CancelKey returns the key of the row that marks a job as cancelled.
+// CancelKey returns the key of the row that marks a job as cancelled. A job that has no other row
+// was cancelled before it was accepted.
 func CancelKey(id jobs.ID) rowstore.Key {
 	return rowstore.Key{Table: JobsTable, Part: PartOf(id), Key: string(id) + cancelSuffix}
 }
--- a/gateway/write.go
+++ b/gateway/write.go
@@ -74,12 +74,13 @@
 	refusals       int
 	unknownOutcome bool // an attempt may have taken effect, or may still do so
 	lastErr        error
+	conflict       *rowstore.ConflictError // by which the write was found to be settled
 }
 
 // write commits a transaction whose conditions fail once it has taken effect: a
-// conflict therefore counts as success. It returns ErrNotAccepted only if no attempt
-// can have taken effect or still do so, and ErrOutcomeUnknown otherwise.
-func (g *Gateway) write(ctx context.Context, tx rowstore.Transaction) error {
+// conflict therefore counts as success, and is returned. It returns ErrNotAccepted only if no
+// attempt can have taken effect or still do so, and ErrOutcomeUnknown otherwise.
+func (g *Gateway) write(ctx context.Context, tx rowstore.Transaction) (*rowstore.ConflictError, error) {
 	waitUntil := time.Now().Add(outcomeTimeout)
 	if deadline, ok := ctx.Deadline(); ok && deadline.Add(-answerTimeMargin).Before(waitUntil) {
 		waitUntil = deadline.Add(-answerTimeMargin)
@@ -94,13 +95,13 @@
 		select {
 		case err := <-w.results:
 			if w.recordOutcome(err) {
-				return nil
+				return w.conflict, nil
 			}
 			if w.unanswered > 0 {
 				continue
 			}
 			if w.shouldStop(err) || !waitFor(ctx, w.retryDelay()) {
-				return w.outcomeError()
+				return nil, w.outcomeError()
 			}
 			w.send(ctx)
 		case <-hedgeTimer.C:
@@ -108,7 +109,7 @@
 				w.send(ctx)
 			}
 		case <-ctx.Done():
-			return w.outcomeError()
+			return nil, w.outcomeError()
 		}
 	}
 }
@@ -138,9 +139,8 @@
 func (w *hedgedWrite) recordOutcome(err error) bool {
 	w.unanswered--
 	w.lastErr = err
-	var conflict *rowstore.ConflictError
 	switch {
-	case err == nil, errors.As(err, &conflict):
+	case err == nil, errors.As(err, &w.conflict):
 		return true
 	case errors.Is(err, rowstore.ErrRefused):
 		w.refusals++
