Hold only starts after which the runner answered

Cause: a start that goes to a runner which is lost already has no answer either, and its task waited for 25.6 s. Beside an idle fleet that is longer than the platform allows a job to have nothing running.

Change: only a start after which the runner answered another call is held.

--- a/coordinator/delayedstart.go
+++ b/coordinator/delayedstart.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"maps"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -13,39 +14,50 @@
 // meanwhile, and has answered no call since, the new process has seen no fencing token and its
 // clock is not the one by which the deadline of the start was computed. The run then holds a lease
 // of the longest duration from the arrival of the start, while the leases that were granted to the
-// earlier process have long expired. So a task of which a start had no answer stays on a lost runner
-// until such a run has ended for certain. All other tasks of the runner are started elsewhere as
-// soon as the leases of the earlier process have expired.
+// earlier process have long expired. So a task of which a start had no answer, although the runner
+// answered a call after that, stays on a lost runner until such a run has ended for certain. All
+// other tasks of the runner are started elsewhere as soon as the leases of the earlier process have
+// expired. They include those of which a start was sent after the last answer: most likely it went
+// to a runner that was lost already, and a longer wait would keep work from an idle fleet.
 
 // delayedStarts tracks the starts without an answer of one runner.
 type delayedStarts struct {
 	// lastGrantAt is when the last call that extends leases was sent. Carried out late, such a
 	// call extends the lease of any run on the runner.
 	lastGrantAt time.Duration
-	// sentAt is when the last attempt without an answer to start each task was sent.
-	sentAt map[jobs.TaskID]time.Duration
+	// sentAt is when the attempts without an answer to start each task were sent.
+	sentAt map[jobs.TaskID][]time.Duration
 }
 
 // record records that an attempt to start a task had no answer. It forgets the attempts that no
 // process can carry out any more which started after lastAnswer, when the runner last answered.
 func (d *delayedStarts) record(task jobs.TaskID, sentAt, lastAnswer time.Duration) {
 	if d.sentAt == nil {
-		d.sentAt = map[jobs.TaskID]time.Duration{}
+		d.sentAt = map[jobs.TaskID][]time.Duration{}
 	}
-	for other, at := range d.sentAt {
-		if at+maxCallDelay < lastAnswer {
-			delete(d.sentAt, other)
+	maps.DeleteFunc(d.sentAt, func(_ jobs.TaskID, attempts []time.Duration) bool {
+		return attempts[len(attempts)-1]+maxCallDelay < lastAnswer
+	})
+	d.sentAt[task] = append(d.sentAt[task], sentAt)
+}
+
+// lastBefore returns the last of the times, which are in ascending order, that is not after a limit.
+func lastBefore(times []time.Duration, limit time.Duration) (last time.Duration, ok bool) {
+	for _, at := range times {
+		if at <= limit {
+			last, ok = at, true
 		}
 	}
-	d.sentAt[task] = max(d.sentAt[task], sentAt)
+	return last, ok
 }
 
 // expiries returns, for each task whose start may have been carried out by a process that started
 // after lastAnswer, the local time by which that run has ended for certain.
 func (d *delayedStarts) expiries(lastAnswer, maxLease time.Duration) map[jobs.TaskID]time.Duration {
 	var expiries map[jobs.TaskID]time.Duration
-	for task, at := range d.sentAt {
-		if at+maxCallDelay < lastAnswer {
+	for task, attempts := range d.sentAt {
+		at, ok := lastBefore(attempts, lastAnswer)
+		if !ok || at+maxCallDelay < lastAnswer {
 			continue
 		}
 		if expiries == nil {
@@ -70,7 +82,7 @@
 	defer l.mu.Unlock()
 	l.mayHaveRestarted = true
 	if order.Kind == Start && !errors.Is(err, ErrNotSent) {
-		l.delayedStarts.record(order.Task, sentAt, l.lastAnsweredPollSentAt)
+		l.delayedStarts.record(order.Task, sentAt, l.lastAnswerAt)
 	}
 }
 
@@ -79,7 +91,7 @@
 func (l *link) delayedStartExpiries() map[jobs.TaskID]time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.delayedStarts.expiries(l.lastAnsweredPollSentAt, l.coordinator.env.MaxLeaseDuration)
+	return l.delayedStarts.expiries(l.lastAnswerAt, l.coordinator.env.MaxLeaseDuration)
 }
 
 // HoldDelayedStarts keeps the runs of the given tasks on a lost runner beyond the expiry of the
--- a/coordinator/delayedstart_test.go
+++ b/coordinator/delayedstart_test.go
@@ -185,3 +185,25 @@
 		}
 	}
 }
+
+// Guards against work that waits beside an idle fleet for 25 s because its start went to a runner
+// that was lost already: nothing was answered after that start was sent.
+func TestStartToALostRunnerIsNotHeld(t *testing.T) {
+	h := newRosterHarness(t)
+	h.coordinator.env.MaxLeaseDuration = 10 * time.Second
+	l := h.register()
+	answer := func() { l.recordAnswer(1, time.Hour, h.clock.now(), h.clock.now(), l.token()) }
+	before, after := taskID(firstID, 0, 0), taskID(firstID, 0, 1)
+	answer()
+	l.recordUnansweredOrder(Order{Kind: Start, Task: before}, h.clock.now(), errNoAnswer)
+	h.clock.advance(time.Second)
+	answer()
+	h.clock.advance(time.Second)
+	for _, task := range []jobs.TaskID{before, after} {
+		l.recordUnansweredOrder(Order{Kind: Start, Task: task}, h.clock.now(), errNoAnswer)
+	}
+	expiries := l.delayedStartExpiries()
+	if _, held := expiries[before]; !held || len(expiries) != 1 {
+		t.Errorf("held are %v, want only %v", expiries, before)
+	}
+}
--- a/coordinator/link.go
+++ b/coordinator/link.go
@@ -45,6 +45,7 @@
 	lease                  leaseState
 	isSilent               bool          // the last poll that has ended failed
 	lastAnsweredPollSentAt time.Duration // when the last answered poll was sent
+	lastAnswerAt           time.Duration // when the last answer to a poll or an order was received
 	// unansweredSince is when the polls of the runner last began to fail: when the first poll
 	// after the last answered one failed. It is when the link was created if no poll has failed
 	// yet. While the runner answers, it has no meaning.
@@ -158,7 +159,7 @@
 func (l *link) recordAnswer(incarnation int64, clockReading, sent, now time.Duration, token uint64) pollAnswer {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.lastAnsweredPollSentAt = sent
+	l.lastAnsweredPollSentAt, l.lastAnswerAt = sent, now
 	if l.incarnation != 0 && l.incarnation != incarnation {
 		l.lease.resetForNewProcess(now)
 		if token == l.token() {
--- a/coordinator/sendorder.go
+++ b/coordinator/sendorder.go
@@ -14,11 +14,12 @@
 	maxPaceAttempts    = 3
 )
 
-// checkClock compares a reading of the runner's clock in a response to an order with the one
+// recordOrderAnswer records that an order was answered, and compares a reading of the runner's clock in a response to an order with the one
 // expected. The order was sent, and the response received, at the given local times.
-func (l *link) checkClock(reading, sent, received time.Duration) {
+func (l *link) recordOrderAnswer(reading, sent, received time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.lastAnswerAt = received
 	if reading == 0 || l.lease.clockReading == 0 {
 		return
 	}
@@ -128,7 +129,7 @@
 	}
 	switch {
 	case err == nil:
-		l.checkClock(response.Clock, sent, l.coordinator.env.Clock())
+		l.recordOrderAnswer(response.Clock, sent, l.coordinator.env.Clock())
 	case !errors.Is(err, ErrFenced):
 		l.recordUnansweredOrder(order, sent, err)
 	}
