Bound what reservations keep from standing jobs beside an idle service

Change: in that state no reservation keeps a standing job waiting for more than 1 s.

TestCapacityIsKeptForDisplacedTasksForABoundedTime asked for 5 s in that state, against the users' rule on LOST. Its job is larger now, so that there is no room for it twice, and the bounds stay; the state of the rule has a test of its own.

--- a/coordinator/servicereservation.go
+++ b/coordinator/servicereservation.go
@@ -12,9 +12,13 @@
 
 // Bounds of the time for which the reservation can keep new long-running work waiting.
 const (
+	// maxIdleReservedWait is how long a new long-running step waits for capacity that is kept for
+	// plain work or displaced tasks while twice the capacity of all its tasks is free and under half
+	// of the service's capacity is in use. Such a job may have nothing running for 3 s; the
+	// difference is left for calls to runners, and for rounds and reports that are late.
+	maxIdleReservedWait = time.Second
 	// maxReservedWait is how long a new long-running step waits for capacity that is kept for plain
-	// work while twice the capacity of one of its tasks is free. Such a job may have nothing
-	// running for 3 s; the difference is left for the start. If less is free, but enough for one
+	// work while twice the capacity of one of its tasks is free. If less is free, but enough for one
 	// task, the step waits for peakDecayTime.
 	maxReservedWait = 2 * time.Second
 	// maxDisplacedTime is how long capacity is kept for a displaced task: from when its runner
@@ -163,14 +167,15 @@
 
 // tryReserveForLongRunning returns how many tasks of a new long-running step may be started: all
 // pending ones if they leave free the capacity that plain work needed recently and that displaced
-// tasks need, else none. After the step has waited for long enough beside free capacity, it has to
-// leave free only what displaced tasks need, and as many of its tasks as do so may be started. It
-// counts them as placed.
+// tasks need, or after maxIdleReservedWait, else none. After the step has waited for long enough
+// beside less free capacity, it has to leave free only what displaced tasks need, and as many of its
+// tasks as do so may be started. It counts them as placed.
 func (reservations *serviceReservations) tryReserveForLongRunning(s *openStep, now time.Duration) int {
 	res := reservations.forService(s.job.queue.Service)
 	taskMilli := float64(s.step.Reserved().CPUMilli)
 	n := len(s.pending)
-	if res.freeMilli-float64(n)*taskMilli < res.keptForPlainMilli()+res.displacedMilli {
+	hasWaitedIdle := s.hasWaitedBesideIdleCapacity(res, now)
+	if !hasWaitedIdle && res.freeMilli-float64(n)*taskMilli < res.keptForPlainMilli()+res.displacedMilli {
 		if !s.hasWaitedForReservation(res.freeMilli, taskMilli, now) || res.freeMilli-taskMilli < res.displacedMilli {
 			return 0
 		}
@@ -187,8 +192,19 @@
 }
 
 // reservationWait holds since when a new long-running step has waited for capacity that is kept for
-// others, beside free capacity for one and for two of its tasks; zero if it has not.
-type reservationWait struct{ besideOne, besideTwo time.Duration }
+// others, beside free capacity for one and for two of its tasks, and beside a service that is idle but
+// for less than half; zero if it has not.
+type reservationWait struct{ besideOne, besideTwo, besideIdle time.Duration }
+
+// hasWaitedBesideIdleCapacity reports whether the step has waited for maxIdleReservedWait. It is to be
+// called in each round in which the step waits.
+func (s *openStep) hasWaitedBesideIdleCapacity(res *serviceReservation, now time.Duration) bool {
+	allMilli := float64(s.step.Count) * float64(s.step.Reserved().CPUMilli)
+	isIdle := res.freeMilli >= 2*allMilli && 2*res.freeMilli > res.totalMilli
+	wait := &s.reservationWait
+	wait.besideIdle = startOfState(wait.besideIdle, isIdle, now)
+	return wait.besideIdle > 0 && now-wait.besideIdle >= maxIdleReservedWait
+}
 
 // hasWaitedForReservation reports whether the step has waited for as long as the reservation for
 // plain work may keep it waiting. It is to be called in each round in which the step waits.
--- a/coordinator/servicereservation_test.go
+++ b/coordinator/servicereservation_test.go
@@ -153,10 +153,31 @@
 	h.core.UpdateRunner(testRunner("other", 16_000), h.now)
 	h.report(Report{Runner: "other", Incarnation: 1})
 	h.core.MarkRunnerSilent("lost")
-	h.addJob(firstID, false, standingStep(1, 4000))
+	h.addJob(firstID, false, standingStep(1, 9000))
 	return h
 }
 
+// Guards against a new standing job that has nothing running for longer than the platform allows,
+// beside capacity for twice the job in a service of which under half is in use: the rest was kept
+// for the tasks of a lost runner.
+func TestNoCapacityIsKeptForDisplacedTasksBesideAnIdleService(t *testing.T) {
+	for _, expired := range []bool{false, true} {
+		h := newDisplacedHarness(t, standingStep(1, 14_000))
+		h.core.Cancel(firstID, h.now)
+		if expired {
+			if n := len(h.startJob("00000000000000d4", plainStep(1, 3000))); n != 1 {
+				t.Fatal("the plain task is not started")
+			}
+			h.core.ExpireRunnerLeases("lost", h.now)
+		}
+		const newID = jobs.ID("00000000000000e5")
+		h.addJob(newID, false, standingStep(1, 4000))
+		if waited, started := h.waitForStart(newID, allowedIdle); !started {
+			t.Errorf("expired %v: not started within %v", expired, waited)
+		}
+	}
+}
+
 // Guards against capacity that is kept for tasks which can't use it: no usable runner is large
 // enough for them or has the label that they require, or their job was cancelled.
 func TestNoCapacityIsKeptForDisplacedTasksThatCannotUseIt(t *testing.T) {
