Remove rows of ended jobs as fast as they come, and take over page by page

Cause: rows of ended jobs were removed at a fixed 6.4 jobs a second, and a takeover held all rows of jobs and progress at once.

Change: a full removal is followed by the next one after 0.5 s. Takeovers, and readers after a loss of the store's history, read page by page and keep of an ended job its ID and when it ended.

--- a/coordinator/rejectedrows.go
+++ b/coordinator/rejectedrows.go
@@ -8,7 +8,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"bergamotstile/gateway"
 	"bergamotstile/jobs"
 	"bergamotstile/rowstore"
 )
@@ -186,26 +185,16 @@
 	parts map[int][]byte
 }
 
-// groupProgress returns the rows of progress by job.
-func groupProgress(rows []rowstore.Row) map[jobs.ID]storedProgress {
-	byID := make(map[jobs.ID]storedProgress, len(rows))
-	for _, row := range rows {
-		id, number, ok := gateway.ParseProgressKey(row.Key.Key)
-		if !ok {
-			continue
-		}
-		progress := byID[id]
-		if number == 0 {
-			progress.head = row.Value
-		} else {
-			if progress.parts == nil {
-				progress.parts = map[int][]byte{}
-			}
-			progress.parts[number] = row.Value
-		}
-		byID[id] = progress
+// add adds a row of the progress, given its number.
+func (p *storedProgress) add(number int, value []byte) {
+	if number == 0 {
+		p.head = value
+		return
+	}
+	if p.parts == nil {
+		p.parts = map[int][]byte{}
 	}
-	return byID
+	p.parts[number] = value
 }
 
 // restore applies the stored progress to a job without progress.
--- a/coordinator/retention.go
+++ b/coordinator/retention.go
@@ -11,9 +11,12 @@
 
 // Limits of the removal of rows of ended jobs.
 const (
-	jobRemovalInterval = 10 * time.Second
-	retentionMargin    = 30 * time.Second                     // added to the retention of the rows
-	maxJobsPerRemoval  = rowstore.MaxTransactionEntries/3 - 1 // in one part of the store; each job has three rows
+	jobRemovalInterval = 10 * time.Second // between two removals
+	// backlogRemovalPause is the time after a removal of maxJobsPerRemoval jobs of a part, after which
+	// more may be due. The removals then take little of what the store can write.
+	backlogRemovalPause = 500 * time.Millisecond
+	retentionMargin     = 30 * time.Second                     // added to the retention of the rows
+	maxJobsPerRemoval   = rowstore.MaxTransactionEntries/3 - 1 // in one part of the store; each job has three rows
 	// forgetDelay is how long a job is still known to have ended once its rows are removed.
 	// Rows that were read before the removal are applied within this time.
 	forgetDelay = time.Minute
@@ -49,23 +52,35 @@
 	coord.unreadableJobs[id] = struct{}{}
 }
 
+// isRetentionOver reports whether the rows of a job that ended at a time on the store's clock are
+// to be removed.
+func (coord *coordinator) isRetentionOver(endedAt time.Duration) bool {
+	return endedAt < coord.env.StoreClock()-coord.env.Retention-retentionMargin
+}
+
 // removeExpiredJobRows starts to remove the rows of jobs that ended longer ago than the
-// retention plus retentionMargin, and forgets the jobs whose rows were removed longer than
-// forgetDelay ago.
+// retention plus retentionMargin, up to maxJobsPerRemoval in each part, and forgets the jobs whose
+// rows were removed longer than forgetDelay ago.
 func (coord *coordinator) removeExpiredJobRows(now time.Duration) {
 	expired := map[string][]expiredJob{}
-	endedBefore := coord.env.StoreClock() - coord.env.Retention - retentionMargin
+	fullParts := 0
 	for id, ended := range coord.endedJobs {
+		if fullParts == len(gateway.Parts()) {
+			break // there may be very many
+		}
 		part := gateway.PartOf(id)
 		switch {
 		case ended.removedAt > 0:
 			if now-ended.removedAt >= forgetDelay {
 				coord.forgetEndedJob(id)
 			}
-		case !ended.isBeingRemoved && ended.endedAt < endedBefore && len(expired[part]) < maxJobsPerRemoval:
+		case !ended.isBeingRemoved && coord.isRetentionOver(ended.endedAt) && len(expired[part]) < maxJobsPerRemoval:
 			ended.isBeingRemoved = true
 			delete(coord.heldWrites, id)
 			expired[part] = append(expired[part], expiredJob{id, ended.neverAccepted})
+			if len(expired[part]) == maxJobsPerRemoval {
+				fullParts++
+			}
 		}
 	}
 	for part, expiredJobs := range expired {
@@ -98,6 +113,9 @@
 }
 
 func (e jobRowsRemovedEvent) apply(coord *coordinator) {
+	if e.err == nil && len(e.jobs) == maxJobsPerRemoval {
+		coord.nextJobRemoval = min(coord.nextJobRemoval, coord.env.Clock()+backlogRemovalPause)
+	}
 	for _, expired := range e.jobs {
 		ended := coord.endedJobs[expired.id]
 		ended.isBeingRemoved = false
--- a/coordinator/takeover.go
+++ b/coordinator/takeover.go
@@ -9,7 +9,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"bergamotstile/gateway"
-	"bergamotstile/jobs"
 	"bergamotstile/logging"
 	"bergamotstile/rowstore"
 )
@@ -75,83 +74,6 @@
 	return lowest, nil
 }
 
-// loadJobs reads every job, and returns the version after which the changes of jobs are to
-// be read. A job whose row is older than fenceVersion is inherited: a predecessor may have
-// started its tasks.
-func (coord *coordinator) loadJobs(ctx context.Context, store rowstore.Store, fenceVersion uint64) (uint64, error) {
-	parts := gateway.Parts()
-	accepted := make([]rowstore.Result, len(parts))
-	progress := make([]rowstore.Result, len(parts))
-	group, ctx := errgroup.WithContext(ctx)
-	for i, part := range parts {
-		group.Go(func() (err error) {
-			accepted[i], err = rowstore.ReadAll(ctx, store, rowstore.Range{Table: gateway.JobsTable, Part: part})
-			return err
-		})
-		group.Go(func() (err error) {
-			progress[i], err = rowstore.ReadAll(ctx, store, rowstore.Range{Table: gateway.ProgressTable, Part: part})
-			return err
-		})
-	}
-	if err := group.Wait(); err != nil {
-		return 0, fmt.Errorf("load jobs: %w", err)
-	}
-	followFrom := accepted[0].Version
-	coord.jobsAsOf = accepted[0].Now
-	for i := range parts {
-		followFrom = min(followFrom, accepted[i].Version)
-		coord.jobsAsOf = min(coord.jobsAsOf, accepted[i].Now)
-		coord.restoreJobs(accepted[i].Rows, progress[i].Rows, fenceVersion)
-	}
-	return followFrom, nil
-}
-
-// restoreJobs adds the jobs of one part to the core with their stored progress, and applies
-// the cancels.
-func (coord *coordinator) restoreJobs(accepted, progress []rowstore.Row, fenceVersion uint64) {
-	progressByID := groupProgress(progress)
-	for _, row := range progress {
-		coord.journal.recordRead(row)
-	}
-	var cancelled []jobs.ID
-	for _, row := range accepted {
-		id, isCancel, ok := gateway.ParseJobKey(row.Key.Key)
-		if !ok {
-			continue
-		}
-		if isCancel {
-			cancelled = append(cancelled, id)
-			continue
-		}
-		if err := coord.restoreJob(id, row, progressByID[id], row.Version < fenceVersion); err != nil {
-			coord.recordUnreadableJob(id, err)
-		}
-	}
-	for _, id := range cancelled {
-		coord.cancelJob(id, coord.env.Clock())
-	}
-}
-
-// restoreJob adds a job to the core with its stored progress. If the job has ended, it is only
-// recorded as finished.
-func (coord *coordinator) restoreJob(id jobs.ID, row rowstore.Row, progress storedProgress, inherited bool) error {
-	j, err := jobs.DecodeAccepted(id, row.Value, row.Version)
-	if err != nil {
-		return err
-	}
-	if err := progress.restore(j); err != nil {
-		return err
-	}
-	if j.State.IsTerminal() {
-		_, ended, err := jobs.DecodeState(progress.head)
-		coord.endedJobs[id] = &endedJob{endedAt: ended}
-		coord.core.MarkFinished(id)
-		return err
-	}
-	coord.core.AddJob(j, inherited, time.Duration(time.Now().UnixNano()))
-	return nil
-}
-
 // inheritSharedRows takes over what a predecessor stored for its successor: the roster, the
 // record of maintenance waves and the interference model. Runners in the registry or in the
 // roster may run tasks of the predecessor.
@@ -255,21 +177,30 @@
 	})
 }
 
-// rereadJobs reads all rows of the jobs table. Its result has the version and the time of
-// the part that it reads first, so that following the changes from there misses none.
+// errNotExclusive means that another process may hold the coordinator's lease.
+var errNotExclusive = errors.New("another process may coordinate")
+
+// rereadJobs reads all rows of the jobs table and posts them page by page, as there may be far more
+// of ended jobs than of others. Its result has no rows, and the version and the time of the part
+// that it reads first, so that following the changes from there misses none.
 func (coord *coordinator) rereadJobs(ctx context.Context) (rowstore.Result, error) {
-	var all rowstore.Result
+	var first rowstore.Result
 	for i, part := range gateway.Parts() {
-		res, err := rowstore.ReadAll(ctx, coord.env.Store, rowstore.Range{Table: gateway.JobsTable, Part: part})
+		version, now, err := rowstore.ReadPages(ctx, coord.env.Store, rowstore.Range{Table: gateway.JobsTable, Part: part}, func(rows []rowstore.Row) error {
+			if !coord.term.IsExclusive() {
+				return errNotExclusive
+			}
+			coord.post(ctx, jobsEvent{rows: rows})
+			return nil
+		})
 		if err != nil {
 			return rowstore.Result{}, err
 		}
 		if i == 0 {
-			all.Version, all.Now = res.Version, res.Now
+			first.Version, first.Now = version, now
 		}
-		all.Rows = append(all.Rows, res.Rows...)
 	}
-	return all, nil
+	return first, nil
 }
 
 // followTable reads the changes of a table and passes each answer to handle, also one
--- a/rowstore/rowstore.go
+++ b/rowstore/rowstore.go
@@ -150,26 +150,43 @@
 	Changes(ctx context.Context, table string, after uint64, wait time.Duration) (Result, error)
 }
 
-// ReadAll reads all rows of a range, page by page. The result has the version of
-// the first page, so that a caller that follows the changes from that version
-// misses none. It returns ErrRefused rather than a part of the rows.
-func ReadAll(ctx context.Context, s Store, r Range) (Result, error) {
-	var all Result
+// ReadPages reads all rows of a range and passes them to handle page by page, so that not all of
+// them are held in memory. The returned version and time are those of the first page, so that a
+// caller that follows the changes from that version misses none. It returns the first error of
+// handle, and ErrRefused if the rows can't be read to their end; some were passed on then.
+func ReadPages(ctx context.Context, s Store, r Range, handle func(rows []Row) error) (version uint64, now time.Duration, err error) {
 	for {
 		page, err := s.Read(ctx, r)
 		if err != nil {
-			return Result{}, err
+			return 0, 0, err
 		}
-		if all.Version == 0 {
-			all.Version, all.Now = page.Version, page.Now
+		if version == 0 {
+			version, now = page.Version, page.Now
+		}
+		if err := handle(page.Rows); err != nil {
+			return 0, 0, err
 		}
-		all.Rows = append(all.Rows, page.Rows...)
 		if !page.More {
-			return all, nil
+			return version, now, nil
 		}
 		if len(page.Rows) == 0 {
-			return Result{}, fmt.Errorf("%w: a page without rows that is not the last one", ErrRefused)
+			return 0, 0, fmt.Errorf("%w: a page without rows that is not the last one", ErrRefused)
 		}
 		r.From = page.Rows[len(page.Rows)-1].Key.Key + "\x00"
 	}
 }
+
+// ReadAll reads all rows of a range, page by page. The result has the version of
+// the first page. It returns ErrRefused rather than a part of the rows.
+func ReadAll(ctx context.Context, s Store, r Range) (Result, error) {
+	var all Result
+	version, now, err := ReadPages(ctx, s, r, func(rows []Row) error {
+		all.Rows = append(all.Rows, rows...)
+		return nil
+	})
+	if err != nil {
+		return Result{}, err
+	}
+	all.Version, all.Now = version, now
+	return all, nil
+}
