Give tasks more time after each stall

Cause: a run counted as stalled after 2.5 s without a change of its whole percent, however often that had happened, and each stop closed its runner for 3 s.

Ruled out: no limit at all, as a runner that hangs would keep its tasks for good; a longer limit for all, as it would be noticed later.

Change: the time doubles with each stall of the task, also over a takeover. Only the first stall of a task speaks against its runner, and a starved job may use one that is avoided.

--- a/coordinator/checkruns.go
+++ b/coordinator/checkruns.go
@@ -13,6 +13,9 @@
 	// stallTimeout is the least time without progress after which a run whose pace is
 	// minStallPace or more counts as stalled.
 	stallTimeout = 2500 * time.Millisecond
+	// maxStallDoublings bounds how often the time is doubled that a task may take without
+	// progress. A run reports whole percents, so a task of eight hours gets through.
+	maxStallDoublings = 7
 	// minStallPace is the least pace at which missing progress shows that a run is
 	// stalled.
 	minStallPace = 50 // percent
@@ -68,13 +71,31 @@
 		}
 		for run := range r.runs {
 			if run.state == stateRunning && c.isStalled(run, now) {
-				r.health.recordStall(now)
-				c.moveRun(run, now, "no progress")
+				c.moveStalledRun(run, now)
 			}
 		}
 	}
 }
 
+// moveStalledRun stops a stalled run. Its runner is avoided if no run of the task has stalled before;
+// else the task may just take far longer than estimated.
+func (c *Core) moveStalledRun(run *taskRun, now time.Duration) {
+	if run.earlierStalls() == 0 {
+		run.runner.health.recordStall(now)
+	}
+	run.job.stalls[run.task] = run.earlierStalls() + 1
+	c.moveRun(run, now, "no progress")
+}
+
+// earlierStalls returns how many earlier runs of the task have stalled, as far as is known. Each
+// earlier run of an adopted one may have.
+func (run *taskRun) earlierStalls() int {
+	if run.adoptedAt > 0 {
+		return max(run.job.stalls[run.task], run.number-1)
+	}
+	return run.job.stalls[run.task]
+}
+
 // removeGoneRunners removes runners that are not registered, have no runs and on which
 // leases can't be extended. One whose last report was incomplete stays until its leases have
 // expired: until then it may still list results of runs that this coordinator does not know.
@@ -154,11 +175,13 @@
 }
 
 // isStalled reports whether a run has made no progress for stallTimeout and for half of
-// its estimated time. Long-running tasks, members of gangs and runs that are slowed
+// its estimated time, both doubled for each earlier run of the task that has stalled: otherwise a task
+// that takes far longer than estimated would be begun anew for ever. Long-running tasks, members of gangs and runs that are slowed
 // below minStallPace never count as stalled.
 func (c *Core) isStalled(run *taskRun, now time.Duration) bool {
 	if run.step.LongRunning || run.step.Gang || run.pace < minStallPace || run.progressedAt == 0 {
 		return false
 	}
-	return now-max(run.progressedAt, run.startedAt) > max(stallTimeout, run.job.taskEstimates[run.task.Step]/2)
+	timeout := max(stallTimeout, run.job.taskEstimates[run.task.Step]/2) << min(run.earlierStalls(), maxStallDoublings)
+	return now-max(run.progressedAt, run.startedAt) > timeout
 }
--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -101,6 +101,7 @@
 	// preemptions counts how often each task was preempted by a task of a more
 	// important queue.
 	preemptions map[jobs.TaskID]int
+	stalls      map[jobs.TaskID]int // how many runs of each task were stopped as stalled
 }
 
 // openStep is a step of an occurrence all of whose preceding steps are done.
@@ -286,7 +287,7 @@
 	if _, exists := c.jobs[accepted.ID]; exists || accepted.State.IsTerminal() {
 		return
 	}
-	j := &job{Job: accepted, openSteps: map[[2]int]*openStep{}, runs: map[jobs.TaskID][]*taskRun{}, inherited: inherited, preemptions: map[jobs.TaskID]int{},
+	j := &job{Job: accepted, openSteps: map[[2]int]*openStep{}, runs: map[jobs.TaskID][]*taskRun{}, inherited: inherited, preemptions: map[jobs.TaskID]int{}, stalls: map[jobs.TaskID]int{},
 		window: occurrenceWindow{unopened: map[int]struct{}{}}}
 	j.queue = c.queueOf(accepted)
 	j.started = j.State == jobs.Running
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -59,7 +59,7 @@
 		return domainEvacuated
 	case !r.isUsable():
 		return notUsable
-	case r.health.isAvoided(now):
+	case r.health.isAvoided(now) && !s.starved: // a starved step has no better place
 		return runnerAvoided
 	case s.step.RequiredLabel != "" && !slices.Contains(r.Labels, s.step.RequiredLabel):
 		return missingLabel
