Await the submitters of a soak before its jobs

Cause: awaitJobs read the list of jobs while clients still submitted the last ones, which were not awaited then (a race that the second review reports).

Change: the soak waits for the submitters first, so that the last jobs are awaited too.

Result: TestSoak and TestSoakOfSilentConnections pass with the race detector.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -143,10 +143,10 @@
 	ctx, cancel := context.WithTimeout(t.Context(), plan.duration)
 	defer cancel()
 	jobClients := newClients(d)
-	var running sync.WaitGroup
+	var submitting, running sync.WaitGroup
 	for i := range cmp.Or(plan.submitters, submitterCount) {
 		random := rand.New(rand.NewPCG(seed, uint64(10+i)))
-		running.Go(func() { jobClients.run(ctx, random) })
+		submitting.Go(func() { jobClients.run(ctx, random) })
 	}
 	pendingRandom := rand.New(rand.NewPCG(seed, 2))
 	running.Go(func() { jobClients.watchPending(ctx, pendingRandom) })
@@ -154,6 +154,7 @@
 	defer stopConfigCheck()
 	running.Go(func() { d.checkConfigs(configCtx) })
 	plan.inject(ctx, newFaultInjector(d, seed, recordFault))
+	submitting.Wait() // the last jobs are awaited too
 	unfinished := awaitJobs(jobClients, rand.New(rand.NewPCG(seed, 3)))
 	stopConfigCheck()
 	running.Wait()
