--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -73,9 +73,6 @@
 	base    progressBase
 	// isResumed is set if the run was started from a checkpoint.
 	isResumed bool
-	// delayedStartExpiry is the time until which HoldDelayedStarts keeps the run; zero if it does
-	// not.
-	delayedStartExpiry time.Duration
 	// isCopy is set if this coordinator started the run while another run of its task existed.
 	isCopy bool
 }
@@ -214,8 +211,8 @@
 	hasNewResults bool
 	locality      locality
 	speculation   speculation
-	// delayedStartRuns holds the runs that HoldDelayedStarts keeps, and some that no longer exist.
-	delayedStartRuns map[*taskRun]struct{}
+	// delayedStartRuns holds until when HoldDelayedStarts keeps runs. Some of them no longer exist.
+	delayedStartRuns map[*taskRun]time.Duration
 	// inheritedDelays holds, by task and runner ID, the times until which the predecessor's starts
 	// without an answer keep a task from being started.
 	inheritedDelays map[jobs.TaskID]map[string]time.Duration
@@ -248,7 +245,7 @@
 		durationEstimators:  map[string]*durations.Estimator{},
 		serviceReservations: serviceReservations{services: map[string]*serviceReservation{}},
 		locality:            locality{decide: decidePlacement},
-		delayedStartRuns:    map[*taskRun]struct{}{},
+		delayedStartRuns:    map[*taskRun]time.Duration{},
 	}
 }
 
--- a/coordinator/delayedstart.go
+++ b/coordinator/delayedstart.go
@@ -107,8 +107,7 @@
 		if !delayed || expiry <= now || run.step.Speculative {
 			continue
 		}
-		run.delayedStartExpiry = expiry
-		c.delayedStartRuns[run] = struct{}{}
+		c.delayedStartRuns[run] = expiry
 		c.counters("runs_held", 1)
 		c.log.WithFields(logrus.Fields{"task": run.task, "run": run.number, "runner": id, "left_ms": (expiry - now).Milliseconds()}).
 			Warn("a start without an answer may still be carried out")
@@ -120,9 +119,9 @@
 // starts without an answer whose runs have ended for certain.
 func (c *Core) ExpireDelayedStarts(now time.Duration) {
 	c.releaseInheritedDelays(func(_ string, expiry time.Duration) bool { return now > expiry })
-	for run := range c.delayedStartRuns {
+	for run, expiry := range c.delayedStartRuns {
 		_, exists := run.runner.runs[run]
-		if exists && now <= run.delayedStartExpiry {
+		if exists && now <= expiry {
 			continue
 		}
 		delete(c.delayedStartRuns, run)
@@ -137,11 +136,5 @@
 // its earlier processes: its reports say which of them exist.
 func (c *Core) releaseDelayedStarts(r *runner) {
 	c.releaseInheritedDelays(func(runner string, _ time.Duration) bool { return runner == r.ID })
-	if len(c.delayedStartRuns) == 0 {
-		return
-	}
-	for run := range r.runs {
-		run.delayedStartExpiry = 0
-		delete(c.delayedStartRuns, run)
-	}
+	maps.DeleteFunc(c.delayedStartRuns, func(run *taskRun, _ time.Duration) bool { return run.runner == r })
 }
