--- a/coordinator/checkruns.go
+++ b/coordinator/checkruns.go
@@ -175,9 +175,9 @@
 }
 
 // isStalled reports whether a run has made no progress for stallTimeout and for half of
-// its estimated time, both doubled for each earlier run of the task that has stalled: otherwise a task
-// that takes far longer than estimated would be begun anew for ever. Long-running tasks, members of gangs and runs that are slowed
-// below minStallPace never count as stalled.
+// its estimated time, both doubled for each earlier run of the task that has stalled: otherwise a
+// task that takes far longer than estimated would be begun anew for ever. Long-running tasks,
+// members of gangs and runs that are slowed below minStallPace never count as stalled.
 func (c *Core) isStalled(run *taskRun, now time.Duration) bool {
 	if run.step.LongRunning || run.step.Gang || run.pace < minStallPace || run.progressedAt == 0 {
 		return false
--- a/coordinator/link.go
+++ b/coordinator/link.go
@@ -81,7 +81,7 @@
 	// misdirectedExpiryBefore is the expiry of misdirected leases before the restart was
 	// suspected. It holds again if the same process answers.
 	misdirectedExpiryBefore time.Duration
-	delayedStarts           delayedStarts
+	delayedStarts           delayedStarts // starts without an answer
 	// restarted signals that a poll under way need not be waited for, since its process has ended.
 	restarted chan struct{}
 	// settledIncarnation identifies the last process known to hold no lease of a misdirected call,
--- a/coordinator/occurrences.go
+++ b/coordinator/occurrences.go
@@ -116,7 +116,7 @@
 	return j.Task(id)
 }
 
-// hasOpened reports whether steps of the occurrence were opened.
+// hasOpened reports whether steps of an occurrence in progress were opened.
 func (j *job) hasOpened(occurrence int) bool {
 	_, unopened := j.window.unopened[occurrence]
 	return !unopened
--- a/coordinator/sendorder.go
+++ b/coordinator/sendorder.go
@@ -14,8 +14,9 @@
 	maxPaceAttempts    = 3
 )
 
-// recordOrderAnswer records that an order was answered, and compares a reading of the runner's clock in a response to an order with the one
-// expected. The order was sent, and the response received, at the given local times.
+// recordOrderAnswer records that an order was answered, and compares the reading of the runner's
+// clock in the response with the one expected. The order was sent, and the response received, at
+// the given local times.
 func (l *link) recordOrderAnswer(reading, sent, received time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
