Index the predecessor's starts without an answer by runner

Cause: each report looked at all such starts of the predecessor. After a takeover of 3,000 runners with thousands of them the coordinator did not catch up.

Change: the starts are kept by runner, with a count for each task; they all expire at the same time.

--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -213,9 +213,7 @@
 	speculation   speculation
 	// delayedStartRuns holds until when HoldDelayedStarts keeps runs. Some of them no longer exist.
 	delayedStartRuns map[*taskRun]time.Duration
-	// inheritedDelays holds, by task and runner ID, the times until which the predecessor's starts
-	// without an answer keep a task from being started.
-	inheritedDelays map[jobs.TaskID]map[string]time.Duration
+	inheritedDelays  inheritedDelays
 }
 
 // Counter adds n to the counter of a name.
--- a/coordinator/delayedstart.go
+++ b/coordinator/delayedstart.go
@@ -118,7 +118,7 @@
 // for certain. Their tasks become pending again. It also ends the waits for the predecessor's
 // starts without an answer whose runs have ended for certain.
 func (c *Core) ExpireDelayedStarts(now time.Duration) {
-	c.releaseInheritedDelays(func(_ string, expiry time.Duration) bool { return now > expiry })
+	c.inheritedDelays.releaseExpired(now)
 	for run, expiry := range c.delayedStartRuns {
 		_, exists := run.runner.runs[run]
 		if exists && now <= expiry {
@@ -135,6 +135,6 @@
 // releaseDelayedStarts ends the hold of the runs of a runner that reports and refuses all calls to
 // its earlier processes: its reports say which of them exist.
 func (c *Core) releaseDelayedStarts(r *runner) {
-	c.releaseInheritedDelays(func(runner string, _ time.Duration) bool { return runner == r.ID })
+	c.inheritedDelays.releaseRunner(r.ID)
 	maps.DeleteFunc(c.delayedStartRuns, func(run *taskRun, _ time.Duration) bool { return run.runner == r })
 }
--- a/coordinator/delayedstart_test.go
+++ b/coordinator/delayedstart_test.go
@@ -143,7 +143,7 @@
 // Guards against a task that waits for a predecessor's start although its runner has reported.
 func TestReportEndsTheWaitForAPredecessorsStart(t *testing.T) {
 	h := newCoreHarness(t, testRunner("other", 4000))
-	h.core.inheritDelayedStart(delayedStart{"a", taskID(firstID, 0, 0)}, time.Hour)
+	h.core.inheritedDelays.add(delayedStart{"a", taskID(firstID, 0, 0)}, time.Hour)
 	h.addJob(firstID, true, plainStep(1, 1000))
 	if n := len(startOrders(h.schedule())); n != 0 {
 		t.Fatalf("%d starts before the runner reports", n)
@@ -161,7 +161,7 @@
 	h := newRosterHarness(t)
 	for i := range runners {
 		for index := range startsPerRunner {
-			h.coordinator.core.inheritDelayedStart(delayedStart{fmt.Sprintf("i-%010x", i), taskID(firstID, i, index)}, time.Hour)
+			h.coordinator.core.inheritedDelays.add(delayedStart{fmt.Sprintf("i-%010x", i), taskID(firstID, i, index)}, time.Hour)
 		}
 	}
 	h.coordinator.rosterRowCount = 3
--- a/coordinator/delayedstartrows.go
+++ b/coordinator/delayedstartrows.go
@@ -56,7 +56,7 @@
 // collectDelayedStarts returns the starts without an answer that a successor has to know: those of
 // this term, and those of a predecessor that still count.
 func (coord *coordinator) collectDelayedStarts() []delayedStart {
-	starts := coord.core.inheritedDelayedStarts()
+	starts := coord.core.inheritedDelays.list()
 	for id, l := range coord.links {
 		for task := range l.delayedStartExpiries() {
 			starts = append(starts, delayedStart{id, task})
@@ -94,51 +94,65 @@
 func (coord *coordinator) inheritDelayedStarts(starts []delayedStart) {
 	expiry := misdirectedExpiry(max(coord.env.Clock(), coord.predecessor.actingUntil)+maxCallDelay, coord.env.MaxLeaseDuration)
 	for _, start := range starts {
-		coord.core.inheritDelayedStart(start, expiry)
+		coord.core.inheritedDelays.add(start, expiry)
 	}
 }
 
-// inheritDelayedStart keeps a task from being started until a local time, or until its runner
-// reports.
-func (c *Core) inheritDelayedStart(start delayedStart, expiry time.Duration) {
-	if c.inheritedDelays == nil {
-		c.inheritedDelays = map[jobs.TaskID]map[string]time.Duration{}
+// inheritedDelays holds the predecessor's starts without an answer that still count.
+//
+// It answers this load: a takeover of thousands of runners with several such starts each, all of
+// which report within a second.
+type inheritedDelays struct {
+	tasks     map[string]map[jobs.TaskID]struct{} // by runner ID
+	runners   map[jobs.TaskID]int                 // number of runners that may run each task
+	expiresAt time.Duration                       // when all such runs have ended for certain
+}
+
+// add keeps a task from being started until a local time, or until its runner reports.
+func (d *inheritedDelays) add(start delayedStart, expiry time.Duration) {
+	if d.tasks == nil {
+		d.tasks, d.runners = map[string]map[jobs.TaskID]struct{}{}, map[jobs.TaskID]int{}
 	}
-	if c.inheritedDelays[start.task] == nil {
-		c.inheritedDelays[start.task] = map[string]time.Duration{}
+	d.expiresAt = max(d.expiresAt, expiry)
+	if d.tasks[start.runner] == nil {
+		d.tasks[start.runner] = map[jobs.TaskID]struct{}{}
+	}
+	if _, known := d.tasks[start.runner][start.task]; !known {
+		d.tasks[start.runner][start.task] = struct{}{}
+		d.runners[start.task]++
 	}
-	c.inheritedDelays[start.task][start.runner] = expiry
 }
 
-// inheritedDelayedStarts returns the predecessor's starts without an answer that still count.
-func (c *Core) inheritedDelayedStarts() []delayedStart {
+// list returns the starts.
+func (d *inheritedDelays) list() []delayedStart {
 	var starts []delayedStart
-	for task, expiries := range c.inheritedDelays {
-		for runner := range expiries {
+	for runner, tasks := range d.tasks {
+		for task := range tasks {
 			starts = append(starts, delayedStart{runner, task})
 		}
 	}
 	return starts
 }
 
-// releaseInheritedDelays ends the waits for a predecessor's starts for which the function returns
-// true.
-func (c *Core) releaseInheritedDelays(isOver func(runner string, expiry time.Duration) bool) {
-	for task, expiries := range c.inheritedDelays {
-		for runner, expiry := range expiries {
-			if isOver(runner, expiry) {
-				delete(expiries, runner)
-			}
-		}
-		if len(expiries) == 0 {
-			delete(c.inheritedDelays, task)
+// releaseRunner ends the waits for a runner that has reported.
+func (d *inheritedDelays) releaseRunner(id string) {
+	for task := range d.tasks[id] {
+		if d.runners[task]--; d.runners[task] == 0 {
+			delete(d.runners, task)
 		}
 	}
+	delete(d.tasks, id)
 }
 
-// isDelayedByPredecessor reports whether a task may run because of a predecessor's start without
-// an answer.
-func (c *Core) isDelayedByPredecessor(task jobs.TaskID) bool {
-	_, ok := c.inheritedDelays[task]
-	return ok
+// releaseExpired ends all waits once they are over.
+func (d *inheritedDelays) releaseExpired(now time.Duration) {
+	if len(d.tasks) > 0 && now > d.expiresAt {
+		*d = inheritedDelays{}
+	}
 }
+
+// isEmpty reports whether no task waits.
+func (d *inheritedDelays) isEmpty() bool { return len(d.runners) == 0 }
+
+// isDelayed reports whether a task may run because of a predecessor's start without an answer.
+func (d *inheritedDelays) isDelayed(task jobs.TaskID) bool { return d.runners[task] > 0 }
--- a/coordinator/hiddenend.go
+++ b/coordinator/hiddenend.go
@@ -31,13 +31,13 @@
 // result may share its memory with the pending tasks of the step.
 func (c *Core) startableTasks(s *openStep) []int {
 	awaitsRunners := len(c.unresolved) > 0 && !s.openedByHiddenEnd
-	if !s.job.inherited || !awaitsRunners && len(c.inheritedDelays) == 0 {
+	if !s.job.inherited || !awaitsRunners && c.inheritedDelays.isEmpty() {
 		return s.pending
 	}
 	var tasks []int
 	for _, index := range s.pending {
 		_, hidden := s.hiddenEnds[index]
-		if (hidden || !awaitsRunners) && !c.isDelayedByPredecessor(s.taskID(index)) {
+		if (hidden || !awaitsRunners) && !c.inheritedDelays.isDelayed(s.taskID(index)) {
 			tasks = append(tasks, index)
 		}
 	}
