--- a/coordinator/reservationwait_property_test.go
+++ b/coordinator/reservationwait_property_test.go
@@ -275,22 +275,17 @@
 	}
 }
 
-// seedsBelow returns the seeds from zero on.
-func seedsBelow(count uint64) []uint64 {
-	seeds := make([]uint64, count)
-	for i := range seeds {
-		seeds[i] = uint64(i)
-	}
-	return seeds
-}
-
 // Guards against a reservation that keeps a long-running job or task waiting beside free capacity
 // for longer than the platform allows, whatever bursts, losses of runners and pauses between
 // rounds came before.
 func TestReservationsHoldNoLongRunningWorkBackBesideAnIdleFleet(t *testing.T) {
 	const length, settle = 30 * time.Second, 30 * time.Second
 	measured, worst := 0, time.Duration(0)
-	for _, seed := range append(seedsBelow(250), 341, 971, 1021, 1195) {
+	seeds := []uint64{341, 971, 1021, 1195} // that failed before
+	for seed := range uint64(250) {
+		seeds = append(seeds, seed)
+	}
+	for _, seed := range seeds {
 		sim := newReservationSimulation(t, seed)
 		sim.addLongRunning()
 		for began := sim.now; sim.now-began < length+settle; {
