Log unreadable starts without an answer, and shorten the loading of jobs

Cause: a damaged line in the rows of starts without an answer was passed over in silence, so that a successor would start a task too early without a trace. loadPart did the work of three functions.

Change: a log line with the number of such lines; loadPart calls loadProgress and loadAccepted. No other behaviour changes.

--- a/coordinator/delayedstart_test.go
+++ b/coordinator/delayedstart_test.go
@@ -172,7 +172,11 @@
 		if len(value) > rowstore.DefaultMaxRowBytes || !isDelayedStartsRow(key) {
 			t.Errorf("row %v has %d bytes", key, len(value))
 		}
-		read += len(decodeDelayedStarts(value))
+		starts, unreadable := decodeDelayedStarts(value)
+		read += len(starts)
+		if unreadable > 0 {
+			t.Errorf("row %v has %d unreadable lines", key, unreadable)
+		}
 	}
 	if read != runners*startsPerRunner {
 		t.Errorf("%d starts are read, want %d", read, runners*startsPerRunner)
@@ -180,7 +184,7 @@
 	h.coordinator.env.Limits.MaxRowBytes = 1000
 	h.coordinator.addDelayedStarts(rows)
 	for key, value := range rows {
-		if len(value) > 1000 || len(decodeDelayedStarts(value)) == 0 {
+		if starts, _ := decodeDelayedStarts(value); len(value) > 1000 || len(starts) == 0 {
 			t.Errorf("row %v has %d bytes, of which 1000 are allowed", key, len(value))
 		}
 	}
--- a/coordinator/delayedstartrows.go
+++ b/coordinator/delayedstartrows.go
@@ -27,16 +27,18 @@
 // encode returns the line for the start.
 func (d delayedStart) encode() string { return d.runner + " " + d.task.String() + "\n" }
 
-// decodeDelayedStarts returns the starts in a row, without unreadable lines.
-func decodeDelayedStarts(value string) []delayedStart {
-	var starts []delayedStart
+// decodeDelayedStarts returns the starts in a row and the number of unreadable lines.
+func decodeDelayedStarts(value string) (starts []delayedStart, unreadable int) {
 	for line := range strings.Lines(value) {
 		runner, name, _ := strings.Cut(strings.TrimSpace(line), " ")
-		if task, err := jobs.ParseTaskID(name); err == nil {
-			starts = append(starts, delayedStart{runner, task})
+		task, err := jobs.ParseTaskID(name)
+		if err != nil {
+			unreadable++
+			continue
 		}
+		starts = append(starts, delayedStart{runner, task})
 	}
-	return starts
+	return starts, unreadable
 }
 
 // delayedStartsRowKey returns the key of one of the rows.
@@ -89,9 +91,13 @@
 	}
 }
 
-// inheritDelayedStarts keeps the tasks of a predecessor's starts without an answer from being
-// started elsewhere.
-func (coord *coordinator) inheritDelayedStarts(starts []delayedStart) {
+// inheritDelayedStarts keeps the tasks of a predecessor's starts without an answer, which a row
+// holds, from being started elsewhere.
+func (coord *coordinator) inheritDelayedStarts(value string) {
+	starts, unreadable := decodeDelayedStarts(value)
+	if unreadable > 0 {
+		coord.env.Log.WithField("lines", unreadable).Warn("unreadable starts without an answer ignored")
+	}
 	expiry := misdirectedExpiry(max(coord.env.Clock(), coord.predecessor.actingUntil)+maxCallDelay, coord.env.MaxLeaseDuration)
 	for _, start := range starts {
 		coord.core.inheritedDelays.add(start, expiry)
--- a/coordinator/takeover.go
+++ b/coordinator/takeover.go
@@ -83,7 +83,7 @@
 		return err
 	}
 	var roster []rosterEntry
-	var delayed []delayedStart
+	var delayed []string
 	for _, row := range shared.Rows {
 		coord.journal.setVersion(row.Key, row.Version)
 		if index, ok := parseRosterRowKey(row.Key); ok {
@@ -93,7 +93,7 @@
 		}
 		if isDelayedStartsRow(row.Key) {
 			coord.sharedRows[row.Key] = string(row.Value)
-			delayed = append(delayed, decodeDelayedStarts(string(row.Value))...)
+			delayed = append(delayed, string(row.Value))
 		}
 		switch row.Key {
 		case wavesKey:
@@ -119,7 +119,9 @@
 		coord.setMisdirectedExpiries(inherited, registered)
 	}
 	coord.core.SetInheritedRunners(inherited, latest)
-	coord.inheritDelayedStarts(delayed)
+	for _, value := range delayed {
+		coord.inheritDelayedStarts(value)
+	}
 	return coord.removeAnsweringExpiries(ctx, roster)
 }
 
--- a/coordinator/takeoverjobs.go
+++ b/coordinator/takeoverjobs.go
@@ -49,23 +49,38 @@
 // loadPart restores the jobs of one part. It reads their progress first: while this coordinator has
 // not taken over, nobody can change it, so the order makes no difference.
 func (l *jobLoader) loadPart(ctx context.Context, part string) error {
+	open, err := l.loadProgress(ctx, part)
+	if err != nil {
+		return err
+	}
+	return l.loadAccepted(ctx, part, open)
+}
+
+// loadProgress reads the progress of the jobs of one part. It returns that of the jobs that have not
+// ended, and records the others.
+func (l *jobLoader) loadProgress(ctx context.Context, part string) (map[jobs.ID]storedProgress, error) {
 	open := map[jobs.ID]storedProgress{}
-	_, _, err := rowstore.ReadPages(ctx, l.store, rowstore.Range{Table: gateway.ProgressTable, Part: part}, func(rows []rowstore.Row) error {
+	rows := rowstore.Range{Table: gateway.ProgressTable, Part: part}
+	_, _, err := rowstore.ReadPages(ctx, l.store, rows, func(page []rowstore.Row) error {
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		for _, row := range rows {
+		for _, row := range page {
 			l.addProgress(open, row)
 		}
 		return nil
 	})
-	if err != nil {
-		return err
-	}
+	return open, err
+}
+
+// loadAccepted reads the accepted jobs of one part and their marks as cancelled, and restores those
+// that have not ended, given their progress.
+func (l *jobLoader) loadAccepted(ctx context.Context, part string, open map[jobs.ID]storedProgress) error {
 	var cancelled []jobs.ID
-	version, now, err := rowstore.ReadPages(ctx, l.store, rowstore.Range{Table: gateway.JobsTable, Part: part}, func(rows []rowstore.Row) error {
+	rows := rowstore.Range{Table: gateway.JobsTable, Part: part}
+	version, now, err := rowstore.ReadPages(ctx, l.store, rows, func(page []rowstore.Row) error {
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		for _, row := range rows {
+		for _, row := range page {
 			id, isCancel, ok := gateway.ParseJobKey(row.Key.Key)
 			switch {
 			case !ok:
@@ -86,16 +101,19 @@
 	for _, id := range cancelled {
 		l.coordinator.cancelJob(id, l.coordinator.env.Clock())
 	}
-	if !l.hasRead || version < l.followFrom {
-		l.followFrom = version
-	}
-	if !l.hasRead || now < l.asOf {
-		l.asOf = now
-	}
-	l.hasRead = true
+	l.recordRead(version, now)
 	return nil
 }
 
+// recordRead records the version and the time of the first page of a part. The caller holds mu.
+func (l *jobLoader) recordRead(version uint64, now time.Duration) {
+	if !l.hasRead {
+		l.followFrom, l.asOf, l.hasRead = version, now, true
+		return
+	}
+	l.followFrom, l.asOf = min(l.followFrom, version), min(l.asOf, now)
+}
+
 // addProgress records a row of progress: of an ended job when it ended, and of any other job the
 // row itself. The caller holds mu.
 func (l *jobLoader) addProgress(open map[jobs.ID]storedProgress, row rowstore.Row) {
