Take a job as cancelled only if its mark is among the rows of the conflict

Cause: a submission whose conflict showed no accepted job was refused with 409, also if the store's answer had no rows at all. Such a refusal says that the job never runs, which is not known then.

Change: without the mark the outcome is unknown (504), and the client asks again.

--- a/gateway/cancel_test.go
+++ b/gateway/cancel_test.go
@@ -99,3 +99,11 @@
 		t.Errorf("%d cancels and %d late writes show too little", cancels, lates)
 	}
 }
+
+// Guards against a submission that is refused as cancelled although the store does not say so: an
+// earlier one may have been accepted.
+func TestConflictWithoutRowsLeavesTheOutcomeUnknown(t *testing.T) {
+	if err := submitOutcome(id, &rowstore.ConflictError{}); !errors.Is(err, ErrOutcomeUnknown) {
+		t.Errorf("error %v, want unknown", err)
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -65,10 +65,18 @@
 	if err != nil || conflict == nil {
 		return err
 	}
-	if _, isAccepted := conflict.Find(key); !isAccepted {
+	return submitOutcome(id, conflict)
+}
+
+// submitOutcome returns the outcome of a submission of which a condition did not hold.
+func submitOutcome(id jobs.ID, conflict *rowstore.ConflictError) error {
+	if _, isAccepted := conflict.Find(AcceptedKey(id)); isAccepted {
+		return nil
+	}
+	if _, isCancelled := conflict.Find(CancelKey(id)); isCancelled {
 		return ErrCancelled
 	}
-	return nil
+	return fmt.Errorf("%w: %v", ErrOutcomeUnknown, conflict)
 }
 
 // refuseTooLarge returns the error for a job whose row would be too large, or nil if an
