--- a/gateway/cancel_test.go
+++ b/gateway/cancel_test.go
@@ -5,7 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"testing"
-	"time"
+	"testing/synctest"
 
 	"bergamotstile/jobs"
 	"bergamotstile/rowstore"
@@ -65,34 +65,12 @@
 func TestAnsweredCancelHoldsWhateverIsCarriedOutLate(t *testing.T) {
 	cancels, lates := 0, 0
 	for seed := range uint64(2000) {
-		random := rand.New(rand.NewPCG(seed, 45))
-		store := &lateStore{Memory: rowstore.NewMemory(), isLate: func() bool { return random.IntN(3) == 0 }}
-		isCancelled, isAccepted := false, false
-		for range 12 {
-			// Each call is made at another instance.
-			g := newGateway(store)
-			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
-			switch n := random.IntN(4); {
-			case n == 0:
-				isAccepted = g.Submit(ctx, queue, id, spec) == nil || isAccepted
-			case n == 1:
-				_, err := g.Cancel(ctx, id)
-				isCancelled = isCancelled || err == nil
-				cancels++
-			case len(store.late) > 0:
-				store.carryOutOne(ctx, random.IntN(len(store.late)))
-				lates++
-			}
-			state, exists, err := g.Status(ctx, id)
-			cancel()
-			switch {
-			case err != nil:
-				t.Fatal(err)
-			case isCancelled && exists && state != jobs.Cancelled:
-				t.Fatalf("seed %d: the job is %v after its cancel was answered", seed, state)
-			case isAccepted && !exists:
-				t.Fatalf("seed %d: an accepted job does not exist", seed)
-			}
+		synctest.Test(t, func(t *testing.T) {
+			c, l := playCancels(t, rand.New(rand.NewPCG(seed, 45)))
+			cancels, lates = cancels+c, lates+l
+		})
+		if t.Failed() {
+			t.Fatalf("seed %d", seed)
 		}
 	}
 	if cancels < 2000 || lates < 500 {
@@ -100,6 +78,37 @@
 	}
 }
 
+// playCancels submits and cancels a job in a random order, while the store carries some writes out
+// late, and checks the state of the job. It returns the numbers of cancels and of late writes.
+func playCancels(t *testing.T, random *rand.Rand) (cancels, lates int) {
+	store := &lateStore{Memory: rowstore.NewMemory(), isLate: func() bool { return random.IntN(3) == 0 }}
+	isCancelled, isAccepted := false, false
+	for range 12 {
+		g := newGateway(store) // each call is made at another instance
+		switch n := random.IntN(4); {
+		case n == 0:
+			isAccepted = g.Submit(t.Context(), queue, id, spec) == nil || isAccepted
+		case n == 1:
+			_, err := g.Cancel(t.Context(), id)
+			isCancelled = isCancelled || err == nil
+			cancels++
+		case len(store.late) > 0:
+			store.carryOutOne(t.Context(), random.IntN(len(store.late)))
+			lates++
+		}
+		state, exists, err := g.Status(t.Context(), id)
+		switch {
+		case err != nil:
+			t.Error(err)
+		case isCancelled && exists && state != jobs.Cancelled:
+			t.Errorf("the job is %v after its cancel was answered", state)
+		case isAccepted && !exists:
+			t.Error("an accepted job does not exist")
+		}
+	}
+	return cancels, lates
+}
+
 // Guards against a submission that is refused as cancelled although the store does not say so: an
 // earlier one may have been accepted.
 func TestConflictWithoutRowsLeavesTheOutcomeUnknown(t *testing.T) {
