Await the report of a runner that has answered

Cause: the end of a hold, of the predecessor's starts without an answer and of the predecessor's leases was concluded from the time alone. If the runner had answered meanwhile, it had new leases, and maybe the start once more, while its report still waited in the queue of a coordinator that is behind.

Ruled out as the only cause: the order of reads in the takeover, as predecessors are fenced before it.

Change: for a runner that has answered and has not been marked as gone since, none of the three ends by time: its report, or the expiry of its new leases, decides.

--- a/coordinator/core_test.go
+++ b/coordinator/core_test.go
@@ -42,12 +42,12 @@
 	if len(orders) != 1 || orders[0].Task.Job != secondID {
 		t.Fatalf("orders %v, want only the job accepted after the takeover", orders)
 	}
-	h.core.ResolveExpiredRunners(h.now)
+	h.core.ResolveExpiredRunners(h.now, hasReported(h.core))
 	if n := len(startOrders(h.schedule())); n != 0 {
 		t.Errorf("%d starts before the leases expired", n)
 	}
 	h.now += 11 * time.Second
-	h.core.ResolveExpiredRunners(h.now)
+	h.core.ResolveExpiredRunners(h.now, hasReported(h.core))
 	if n := len(startOrders(h.schedule())); n != 1 {
 		t.Errorf("%d starts after the leases expired", n)
 	}
--- a/coordinator/delayedstart.go
+++ b/coordinator/delayedstart.go
@@ -115,17 +115,20 @@
 }
 
 // ExpireDelayedStarts removes the runs that were held for a start without an answer and have ended
-// for certain. Their tasks become pending again. It also ends the waits for the predecessor's
-// starts without an answer whose runs have ended for certain.
-func (c *Core) ExpireDelayedStarts(now time.Duration) {
-	c.inheritedDelays.releaseExpired(now)
+// for certain. Their tasks become pending again. A run is no longer held once its runner has answered
+// again, as hasAnswered tells: new leases may have been granted there, and the runner's reports say
+// what runs. ExpireDelayedStarts also ends the waits for the predecessor's starts without an answer
+// whose runs have ended for certain.
+func (c *Core) ExpireDelayedStarts(now time.Duration, hasAnswered func(runnerID string) bool) {
+	c.inheritedDelays.releaseExpired(now, hasAnswered)
 	for run, expiry := range c.delayedStartRuns {
 		_, exists := run.runner.runs[run]
-		if exists && now <= expiry {
+		answered := hasAnswered(run.runner.ID)
+		if exists && !answered && now <= expiry {
 			continue
 		}
 		delete(c.delayedStartRuns, run)
-		if exists {
+		if exists && !answered {
 			c.removeLostRun(run, now, "delayed start expired")
 			c.removeIfGone(run.runner)
 		}
--- a/coordinator/delayedstart_test.go
+++ b/coordinator/delayedstart_test.go
@@ -12,6 +12,9 @@
 	"bergamotstile/rowstore"
 )
 
+// neverAnswers stands for runners that stay silent.
+func neverAnswers(string) bool { return false }
+
 // Guards against a task that runs twice: the first attempt to start it had no answer, the second
 // one was answered, and the runner was then cut off and restarted unseen. Its new process carries
 // the first attempt out and keeps the run for the longest lease of the platform.
@@ -55,6 +58,36 @@
 	}
 }
 
+// Guards against a task that runs twice: its runner answers again and gets leases, and maybe the start
+// once more, while its task is held, but the report waits in the queue of a coordinator that is behind
+// when the hold is over.
+func TestHoldEndsWithoutEffectOnceTheRunnerAnswersAgain(t *testing.T) {
+	h := newLoopHarness(t)
+	coord, l := h.coordinator, h.link
+	coord.env.MaxLeaseDuration = 10 * time.Second
+	coord.term = leadership.NewTerm(1, 24*time.Hour, h.clock.now)
+	answer := func() { l.recordAnswer(1, time.Hour+h.clock.now(), h.clock.now(), h.clock.now(), l.token()) }
+	answer()
+	l.recordUnansweredOrder(Order{Kind: Start, Task: h.task}, h.clock.now(), errNoAnswer)
+	answer()
+	l.recordUnanswered(h.clock.now())
+	h.clock.advance(12 * time.Second)
+	coord.expireLeases(h.clock.now())
+	if len(coord.core.delayedStartRuns) != 1 {
+		t.Fatalf("%d runs are held, want 1", len(coord.core.delayedStartRuns))
+	}
+	answer()
+	h.clock.advance(20 * time.Second)
+	coord.expireLeases(h.clock.now())
+	if len(coord.core.jobs[firstID].runs[h.task]) != 1 {
+		t.Error("the task is free although its runner answers and its report has not been applied")
+	}
+	h.report().apply(coord)
+	if len(coord.core.jobs[firstID].runs[h.task]) != 1 || len(coord.core.delayedStartRuns) != 0 {
+		t.Error("the run that the runner lists is not known, or is still held")
+	}
+}
+
 // Guards against tasks that wait for longer than the leases on a lost runner although each attempt
 // to start them was answered or not sent, and against tasks that wait after their runner reports.
 func TestOnlyTasksOfDelayedStartsAreHeld(t *testing.T) {
@@ -72,7 +105,7 @@
 	if n := len(h.core.jobs[firstID].runs); n != 0 {
 		t.Errorf("%d tasks are held although their runner reports that it runs nothing", n)
 	}
-	h.core.ExpireDelayedStarts(h.now)
+	h.core.ExpireDelayedStarts(h.now, neverAnswers)
 	if n := len(h.core.delayedStartRuns); n != 0 {
 		t.Errorf("%d runs are still recorded as held", n)
 	}
@@ -92,7 +125,7 @@
 	if h.core.runners["a"] == nil {
 		t.Fatal("the runner was removed while a run on it is held")
 	}
-	h.core.ExpireDelayedStarts(expiry + time.Millisecond)
+	h.core.ExpireDelayedStarts(expiry+time.Millisecond, neverAnswers)
 	if h.core.runners["a"] != nil {
 		t.Error("the runner is still there")
 	}
@@ -122,7 +155,7 @@
 	h.addJob(firstID, true, plainStep(2, 1000))
 	began := predecessor.clock.now()
 	for h.now = began; h.now < began+maxCallDelay+coord.env.MaxLeaseDuration; h.now += time.Second {
-		h.core.ExpireDelayedStarts(h.now)
+		h.core.ExpireDelayedStarts(h.now, neverAnswers)
 		for _, order := range startOrders(h.schedule()) {
 			if order.Task == predecessor.task {
 				t.Fatalf("the task is started %v after the takeover", h.now-began)
@@ -134,7 +167,7 @@
 		t.Errorf("%d tasks run, want the one of which no start was without an answer", n)
 	}
 	h.now += 2 * time.Second
-	h.core.ExpireDelayedStarts(h.now)
+	h.core.ExpireDelayedStarts(h.now, neverAnswers)
 	if n := len(startOrders(h.schedule())); n != 1 {
 		t.Errorf("%d starts once the run has ended for certain, want 1", n)
 	}
@@ -211,3 +244,54 @@
 		t.Errorf("held are %v, want only %v", expiries, before)
 	}
 }
+
+// Guards against a task that runs twice after a takeover: its runner has answered, so that its leases
+// are extended, but the report waits in the queue of a coordinator that is behind when the
+// predecessor's leases have expired, or its start without an answer is over.
+func TestRunnerThatHasAnsweredIsAwaitedUntilItsReportIsApplied(t *testing.T) {
+	for name, isDelayed := range map[string]bool{"leases": false, "delayed start": true} {
+		h := newRosterHarness(t)
+		coord := h.coordinator
+		coord.term = leadership.NewTerm(2, 24*time.Hour, h.clock.now)
+		expiry, task := h.clock.now()+9*time.Second, taskID(firstID, 0, 0)
+		coord.core.SetInheritedRunners([]InheritedRunner{{ID: testRunnerID, ExpiredAt: expiry, IsIdle: isDelayed}}, expiry)
+		if isDelayed {
+			coord.core.inheritedDelays.add(delayedStart{testRunnerID, task}, expiry)
+		}
+		l := h.register()
+		isAwaited := func() bool {
+			h.clock.advance(20 * time.Second)
+			coord.expireLeases(h.clock.now())
+			return coord.core.UnresolvedRunners() > 0 || coord.core.inheritedDelays.isDelayed(task)
+		}
+		l.recordAnswer(1, time.Hour, h.clock.now(), h.clock.now(), l.token())
+		if !isAwaited() {
+			t.Errorf("%s: the runner is not awaited although its report has not been applied", name)
+		}
+		coord.core.ApplyReport(Report{Runner: testRunnerID, Incarnation: 1, Sent: h.clock.now()}, h.clock.now())
+		if isAwaited() {
+			t.Errorf("%s: the runner is awaited although its report was applied", name)
+		}
+	}
+}
+
+// Guards against tasks that wait for good for a runner that has answered and was lost before its
+// report was applied.
+func TestRunnerLostBeforeItsReportWasAppliedIsGivenUp(t *testing.T) {
+	h := newRosterHarness(t)
+	coord := h.coordinator
+	coord.env.MaxLeaseDuration = 10 * time.Second
+	coord.term = leadership.NewTerm(2, 24*time.Hour, h.clock.now)
+	expiry, task := h.clock.now()+9*time.Second, taskID(firstID, 0, 0)
+	coord.core.SetInheritedRunners([]InheritedRunner{{ID: testRunnerID, ExpiredAt: expiry}}, expiry)
+	coord.core.inheritedDelays.add(delayedStart{testRunnerID, task}, expiry)
+	l := h.register()
+	l.recordAnswer(1, time.Hour, h.clock.now(), h.clock.now(), l.token())
+	l.recordUnanswered(h.clock.now())
+	h.clock.advance(20 * time.Second)
+	coord.expireLeases(h.clock.now())
+	coord.expireLeases(h.clock.now())
+	if coord.core.UnresolvedRunners() > 0 || coord.core.inheritedDelays.isDelayed(task) {
+		t.Error("tasks wait for a runner whose leases have expired")
+	}
+}
--- a/coordinator/delayedstartrows.go
+++ b/coordinator/delayedstartrows.go
@@ -150,10 +150,16 @@
 	delete(d.tasks, id)
 }
 
-// releaseExpired ends all waits once they are over.
-func (d *inheritedDelays) releaseExpired(now time.Duration) {
-	if len(d.tasks) > 0 && now > d.expiresAt {
-		*d = inheritedDelays{}
+// releaseExpired ends the waits once they are over, but for runners that have answered: their reports
+// say what runs.
+func (d *inheritedDelays) releaseExpired(now time.Duration, hasAnswered func(runnerID string) bool) {
+	if now <= d.expiresAt {
+		return
+	}
+	for id := range d.tasks {
+		if !hasAnswered(id) {
+			d.releaseRunner(id)
+		}
 	}
 }
 
--- a/coordinator/grant_test.go
+++ b/coordinator/grant_test.go
@@ -184,7 +184,7 @@
 			for _, id := range roster {
 				_, wasUnresolved[id] = sim.successor.core.unresolved[id]
 			}
-			sim.successor.core.ResolveExpiredRunners(sim.now)
+			sim.successor.core.ResolveExpiredRunners(sim.now, sim.successor.hasAnswered)
 			for id, r := range sim.runners {
 				if _, isUnresolved := sim.successor.core.unresolved[id]; !wasUnresolved[id] || isUnresolved {
 					continue
--- a/coordinator/harness_test.go
+++ b/coordinator/harness_test.go
@@ -145,5 +145,11 @@
 	return tasks
 }
 
+// hasReported returns a function that stands for the coordinator's links: a runner has answered if
+// the core has a report of it.
+func hasReported(c *Core) func(runnerID string) bool {
+	return func(id string) bool { return c.runners[id] != nil && c.runners[id].hasReported }
+}
+
 // stateOf returns the state of a job that the core still holds.
 func (h *coreHarness) stateOf(id jobs.ID) jobs.State { return h.core.jobs[id].State }
--- a/coordinator/inherited.go
+++ b/coordinator/inherited.go
@@ -105,12 +105,13 @@
 }
 
 // ResolveExpiredRunners resolves the runners on which a predecessor's leases have expired. It
-// leaves out those that have answered with an incomplete report: they still list results, and
-// this coordinator has extended their leases, whose expiry resolves them.
+// leaves out those that have answered: this coordinator may have extended their leases, and what
+// they run is known only once a complete report has been applied, which resolves them, as does the
+// expiry of their leases.
 // It must be called only while no successor of this coordinator can have extended them.
-func (c *Core) ResolveExpiredRunners(now time.Duration) {
+func (c *Core) ResolveExpiredRunners(now time.Duration, hasAnswered func(runnerID string) bool) {
 	for id, expiry := range c.unresolved {
-		if now > expiry && !c.hasIncompleteList(id) {
+		if now > expiry && !hasAnswered(id) {
 			c.log.WithField("runner", id).Warn("leases of the predecessor expired")
 			c.resolveRunner(id)
 		}
@@ -120,12 +121,6 @@
 	}
 }
 
-// hasIncompleteList reports whether the last report of a runner was incomplete.
-func (c *Core) hasIncompleteList(id string) bool {
-	r := c.runners[id]
-	return r != nil && r.results.isIncomplete
-}
-
 // logUnresolved logs the unresolved runners from time to time.
 func (c *Core) logUnresolved(now time.Duration) {
 	if !c.unresolvedLogThrottle.isDue(now) {
--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -316,7 +316,7 @@
 func (coord *coordinator) expireLeases(now time.Duration) {
 	if coord.term.IsExclusive() {
 		coord.lowerInheritedExpiries(now)
-		coord.core.ResolveExpiredRunners(now)
+		coord.core.ResolveExpiredRunners(now, coord.hasAnswered)
 	}
 	for id, l := range coord.links {
 		if l.markExpired(now) {
@@ -325,7 +325,7 @@
 			coord.core.ExpireRunnerLeases(id, now)
 		}
 	}
-	coord.core.ExpireDelayedStarts(now)
+	coord.core.ExpireDelayedStarts(now, coord.hasAnswered)
 }
 
 // lowerInheritedExpiries brings forward the times at which the predecessor's leases are
--- a/coordinator/lease.go
+++ b/coordinator/lease.go
@@ -162,6 +162,19 @@
 	return true
 }
 
+// hasAnswered reports whether a runner has answered this coordinator, which may have granted leases
+// there since, and has not been marked as gone since. The report in the answer may not have been
+// applied yet.
+func (coord *coordinator) hasAnswered(id string) bool {
+	l := coord.links[id]
+	if l == nil {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.incarnation != 0 && !l.isGone
+}
+
 // markReplaced marks the runner as gone if the error of a poll says that another runner has
 // its address, and reports whether it did. It does so once for each silence.
 func (l *link) markReplaced(err error) bool {
--- a/coordinator/resultpages_property_test.go
+++ b/coordinator/resultpages_property_test.go
@@ -127,7 +127,7 @@
 	case n == 97:
 		p.takeOver()
 	case p.core.runners["a"].hasReported: // leases on a runner that has not answered would end its runs
-		p.core.ResolveExpiredRunners(p.now)
+		p.core.ResolveExpiredRunners(p.now, hasReported(p.core))
 		p.core.CheckRuns(p.now)
 	}
 }
--- a/coordinator/resultpages_test.go
+++ b/coordinator/resultpages_test.go
@@ -84,7 +84,7 @@
 		t.Error("a runner with an incomplete list does not count as answering")
 	}
 	h.now += 2 * time.Minute
-	h.core.ResolveExpiredRunners(h.now)
+	h.core.ResolveExpiredRunners(h.now, hasReported(h.core))
 	h.core.CheckRuns(h.now)
 	if n := len(startOrders(h.schedule())); n != 0 {
 		t.Fatalf("%d starts before the list was complete", n)
@@ -111,7 +111,7 @@
 	h.core.MarkRunnerUnregistered("a", h.now)
 	h.now += 2*reregisterTime + time.Second
 	h.core.CheckRuns(h.now)
-	h.core.ResolveExpiredRunners(h.now)
+	h.core.ResolveExpiredRunners(h.now, hasReported(h.core))
 	if n := len(startOrders(h.schedule())); n != 0 {
 		t.Fatalf("%d starts before the leases on the silent runner expired", n)
 	}
