Await the silence of the removed runner before time passes

Cause: the test moved its clock while a poll of the removed runner could still be sent, before the coordinator knew that the runner does not answer. That poll extends the leases there, rightly, from 8 s to 12 s after the start (printed in each of 18 failed runs: the last poll had the deadline 1h0m12s), and the test expects the task back after 9 s.

Change: the test waits until the runner has failed two polls; from the second one on no call extends leases. What it asks of the takeover stays as it was.

--- a/coordinator/handover_test.go
+++ b/coordinator/handover_test.go
@@ -137,6 +137,15 @@
 	clear(r.runs)
 }
 
+// awaitSilence waits until the coordinator knows that a removed runner does not answer: from the second
+// failed poll on, no call extends the leases there.
+func (f *fakeFleet) awaitSilence(t *testing.T, name string) {
+	t.Helper()
+	if !f.await(func() bool { return f.runners[name].failedPolls >= 2 }) {
+		t.Fatalf("runner %s was not polled twice since it was removed", name)
+	}
+}
+
 // countRunnersAtEpoch counts the runners whose last accepted poll or order came from the
 // coordinator of the given epoch and whose number of polls, see fakeRunner, is at least the
 // given one.
@@ -165,7 +174,9 @@
 	f, store, env, clock := newLongRunningFleet(t, 2)
 	stop := startCoordinator(env, 1)
 	id := submitLongRunningJob(t, store, clock)
-	f.remove(f.awaitRunner(t, id))
+	lostID := f.awaitRunner(t, id)
+	f.remove(lostID)
+	f.awaitSilence(t, lostID)
 	clock.advance(env.LeaseDuration / 2)
 	stop()
 	defer startCoordinator(env, 2)()
--- a/coordinator/leader_test.go
+++ b/coordinator/leader_test.go
@@ -42,6 +42,7 @@
 	lastResult     int  // number of the last result
 	answersNothing bool // it answers neither polls nor orders
 	polls          int  // number of polls since a poll last brought a higher token
+	failedPolls    int  // number of polls that had no answer since it answers nothing
 }
 
 // fakeRun is a run on a fakeRunner.
@@ -92,6 +93,7 @@
 	defer f.mu.Unlock()
 	r := f.runners[request.Runner]
 	if r.answersNothing {
+		r.failedPolls++
 		return PollResponse{}, errNoAnswer
 	}
 	f.endDueRuns(r)
