Await the report of a runner that answers after it was given up

Change: a runner of the predecessor that was given up and has answered since is unresolved again until its report has been applied, or until it is lost again. It is checked before each round of scheduling.

--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -44,6 +44,7 @@
 	// the runner have expired for certain; otherLeasesExpireAt is that time for all other
 	// runners.
 	unresolved          map[string]time.Duration
+	givenUp             map[string]time.Duration // unresolved runners that were given up, with their expiry
 	otherLeasesExpireAt time.Duration
 	// misdirectedExpiries holds, by runner ID, the lower bounds of these times that
 	// InheritedRunner.MisdirectedExpiredAt sets.
@@ -96,6 +97,7 @@
 		runners:             map[string]*runner{},
 		unstoredJobs:        map[*job]struct{}{},
 		unresolved:          map[string]time.Duration{},
+		givenUp:             map[string]time.Duration{},
 		unansweredInherited: map[string]struct{}{},
 		misdirectedExpiries: map[string]time.Duration{},
 		inherited:           map[string]struct{}{},
--- a/coordinator/inherited.go
+++ b/coordinator/inherited.go
@@ -95,6 +95,7 @@
 // resolveRunner records that a runner is resolved: it runs no tasks that a predecessor has
 // started and this coordinator does not know of.
 func (c *Core) resolveRunner(id string) {
+	delete(c.givenUp, id)
 	if _, ok := c.unresolved[id]; !ok {
 		return
 	}
@@ -113,7 +114,7 @@
 	for id, expiry := range c.unresolved {
 		if now > expiry && !hasAnswered(id) {
 			c.log.WithField("runner", id).Warn("leases of the predecessor expired")
-			c.resolveRunner(id)
+			c.giveUpRunner(id)
 		}
 	}
 	if len(c.unresolved) > 0 {
--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -250,6 +250,7 @@
 // schedule runs a round of scheduling. If it is too early for one, it sets the timer for
 // when the round is due.
 func (coord *coordinator) schedule(now time.Duration) {
+	coord.core.AwaitAnsweredRunners(coord.hasAnswered)
 	began := time.Now()
 	if wait := coord.roundPacer.waitTime(began); wait > 0 {
 		coord.core.ScheduleUrgent(now)
--- a/coordinator/runner.go
+++ b/coordinator/runner.go
@@ -156,7 +156,7 @@
 // exists any more, except for those that HoldDelayedStarts keeps, so their tasks become pending
 // again.
 func (c *Core) ExpireRunnerLeases(id string, now time.Duration) {
-	c.resolveRunner(id)
+	c.giveUpRunner(id)
 	r := c.runners[id]
 	if r == nil {
 		return
