Await the report of a lost runner that answers before its tasks are started again

Cause: the tasks of a lost runner become pending again once the leases there have expired. If the runner answers before they are started elsewhere, its report may wait in the queue of a coordinator that is behind, and list their ends.

Change: the core keeps the tasks that became pending because leases expired by runner, until the runner's next complete report. They are not startable while the runner has answered and its report has not been applied.

--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -43,8 +43,13 @@
 	// its address, or maintenance has ended it. The value is the time by which the predecessor's leases on
 	// the runner have expired for certain; otherLeasesExpireAt is that time for all other
 	// runners.
-	unresolved          map[string]time.Duration
-	givenUp             map[string]time.Duration // unresolved runners that were given up, with their expiry
+	unresolved map[string]time.Duration
+	givenUp    map[string]time.Duration // unresolved runners that were given up, with their expiry
+	// expiredTasks holds, by runner ID, the tasks that became pending again because the leases on the
+	// runner expired, until its next complete report. awaitedTasks holds those for whose runner's
+	// report they have to wait.
+	expiredTasks        map[string][]jobs.TaskID
+	awaitedTasks        map[jobs.TaskID]struct{}
 	otherLeasesExpireAt time.Duration
 	// misdirectedExpiries holds, by runner ID, the lower bounds of these times that
 	// InheritedRunner.MisdirectedExpiredAt sets.
@@ -98,6 +103,8 @@
 		unstoredJobs:        map[*job]struct{}{},
 		unresolved:          map[string]time.Duration{},
 		givenUp:             map[string]time.Duration{},
+		expiredTasks:        map[string][]jobs.TaskID{},
+		awaitedTasks:        map[jobs.TaskID]struct{}{},
 		unansweredInherited: map[string]struct{}{},
 		misdirectedExpiries: map[string]time.Duration{},
 		inherited:           map[string]struct{}{},
--- a/coordinator/delayedstart.go
+++ b/coordinator/delayedstart.go
@@ -130,6 +130,7 @@
 		delete(c.delayedStartRuns, run)
 		if exists && !answered {
 			c.removeLostRun(run, now, "delayed start expired")
+			c.recordExpiredTask(run.runner.ID, run.task)
 			c.removeIfGone(run.runner)
 		}
 	}
--- a/coordinator/drain.go
+++ b/coordinator/drain.go
@@ -115,6 +115,7 @@
 // process are ignored.
 func (c *Core) MarkRunnerEndedByMaintenance(id string, now time.Duration) {
 	c.resolveRunner(id)
+	delete(c.expiredTasks, id)
 	r := c.runners[id]
 	if r == nil {
 		return
--- a/coordinator/givenup_test.go
+++ b/coordinator/givenup_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"bergamotstile/jobs"
+	"bergamotstile/leadership"
 	"bergamotstile/structs"
 )
 
@@ -74,3 +75,37 @@
 		t.Errorf("%v started once the runner was lost again, want one task", tasks)
 	}
 }
+
+// Guards against the same after a run of this coordinator: the leases on its runner have expired, and
+// the runner answers before the task is started elsewhere.
+func TestTaskIsNotStartedWhileTheReportOfItsLostRunnerWaits(t *testing.T) {
+	for name, isLostAgain := range map[string]bool{"report applied": false, "lost again": true} {
+		h := newLoopHarness(t)
+		coord, l := h.coordinator, h.link
+		coord.term = leadership.NewTerm(1, 24*time.Hour, h.clock.now)
+		coord.core.UpdateRunner(RunnerInfo{ID: "b", Service: testService, Capacity: structs.Resources{CPUMilli: 4000, MemoryMB: 1 << 20}}, h.clock.now())
+		coord.core.ApplyReport(Report{Runner: "b", Incarnation: 1, Sent: h.clock.now()}, h.clock.now())
+		answer := func() { l.recordAnswer(1, time.Hour+h.clock.now(), h.clock.now(), h.clock.now(), l.token()) }
+		answer()
+		l.recordUnanswered(h.clock.now())
+		h.clock.advance(12 * time.Second)
+		coord.expireLeases(h.clock.now())
+		answer()
+		if tasks := h.scheduledStarts(); len(tasks) > 0 {
+			t.Fatalf("%s: %v started although the end of its run may be listed in a report that waits", name, tasks)
+		}
+		wanted := 0
+		if isLostAgain {
+			l.recordUnanswered(h.clock.now())
+			h.clock.advance(12 * time.Second)
+			coord.expireLeases(h.clock.now())
+			wanted = 1
+		} else {
+			result := RunResult{Number: 1, Task: h.task, Run: 1, Kind: EndedDone}
+			coord.core.ApplyReport(Report{Runner: testRunnerID, Incarnation: 1, Sent: h.clock.now(), Ended: []RunResult{result}}, h.clock.now())
+		}
+		if tasks := h.scheduledStarts(); len(tasks) != wanted {
+			t.Errorf("%s: %v started, want %d tasks", name, tasks, wanted)
+		}
+	}
+}
--- a/coordinator/hiddenend.go
+++ b/coordinator/hiddenend.go
@@ -26,18 +26,21 @@
 }
 
 // startableTasks returns the indexes of the pending tasks that may be started now. It
-// leaves out the tasks that a predecessor may have started on unresolved runners, or of whose
-// starts by a predecessor one had no answer; of a gang it returns all tasks or none. The
-// result may share its memory with the pending tasks of the step.
+// leaves out the tasks that a predecessor may have started on unresolved runners, of whose
+// starts by a predecessor one had no answer, or that wait for a report of the runner on which
+// their leases expired; of a gang it returns all tasks or none. The result may share its memory
+// with the pending tasks of the step.
 func (c *Core) startableTasks(s *openStep) []int {
-	awaitsRunners := len(c.unresolved) > 0 && !s.openedByHiddenEnd
-	if !s.job.inherited || !awaitsRunners && c.inheritedDelays.isEmpty() {
+	awaitsRunners := s.job.inherited && len(c.unresolved) > 0 && !s.openedByHiddenEnd
+	if !awaitsRunners && c.inheritedDelays.isEmpty() && len(c.awaitedTasks) == 0 {
 		return s.pending
 	}
 	var tasks []int
 	for _, index := range s.pending {
 		_, hidden := s.hiddenEnds[index]
-		if (hidden || !awaitsRunners) && !c.inheritedDelays.isDelayed(s.taskID(index)) {
+		task := s.taskID(index)
+		_, isAwaited := c.awaitedTasks[task]
+		if (hidden || !awaitsRunners) && !isAwaited && !c.inheritedDelays.isDelayed(task) {
 			tasks = append(tasks, index)
 		}
 	}
--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -36,6 +36,7 @@
 		c.counters("reports_incomplete", 1)
 	} else {
 		c.resolveRunner(report.Runner)
+		delete(c.expiredTasks, report.Runner)
 	}
 	r.hasReported, r.cannotExtendLeases, r.isUnfenced = true, report.CannotExtendLeases, report.Unfenced
 	if !report.Unfenced && !report.Incomplete {
--- a/coordinator/runner.go
+++ b/coordinator/runner.go
@@ -166,6 +166,7 @@
 	for run := range r.runs {
 		if _, held := c.delayedStartRuns[run]; !held {
 			c.removeLostRun(run, now, "lease expired")
+			c.recordExpiredTask(id, run.task)
 		}
 	}
 	r.forgetUnexpectedRuns()
@@ -179,6 +180,7 @@
 	}
 	r.releaseReservations()
 	delete(c.runners, r.ID)
+	delete(c.expiredTasks, r.ID)
 	c.runnersByID = nil
 }
 
--- a/coordinator/schedule.go
+++ b/coordinator/schedule.go
@@ -32,7 +32,7 @@
 	for _, s := range c.waitingSteps {
 		tasks := c.startableTasks(s)
 		if len(tasks) == 0 {
-			c.logWait(s, "a runner that has not answered may run the task for a predecessor", now)
+			c.logWait(s, "a runner whose report is awaited may run the task, or may have ended it", now)
 			continue
 		}
 		if blockedJobs[s.job.ID] {
