Add review case 14: tasks that have just come to work are stopped beyond their budget

Cause: whether a task is at work is taken from a report that may be half a second old, and the stop of a task that is not at work is always allowed. A wave then stops all tasks of a standing job.

Done: a script, without a fix.

--- a/review/standin3/world.go
+++ b/review/standin3/world.go
@@ -65,6 +65,8 @@
 	failedSeen  int
 	checkpoints map[string]bool
 	starts      int
+	awaySince   time.Time // of a task that lasts: when it was last at work
+	byOrder     bool      // its last run was ended by an order
 }
 
 type gang struct {
@@ -243,6 +245,9 @@
 		return
 	}
 	state := w.task(t.task)
+	if t.step.LongRunning {
+		w.checkBudget(r, t, state, how)
+	}
 	delete(state.running, r)
 	w.used[r] -= t.step.CPU
 	state.checkpoints[t.checkpoint()] = true
@@ -291,3 +296,40 @@
 	}
 	return true
 }
+
+// noticeTime is notice-ms: a task that is not at work for as long counts as away.
+const noticeTime = 4500 * time.Millisecond
+
+// checkBudget checks the end of a run of a step with max-unavailable. The caller holds mu.
+func (w *world) checkBudget(r *runner, t *run, state *taskState, how string) {
+	byOrder := how == "stopped" || how == "upkeep"
+	if t.percent() >= 100 && byOrder && t.step.MaxUnavailable > 0 && !r.draining && !t.job.cancelSent {
+		away := 0
+		for i := range t.step.Count {
+			name := fmt.Sprintf("%s.%d", stepOf(t.task), i)
+			if other := w.task(name); name != t.task && !other.atWork() && (other.byOrder || time.Since(other.lastAtWork(t.job)) >= noticeTime) {
+				away++
+			}
+		}
+		if away >= t.step.MaxUnavailable {
+			w.broken("AVAIL", "%s run %d on %s: %s while %d others are away", t.task, t.number, r.id, how, away)
+		}
+	}
+	state.byOrder, state.awaySince = byOrder, time.Now()
+}
+
+func (s *taskState) atWork() bool {
+	for _, t := range s.running {
+		if t.percent() >= 100 {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *taskState) lastAtWork(j *job) time.Time {
+	if s.awaySince.IsZero() {
+		return j.acceptedAt
+	}
+	return s.awaySince
+}
