--- a/review/standin3/runner.go
+++ b/review/standin3/runner.go
@@ -441,6 +441,7 @@
 	t.done += elapsed * time.Duration(t.pace) / 100
 	if t.step.Checkpoint && t.done-t.saved >= saveInterval {
 		t.saved = t.done
+		r.world.task(t.task).checkpoints[t.checkpoint()] = true
 	}
 	if t.step.LongRunning || t.done < t.work {
 		return
