Add review case 14: jobs on a queue with advice never run after the service has moved

Cause: on SIGHUP only a changed address of the store is taken over. The coordinator goes on to ask the advice service at its old address until it is started again.

Done: a script, without a fix.

--- a/review/standin3/deployment.go
+++ b/review/standin3/deployment.go
@@ -4,7 +4,6 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -21,9 +20,11 @@
 	cloud        *cloud
 	storeAddress string
 	cloudAddress string
-	queues       []*queue
-	version      int
-	client       *client
+	// adviceAddress is where instances find the advice service when they start.
+	adviceAddress string
+	queues        []*queue
+	version       int
+	client        *client
 
 	listMu  sync.Mutex
 	nodes   []*node
@@ -31,10 +32,7 @@
 }
 
 func serve(handler http.Handler) string {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		cannotRun(err)
-	}
+	listener := listen()
 	go func() { _ = http.Serve(listener, handler) }()
 	return listener.Addr().String()
 }
@@ -48,6 +46,7 @@
 	d := &deployment{world: newWorld(record), dir: dir}
 	d.cloud = newCloud(d.world)
 	d.storeAddress, d.cloudAddress = serve(d.store), serve(d.cloud)
+	d.adviceAddress = d.cloudAddress
 	d.client = newClient(d.world, d.liveNodes)
 	return d
 }
@@ -97,7 +96,7 @@
 func (d *deployment) startNodes(shares ...float64) {
 	first := len(d.nodes)
 	for i, share := range shares {
-		n := newNode(d.world, d.dir, fmt.Sprintf("front-%d", first+i+1), share, d.storeAddress, d.cloudAddress)
+		n := newNode(d.world, d.dir, fmt.Sprintf("front-%d", first+i+1), share, d.storeAddress, d.cloudAddress, d.adviceAddress)
 		d.listMu.Lock()
 		d.nodes = append(d.nodes, n)
 		d.listMu.Unlock()
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -16,6 +16,7 @@
 	"new-runners": newRunnersAndOutage,
 	"turns":       turnsWithinLease,
 	"mixed":       mixedLoad,
+	"moved":       movedAdvice,
 	"budget":      budgetInWave,
 }
 
--- a/review/standin3/node.go
+++ b/review/standin3/node.go
@@ -93,13 +93,10 @@
 	}
 }
 
-func newNode(w *world, dir, name string, share float64, storeAddress, cloudAddress string) *node {
+func newNode(w *world, dir, name string, share float64, storeAddress, cloudAddress, adviceAddress string) *node {
 	n := &node{world: w, name: name, front: freeAddress(), readiness: freeAddress(), share: share, store: storeAddress, cloudAddr: cloudAddress}
 	n.path = filepath.Join(dir, name+".toml")
-	text := fmt.Sprintf(settingsText, name, cloudAddress, n.front, n.readiness, share, storeAddress, cloudAddress)
-	if err := os.WriteFile(n.path, []byte(text), 0o600); err != nil {
-		panic(err)
-	}
+	n.writeSettings(adviceAddress)
 	var err error
 	if n.log, err = os.Create(filepath.Join(dir, name+".log")); err != nil {
 		panic(err)
@@ -107,6 +104,14 @@
 	return n
 }
 
+// writeSettings writes the settings file with an address of the advice service.
+func (n *node) writeSettings(advice string) {
+	text := fmt.Sprintf(settingsText, n.name, advice, n.front, n.readiness, n.share, n.store, n.cloudAddr)
+	if err := os.WriteFile(n.path, []byte(text), 0o600); err != nil {
+		panic(err)
+	}
+}
+
 func (n *node) start() {
 	cmd := exec.Command("target/bergamotstile", "serve")
 	cmd.Env = append(os.Environ(), "BERGAMOTSTILE_SETTINGS="+n.path)
