Add review case 15: the wait for a lost start begins anew with each takeover

Cause: the rows of starts without an answer hold no time, so each successor waits for the longest delay and the longest lease from its own takeover on, and hands the starts on to the next one.

Done: a script, without a fix.

--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -3,4 +3,4 @@
 # the disruption out.
 set -u
 cd "$(dirname "$0")/../.."
-exec timeout 115 target/review-3/standin3 budget review/15/record.txt
+exec timeout 115 target/review-3/standin3 takeovers review/15/record.txt
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -14,6 +14,7 @@
 // scenarios holds the scripts by name.
 var scenarios = map[string]func(d *deployment, trouble bool){
 	"new-runners": newRunnersAndOutage,
+	"takeovers":   takeoversAfterLoss,
 	"turns":       turnsWithinLease,
 	"mixed":       mixedLoad,
 	"moved":       movedAdvice,
--- a/review/standin3/newrunners.go
+++ b/review/standin3/newrunners.go
@@ -15,11 +15,12 @@
 	outage     = 4500 * time.Millisecond
 	killAt     = 1500 * time.Millisecond // after the beginning of the outage
 	restart    = 500 * time.Millisecond  // after which the platform starts a killed process again
+	lastReturn = 1900 * time.Millisecond // after the return of the store, when the entry of the last runner is back
 )
 
 // newRunnersAndOutage lets runners join, then the store be away, so that the entries of runners lapse,
 // and the coordinator be killed meanwhile. The entries of the runners are back within two seconds of
-// the return of the store, those of the runners that joined last come last.
+// the return of the store, that of the runner that joined last comes last.
 func newRunnersAndOutage(d *deployment, trouble bool) {
 	renders := d.addQueue("renders", 1, 3)
 	d.configure()
@@ -41,7 +42,11 @@
 	}()
 	time.Sleep(6 * time.Second)
 	for i := range newRunners {
-		d.addRunner(runnerOptions{id: fmt.Sprintf("i-new%02d", i), cpu: 4000, memoryMB: 64000, labels: []string{"a", "r1-9"}, returnDelay: time.Duration(800+90*i) * time.Millisecond})
+		delay := time.Duration(300+60*i) * time.Millisecond
+		if i == newRunners-1 {
+			delay = lastReturn
+		}
+		d.addRunner(runnerOptions{id: fmt.Sprintf("i-new%02d", i), cpu: 4000, memoryMB: 64000, labels: []string{"a", "r1-9"}, returnDelay: delay})
 		time.Sleep(joinGap / newRunners)
 	}
 	if trouble {
