--- a/review/standin3/moved.go
+++ b/review/standin3/moved.go
@@ -19,7 +19,7 @@
 )
 
 // movedAdvice moves the advice service to another address. The settings files get the new address, and
-// every instance gets SIGHUP. Jobs of a queue with advice are handed in after that.
+// the coordinator, one of four instances, gets SIGHUP. Jobs of a queue with advice are handed in after that.
 func movedAdvice(d *deployment, trouble bool) {
 	proofs := d.addQueue("proofs", 0, 2)
 	proofs.advice, d.adviceOn = true, true
@@ -31,7 +31,7 @@
 	server := &http.Server{Handler: d.cloud}
 	go func() { _ = server.Serve(first) }()
 	d.adviceAddress = first.Addr().String()
-	d.startNodes(0.16, 0.16, 0.16)
+	d.startNodes(0.16, 0.16, 0.16, 0.16)
 	time.Sleep(2 * time.Second)
 	newJob := func() *job {
 		return &job{id: randomID(), queue: proofs, Text: "proof", Steps: []*step{{Count: 4, CPU: 1000, MemoryMB: 500, EstimateMS: 500, work: 500 * time.Millisecond}}}
@@ -51,9 +51,12 @@
 			n.writeSettings(second.Addr().String())
 		}
 		_ = server.Close()
-		for _, n := range d.nodes {
-			n.signal(syscall.SIGHUP)
+		c := d.coordinator()
+		if c == nil {
+			d.close()
+			cannotRun("no instance coordinates")
 		}
+		c.signal(syscall.SIGHUP)
 	}
 	time.Sleep(settleTime)
 	var jobs []*job
