Grant no lease on a runner before the stored roster names it

Cause: the roster, from which a successor learns which runners may run tasks, was written once a second, but a task was started as soon as a runner had reported. The registry does not replace the roster, as its entries expire in an outage.

Ruled out: leases taken as expired too early (the second starts come 0.9 s after the return of the store, a lease takes 8.6 s, and only tasks on the one runner are concerned that joined after the last roster), and a late start (the record has none).

Change: a coordinator grants no lease on a runner until the store holds a roster that names it. The roster is written at the next tick once a runner joins, and by a takeover if the registry has runners that it lacks. Where the store refuses the roster for good, runners are used all the same.

--- a/coordinator/grant_test.go
+++ b/coordinator/grant_test.go
@@ -58,6 +58,10 @@
 func (sim *successionSimulation) newCoordinator(epoch uint64, term *leadership.Term) *coordinator {
 	env := Environment{LeaseDuration: 8 * time.Second, Clock: sim.clock, Log: discardLog(), Count: func(string, int64) {}}
 	coord := newCoordinatorWithoutLoop(env, term)
+	coord.listedRunners = runnerSet{}
+	for id := range sim.runners {
+		coord.listedRunners[id] = struct{}{}
+	}
 	sim.reachable[coord] = map[string]bool{}
 	return coord
 }
--- a/coordinator/idlerunner_test.go
+++ b/coordinator/idlerunner_test.go
@@ -162,6 +162,7 @@
 			t.Errorf("tasks can be started on a runner that is stored as idle")
 		}
 		coord.confirmRecordedExpiries(stored)
+		coord.confirmListed(entries)
 	}
 	if _, err := l.findOrderTarget(Order{Kind: Start}); err != nil {
 		t.Error("no task can be started on the runner after its expiry was removed")
--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -73,6 +73,9 @@
 	// settledIncarnations holds, by runner ID, the processes that the predecessor's roster names
 	// as those on which no misdirected call can hold a lease.
 	settledIncarnations map[string]int64
+	// listedRunners holds the runners that the stored roster names, whatever becomes of a write that
+	// is under way. See listing.go.
+	listedRunners       runnerSet
 	nextSharedRowsWrite time.Duration
 	nextModelWrite      time.Duration
 	nextJobRemoval      time.Duration
@@ -220,7 +223,7 @@
 	coord.core.CheckRuns(now)
 	coord.exportEvacuation(coord.core.EvacuationStatus())
 	coord.removeStaleLinks()
-	if now >= coord.nextSharedRowsWrite || coord.needsExpiryRemoval() {
+	if now >= coord.nextSharedRowsWrite || coord.needsRosterWrite() {
 		coord.nextSharedRowsWrite = now + sharedRowsInterval
 		coord.writeSharedRows(now)
 	}
@@ -369,6 +372,7 @@
 	}
 	l := newLink(coord, info.ID, info.Address, expiry)
 	l.isExpiryRecorded, l.unansweredSince = isRecorded, now
+	l.awaitsListing = !coord.listedRunners.has(info.ID)
 	l.registeredIncarnation, l.settledIncarnation = info.Incarnation, coord.settledIncarnations[info.ID]
 	l.lease.misdirectedExpiresBy = coord.core.misdirectedExpiries[info.ID]
 	if !coord.core.isInherited(info.ID) && !coord.tokens.hasIssuedBefore(info.ID) {
--- a/coordinator/lease.go
+++ b/coordinator/lease.go
@@ -70,9 +70,10 @@
 
 // newLeaseEnd returns the local time at which leases on the runner end if they are granted
 // now, or zero if none can be granted: the runner does not answer or may have restarted, the
-// store may hold its expiry, or the coordinator may grant no leases. The caller holds mu.
+// store may hold its expiry, the runner is not listed, or the coordinator may grant no leases. The
+// caller holds mu.
 func (l *link) newLeaseEnd() time.Duration {
-	if !l.isAnswering() || l.isExpiryRecorded || l.restartSuspectedAt > 0 {
+	if !l.isAnswering() || l.isExpiryRecorded || l.awaitsListing || l.restartSuspectedAt > 0 {
 		return 0
 	}
 	return l.coordinator.newLeaseEnd(l.coordinator.env.Clock())
@@ -140,12 +141,12 @@
 	l.isExpiryRecorded = false
 }
 
-// needsExpiryRemoval reports whether the store may hold an expiry for the runner although
-// the runner answers.
-func (l *link) needsExpiryRemoval() bool {
+// needsRosterWrite reports whether the roster has to be written for leases to be granted on the
+// runner: it is not listed, or the store may hold an expiry for it although it answers.
+func (l *link) needsRosterWrite() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.isExpiryRecorded && l.isAnswering()
+	return l.awaitsListing || l.isExpiryRecorded && l.isAnswering()
 }
 
 // markExpired marks a silent runner as gone, which means that nothing runs on it any more, if
--- a/coordinator/link.go
+++ b/coordinator/link.go
@@ -57,6 +57,9 @@
 	// isExpiryRecorded is set while the store may hold an expiry for the runner. No lease
 	// on the runner is extended then.
 	isExpiryRecorded bool
+	// awaitsListing is set until the runner is listed, see listing.go. No lease on the runner is
+	// granted then.
+	awaitsListing bool
 	// mayHaveRestarted is set by a poll or an order without an answer and cleared by the
 	// next report: a new process of the runner may have started meanwhile.
 	mayHaveRestarted bool
--- /dev/null
+++ b/coordinator/listing.go
@@ -0,0 +1,121 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+)
+
+// A runner is listed while the store holds a roster that names it. The coordinator grants no lease
+// on a runner that is not listed, and so starts no task there. A successor therefore knows every
+// runner that may run tasks of its predecessor, also if the runner joined just before the
+// coordinator was lost and its registry entry expired in an outage of the store. The roster is
+// written as soon as there is a runner to be listed, so that one write lists all that have joined
+// since the last one.
+
+// runnerSet is a set of runner IDs.
+type runnerSet map[string]struct{}
+
+// has reports whether the set contains a runner.
+func (s runnerSet) has(id string) bool {
+	_, ok := s[id]
+	return ok
+}
+
+// rosterRunners returns the runners that a roster names.
+func rosterRunners(roster []rosterEntry) runnerSet {
+	set := make(runnerSet, len(roster))
+	for _, e := range roster {
+		set[e.id] = struct{}{}
+	}
+	return set
+}
+
+// beginRosterWrite records that a roster is being written: from now on the store may no longer
+// name the runners that this roster leaves out.
+func (coord *coordinator) beginRosterWrite(roster []rosterEntry) {
+	written := rosterRunners(roster)
+	for id := range coord.listedRunners {
+		if !written.has(id) {
+			delete(coord.listedRunners, id)
+		}
+	}
+}
+
+// confirmListed records that the store holds a roster, so that leases can be granted on the runners
+// that it names.
+func (coord *coordinator) confirmListed(roster []rosterEntry) {
+	coord.listedRunners = rosterRunners(roster)
+	joined := 0
+	for id, l := range coord.links {
+		if coord.listedRunners.has(id) && l.endListingWait() {
+			joined++
+		}
+	}
+	if joined > 0 {
+		coord.env.Log.WithField("runners", joined).Info("runners that joined are listed in the stored roster")
+	}
+}
+
+// endListingWaits allows leases to be granted on runners that can't be listed, because the store
+// refuses the roster for good. Otherwise nothing would be started on any runner that joins.
+func (coord *coordinator) endListingWaits() {
+	for _, l := range coord.links {
+		l.endListingWait()
+	}
+}
+
+// endListingWait allows leases to be granted on the runner if they are held back because it is not
+// listed, and reports whether they were.
+func (l *link) endListingWait() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	awaited := l.awaitsListing
+	l.awaitsListing = false
+	return awaited
+}
+
+// storeInheritedRoster stores the roster that a takeover begins with, if it differs from the stored
+// one, which it is given. It removes the expiries of the runners that were answering the predecessor
+// when it stopped, and adds the registered runners. It has to be called before the first poll of any
+// runner and the first order to any.
+func (coord *coordinator) storeInheritedRoster(ctx context.Context, stored []rosterEntry, registered map[string]RunnerInfo) error {
+	coord.listedRunners = rosterRunners(stored)
+	roster, hasRemoved := coord.withoutAnsweringExpiries(stored)
+	for id := range registered {
+		if !coord.listedRunners.has(id) {
+			roster = append(roster, rosterEntry{id: id})
+		}
+	}
+	if !hasRemoved && len(roster) == len(stored) {
+		return nil
+	}
+	rows := coord.encodeRosterRows(roster)
+	err := coord.journal.put(ctx, sharedPart, toPuts(rows))
+	rejected := &rejectedRowsError{}
+	if errors.As(err, &rejected) && !hasRemoved {
+		coord.recordRejectedSharedRows(rejected)
+		return nil // the runners wait to be listed by the first roster of the term
+	}
+	if err != nil {
+		return err
+	}
+	for key, value := range rows {
+		coord.sharedRows[key] = value
+	}
+	coord.confirmListed(roster)
+	return nil
+}
+
+// withoutAnsweringExpiries returns a roster without the expiries of the runners that were answering
+// the predecessor when it stopped, and whether there were any.
+func (coord *coordinator) withoutAnsweringExpiries(stored []rosterEntry) (roster []rosterEntry, hasRemoved bool) {
+	for _, e := range stored {
+		if e.wasAnswering {
+			delete(coord.recordedExpiries, e.id)
+			e = rosterEntry{id: e.id, settledIncarnation: e.settledIncarnation}
+			hasRemoved = true
+		}
+		roster = append(roster, e)
+	}
+	return roster, hasRemoved
+}
--- a/coordinator/recorded_test.go
+++ b/coordinator/recorded_test.go
@@ -19,7 +19,8 @@
 	coordinator *coordinator
 }
 
-// newRosterHarness returns a harness in the first term of a coordinator, without runners.
+// newRosterHarness returns a harness in the first term of a coordinator, without runners. The store
+// holds a roster that names the runner testRunnerID.
 func newRosterHarness(t *testing.T) *rosterHarness {
 	t.Helper()
 	clock := newManualClock(time.Minute)
@@ -28,6 +29,7 @@
 		Log: discardLog(), Count: func(string, int64) {}}
 	coord := newCoordinatorWithoutLoop(env, leadership.NewTerm(1, 24*time.Hour, clock.now))
 	coord.journal = newJournal(store, 1, discardLog())
+	coord.listedRunners = runnerSet{testRunnerID: {}}
 	coord.events, coord.fatalErrors, coord.ctx = make(chan queuedEvent, 16), make(chan error, 1), t.Context()
 	if _, err := coord.journal.fence(t.Context(), sharedPart); err != nil {
 		t.Fatal(err)
@@ -124,8 +126,14 @@
 	refusing.Store(false)
 	h.awaitStoredRoster()
 	(<-h.coordinator.events).apply(h.coordinator)
+	if newLink.nextRequest().Deadline != 0 || !h.coordinator.needsRosterWrite() {
+		t.Error("a lease was extended although the stored roster does not name the runner, or no other one is due")
+	}
+	h.coordinator.writeSharedRows(h.clock.now())
+	h.awaitStoredRoster()
+	(<-h.coordinator.events).apply(h.coordinator)
 	if newLink.nextRequest().Deadline == 0 {
-		t.Error("no lease was extended after the expiry was removed")
+		t.Error("no lease was extended after the expiry was removed and the runner was listed")
 	}
 }
 
--- a/coordinator/rejectedrows.go
+++ b/coordinator/rejectedrows.go
@@ -149,12 +149,14 @@
 }
 
 // sharedRowsRejectedEvent says that a write of shared rows is over and that the store refuses
-// the roster for good. The expiries of the roster before it stay recorded.
+// the roster for good. The expiries of the roster before it stay recorded, and no runner waits to be
+// listed.
 type sharedRowsRejectedEvent struct{}
 
 func (sharedRowsRejectedEvent) apply(coord *coordinator) {
 	coord.isWritingSharedRows = false
 	coord.sharedRowsHeldUntil = coord.env.Clock() + sharedRowsInterval
+	coord.endListingWaits()
 	maps.DeleteFunc(coord.sharedRows, func(key rowstore.Key, _ string) bool {
 		_, isRoster := parseRosterRowKey(key)
 		return isRoster
--- a/coordinator/roster.go
+++ b/coordinator/roster.go
@@ -169,26 +169,6 @@
 	return local, true
 }
 
-// removeAnsweringExpiries removes from the store the expiries of runners that were answering
-// the predecessor when it stopped. It has to be called before the first poll of any
-// of them and the first order to any of them.
-func (coord *coordinator) removeAnsweringExpiries(ctx context.Context, entries []rosterEntry) error {
-	changed := false
-	for i := range entries {
-		if entries[i].wasAnswering {
-			delete(coord.recordedExpiries, entries[i].id)
-			entries[i] = rosterEntry{id: entries[i].id, settledIncarnation: entries[i].settledIncarnation}
-			changed = true
-		}
-	}
-	if !changed {
-		return nil
-	}
-	rows := coord.encodeRosterRows(entries)
-	maps.Copy(coord.sharedRows, rows)
-	return coord.journal.put(ctx, sharedPart, toPuts(rows))
-}
-
 // buildRoster returns the roster to store now, and the expiries in it by runner ID. If the
 // coordinator is stopping, each runner has an expiry if the store's clock is known.
 func (coord *coordinator) buildRoster(now time.Duration, isStopping bool) (entries []rosterEntry, expiries map[string]recordedExpiry) {
@@ -241,7 +221,7 @@
 }
 
 // confirmRecordedExpiries records which expiries the store holds, once a roster is stored.
-// It allows leases to be extended on all other runners.
+// It allows leases to be extended on all other runners that are listed.
 func (coord *coordinator) confirmRecordedExpiries(stored map[string]recordedExpiry) {
 	coord.recordedExpiries = maps.Clone(stored)
 	for id, l := range coord.links {
@@ -251,11 +231,11 @@
 	}
 }
 
-// needsExpiryRemoval reports whether the store may hold an expiry for a runner that answers
-// again, so that it has to be removed.
-func (coord *coordinator) needsExpiryRemoval() bool {
+// needsRosterWrite reports whether the roster has to be written for leases to be granted on some
+// runner.
+func (coord *coordinator) needsRosterWrite() bool {
 	for _, l := range coord.links {
-		if l.needsExpiryRemoval() {
+		if l.needsRosterWrite() {
 			return true
 		}
 	}
@@ -264,12 +244,16 @@
 
 // rosterStoredEvent says that a write of shared rows is over and that the store holds the
 // roster with these expiries, by runner ID.
-type rosterStoredEvent struct{ expiries map[string]recordedExpiry }
+type rosterStoredEvent struct {
+	roster   []rosterEntry
+	expiries map[string]recordedExpiry
+}
 
 func (e rosterStoredEvent) apply(coord *coordinator) {
 	coord.isWritingSharedRows = false
 	coord.sharedRowsStoredAt = coord.env.Clock()
 	coord.confirmRecordedExpiries(e.expiries)
+	coord.confirmListed(e.roster)
 }
 
 // handOverLeases stores a roster with the expiries of all runners for a successor. From
--- a/coordinator/roster_test.go
+++ b/coordinator/roster_test.go
@@ -42,6 +42,7 @@
 	// whose write is under way, and pendingExpiries holds its expiries.
 	storedRoster    string
 	pendingRoster   string
+	pendingEntries  []rosterEntry
 	pendingExpiries map[string]recordedExpiry
 	isWriting       bool
 	// leaseEnd is when the last lease that the runner was granted ends, on the local clock,
@@ -81,11 +82,11 @@
 	if inheritedExpiry := sim.coordinator.core.InheritedExpiry(testRunnerID); inheritedExpiry < sim.leaseEnd {
 		sim.t.Fatalf("epoch %d takes the leases as expired %v before they are", sim.epoch, sim.leaseEnd-inheritedExpiry)
 	}
-	if err := sim.coordinator.removeAnsweringExpiries(context.Background(), entries); err != nil {
+	info := RunnerInfo{ID: testRunnerID}
+	if err := sim.coordinator.storeInheritedRoster(context.Background(), entries, map[string]RunnerInfo{testRunnerID: info}); err != nil {
 		sim.t.Fatal(err)
 	}
-	sim.storedRoster, sim.isWriting = encodeRoster(entries), false
-	info := RunnerInfo{ID: testRunnerID}
+	sim.storedRoster, sim.isWriting = readRosterRow(sim.t, env.Store, encodeRoster(entries)), false
 	sim.coordinator.core.UpdateRunner(info, sim.now)
 	sim.coordinator.links[testRunnerID] = sim.coordinator.createLink(info, sim.now)
 }
@@ -126,12 +127,14 @@
 	case 4:
 		if !sim.isWriting {
 			entries, expiries := sim.coordinator.buildRoster(sim.now, false)
-			sim.pendingRoster, sim.pendingExpiries, sim.isWriting = encodeRoster(entries), expiries, true
+			sim.coordinator.beginRosterWrite(entries)
+			sim.pendingRoster, sim.pendingEntries, sim.pendingExpiries, sim.isWriting = encodeRoster(entries), entries, expiries, true
 		}
 	case 5:
 		if sim.isWriting {
 			sim.storedRoster, sim.isWriting = sim.pendingRoster, false
 			sim.coordinator.confirmRecordedExpiries(sim.pendingExpiries)
+			sim.coordinator.confirmListed(sim.pendingEntries)
 		}
 	case 6:
 		if sim.isWriting && sim.random.IntN(2) == 0 {
@@ -185,14 +188,14 @@
 		t.Fatal("an expiry is stored at the first silence")
 	}
 	clock.advance(minRecordedSilence)
-	if _, _, ok := l.stopLeaseExtension(clock.now(), false); !ok || l.needsExpiryRemoval() {
+	if _, _, ok := l.stopLeaseExtension(clock.now(), false); !ok || l.needsRosterWrite() {
 		t.Fatal("no expiry is stored for a silent runner, or it is to be removed at once")
 	}
-	if l.recordAnswer(1, 9*time.Second, clock.now(), clock.now(), l.token()).canExtend || l.nextRequest().Deadline != 0 || !l.needsExpiryRemoval() {
+	if l.recordAnswer(1, 9*time.Second, clock.now(), clock.now(), l.token()).canExtend || l.nextRequest().Deadline != 0 || !l.needsRosterWrite() {
 		t.Fatal("leases are extended while the store holds their expiry")
 	}
 	l.clearRecordedExpiry()
-	if l.nextRequest().Deadline == 0 || l.needsExpiryRemoval() {
+	if l.nextRequest().Deadline == 0 || l.needsRosterWrite() {
 		t.Error("leases are not extended after the expiry was removed")
 	}
 }
@@ -231,15 +234,21 @@
 
 // readStoredRoster returns the entries of the roster in the store.
 func readStoredRoster(t *testing.T, store rowstore.Store) []rosterEntry {
+	t.Helper()
+	return decodeRoster(readRosterRow(t, store, ""))
+}
+
+// readRosterRow returns the first row of the roster in the store, or a value if there is none.
+func readRosterRow(t *testing.T, store rowstore.Store, missing string) string {
 	t.Helper()
 	res, err := store.Read(context.Background(), rowstore.Range{Table: rosterKey.Table, Part: rosterKey.Part, From: rosterKey.Key, To: rosterKey.Key + "\x00"})
 	if err != nil {
 		t.Fatal(err)
 	}
 	if len(res.Rows) == 0 {
-		return nil
+		return missing
 	}
-	return decodeRoster(string(res.Rows[0].Value))
+	return string(res.Rows[0].Value)
 }
 
 // rosterReadingClient sends the stored roster as it was at the first poll to firstRoster.
--- a/coordinator/sharedrows.go
+++ b/coordinator/sharedrows.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// sharedRowsInterval is the time between two writes of shared rows, unless an expiry
-	// has to be removed earlier.
+	// sharedRowsInterval is the time between two writes of shared rows, unless an expiry has to be
+	// removed or a runner to be listed earlier.
 	sharedRowsInterval = time.Second
 	// maxSharedRowsAge is how long a stored write of shared rows shows that the store takes rows.
 	maxSharedRowsAge = 2 * sharedRowsInterval
@@ -34,13 +34,14 @@
 	}
 	coord.isWritingSharedRows = true
 	roster, expiries := coord.buildRoster(now, false)
+	coord.beginRosterWrite(roster)
 	rows := coord.encodeRosterRows(roster)
 	coord.addDelayedStarts(rows)
 	coord.addPendingCounts(rows)
 	coord.addInterferenceModel(rows, now)
 	maps.DeleteFunc(rows, func(k rowstore.Key, v string) bool { return coord.sharedRows[k] == v })
 	maps.Copy(coord.sharedRows, rows)
-	rosterStored := rosterStoredEvent{expiries}
+	rosterStored := rosterStoredEvent{roster, expiries}
 	go func() {
 		rejected, err := coord.putSharedRows(rows)
 		switch {
--- a/coordinator/takeover.go
+++ b/coordinator/takeover.go
@@ -122,7 +122,7 @@
 	for _, value := range delayed {
 		coord.inheritDelayedStarts(value)
 	}
-	return coord.removeAnsweringExpiries(ctx, roster)
+	return coord.storeInheritedRoster(ctx, roster, registered)
 }
 
 // decodeRegistry returns the entries of the registry by runner ID, without unreadable ones.
