Store which tasks may run on a silent runner, and until when

Cause: the rows of the starts without an answer have no time, so each successor counts 25.6 s from its own takeover.

Ruled out: a wait for the leases of the runner, and a runner that is not seen.

Change: the roster line of a runner whose expiry is stored names the tasks that may run there, each with the time by which its run has ended, and the time at which the last lease of a late call has expired; that of a process that refuses late calls names it and until when it may hold a lease by one. Times are on the store's clock and stay the same in each takeover.

TestSuccessorHoldsTheTasksOfDelayedStarts and its neighbours call the renamed methods; what they ask is unchanged.

--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -81,7 +81,7 @@
 	speculation   speculation
 	// delayedStartRuns holds until when HoldDelayedStarts keeps runs. Some of them no longer exist.
 	delayedStartRuns map[*taskRun]time.Duration
-	inheritedDelays  inheritedDelays
+	heldTasks        heldTasks
 }
 
 // Counter adds n to the counter of a name.
@@ -366,6 +366,11 @@
 			ids = append(ids, id)
 		}
 	}
+	for id := range c.heldTasks.byRunner {
+		if _, isUnresolved := c.unresolved[id]; !isUnresolved && c.runners[id] == nil {
+			ids = append(ids, id)
+		}
+	}
 	slices.Sort(ids)
 	return ids
 }
--- a/coordinator/delayedstart.go
+++ b/coordinator/delayedstart.go
@@ -117,10 +117,8 @@
 // ExpireDelayedStarts removes the runs that were held for a start without an answer and have ended
 // for certain. Their tasks become pending again. A run is no longer held once its runner has answered
 // again, as hasAnswered tells: new leases may have been granted there, and the runner's reports say
-// what runs. ExpireDelayedStarts also ends the waits for the predecessor's starts without an answer
-// whose runs have ended for certain.
+// what runs.
 func (c *Core) ExpireDelayedStarts(now time.Duration, hasAnswered func(runnerID string) bool) {
-	c.inheritedDelays.releaseExpired(now, hasAnswered)
 	for run, expiry := range c.delayedStartRuns {
 		_, exists := run.runner.runs[run]
 		answered := hasAnswered(run.runner.ID)
@@ -136,9 +134,9 @@
 	}
 }
 
-// releaseDelayedStarts ends the hold of the runs of a runner that reports and refuses all calls to
-// its earlier processes: its reports say which of them exist.
+// releaseDelayedStarts ends the hold of the runs and tasks of a runner that reports and refuses all
+// calls to its earlier processes: its reports say which of them exist.
 func (c *Core) releaseDelayedStarts(r *runner) {
-	c.inheritedDelays.releaseRunner(r.ID)
+	c.heldTasks.releaseRunner(r.ID)
 	maps.DeleteFunc(c.delayedStartRuns, func(run *taskRun, _ time.Duration) bool { return run.runner == r })
 }
--- a/coordinator/delayedstart_test.go
+++ b/coordinator/delayedstart_test.go
@@ -155,7 +155,7 @@
 	h.addJob(firstID, true, plainStep(2, 1000))
 	began := predecessor.clock.now()
 	for h.now = began; h.now < began+maxCallDelay+coord.env.MaxLeaseDuration; h.now += time.Second {
-		h.core.ExpireDelayedStarts(h.now, neverAnswers)
+		h.core.ReleaseExpiredTasks(h.now, neverAnswers)
 		for _, order := range startOrders(h.schedule()) {
 			if order.Task == predecessor.task {
 				t.Fatalf("the task is started %v after the takeover", h.now-began)
@@ -167,7 +167,7 @@
 		t.Errorf("%d tasks run, want the one of which no start was without an answer", n)
 	}
 	h.now += 2 * time.Second
-	h.core.ExpireDelayedStarts(h.now, neverAnswers)
+	h.core.ReleaseExpiredTasks(h.now, neverAnswers)
 	if n := len(startOrders(h.schedule())); n != 1 {
 		t.Errorf("%d starts once the run has ended for certain, want 1", n)
 	}
@@ -176,7 +176,7 @@
 // Guards against a task that waits for a predecessor's start although its runner has reported.
 func TestReportEndsTheWaitForAPredecessorsStart(t *testing.T) {
 	h := newCoreHarness(t, testRunner("other", 4000))
-	h.core.inheritedDelays.add(delayedStart{"a", taskID(firstID, 0, 0)}, time.Hour)
+	h.core.HoldTask("a", heldTask{taskID(firstID, 0, 0), heldDelayed, time.Hour})
 	h.addJob(firstID, true, plainStep(1, 1000))
 	if n := len(startOrders(h.schedule())); n != 0 {
 		t.Fatalf("%d starts before the runner reports", n)
@@ -194,7 +194,7 @@
 	h := newRosterHarness(t)
 	for i := range runners {
 		for index := range startsPerRunner {
-			h.coordinator.core.inheritedDelays.add(delayedStart{fmt.Sprintf("i-%010x", i), taskID(firstID, i, index)}, time.Hour)
+			h.coordinator.core.HoldTask(fmt.Sprintf("i-%010x", i), heldTask{taskID(firstID, i, index), heldDelayed, time.Hour})
 		}
 	}
 	h.coordinator.rosterRowCount = 3
@@ -254,15 +254,15 @@
 		coord := h.coordinator
 		coord.term = leadership.NewTerm(2, 24*time.Hour, h.clock.now)
 		expiry, task := h.clock.now()+9*time.Second, taskID(firstID, 0, 0)
-		coord.core.SetInheritedRunners([]InheritedRunner{{ID: testRunnerID, ExpiredAt: expiry, IsIdle: isDelayed}}, expiry)
+		coord.core.SetInheritedRunners([]InheritedRunner{{ID: testRunnerID, ExpiredAt: expiry, TasksKnown: isDelayed}}, expiry)
 		if isDelayed {
-			coord.core.inheritedDelays.add(delayedStart{testRunnerID, task}, expiry)
+			coord.core.HoldTask(testRunnerID, heldTask{task, heldDelayed, expiry})
 		}
 		l := h.register()
 		isAwaited := func() bool {
 			h.clock.advance(20 * time.Second)
 			coord.expireLeases(h.clock.now())
-			return coord.core.UnresolvedRunners() > 0 || coord.core.inheritedDelays.isDelayed(task)
+			return coord.core.UnresolvedRunners() > 0 || coord.core.heldTasks.isHeld(task)
 		}
 		l.recordAnswer(1, time.Hour, h.clock.now(), h.clock.now(), l.token())
 		if !isAwaited() {
@@ -284,14 +284,14 @@
 	coord.term = leadership.NewTerm(2, 24*time.Hour, h.clock.now)
 	expiry, task := h.clock.now()+9*time.Second, taskID(firstID, 0, 0)
 	coord.core.SetInheritedRunners([]InheritedRunner{{ID: testRunnerID, ExpiredAt: expiry}}, expiry)
-	coord.core.inheritedDelays.add(delayedStart{testRunnerID, task}, expiry)
+	coord.core.HoldTask(testRunnerID, heldTask{task, heldDelayed, expiry})
 	l := h.register()
 	l.recordAnswer(1, time.Hour, h.clock.now(), h.clock.now(), l.token())
 	l.recordUnanswered(h.clock.now())
 	h.clock.advance(20 * time.Second)
 	coord.expireLeases(h.clock.now())
 	coord.expireLeases(h.clock.now())
-	if coord.core.UnresolvedRunners() > 0 || coord.core.inheritedDelays.isDelayed(task) {
+	if coord.core.UnresolvedRunners() > 0 || coord.core.heldTasks.isHeld(task) {
 		t.Error("tasks wait for a runner whose leases have expired")
 	}
 }
--- a/coordinator/delayedstartrows.go
+++ b/coordinator/delayedstartrows.go
@@ -4,7 +4,6 @@
 	"slices"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -58,7 +57,14 @@
 // collectDelayedStarts returns the starts without an answer that a successor has to know: those of
 // this term, and those of a predecessor that still count.
 func (coord *coordinator) collectDelayedStarts() []delayedStart {
-	starts := coord.core.inheritedDelays.list()
+	var starts []delayedStart
+	for id := range coord.core.heldTasks.byRunner {
+		for _, held := range coord.core.heldTasks.of(id) {
+			if held.kind == heldDelayed {
+				starts = append(starts, delayedStart{id, held.task})
+			}
+		}
+	}
 	for id, l := range coord.links {
 		for task := range l.delayedStartExpiries() {
 			starts = append(starts, delayedStart{id, task})
@@ -98,73 +104,7 @@
 	if unreadable > 0 {
 		coord.env.Log.WithField("lines", unreadable).Warn("unreadable starts without an answer ignored")
 	}
-	expiry := misdirectedExpiry(max(coord.env.Clock(), coord.predecessor.actingUntil)+maxCallDelay, coord.env.MaxLeaseDuration)
 	for _, start := range starts {
-		coord.core.inheritedDelays.add(start, expiry)
-	}
-}
-
-// inheritedDelays holds the predecessor's starts without an answer that still count.
-//
-// It answers this load: a takeover of thousands of runners with several such starts each, all of
-// which report within a second.
-type inheritedDelays struct {
-	tasks     map[string]map[jobs.TaskID]struct{} // by runner ID
-	runners   map[jobs.TaskID]int                 // number of runners that may run each task
-	expiresAt time.Duration                       // when all such runs have ended for certain
-}
-
-// add keeps a task from being started until a local time, or until its runner reports.
-func (d *inheritedDelays) add(start delayedStart, expiry time.Duration) {
-	if d.tasks == nil {
-		d.tasks, d.runners = map[string]map[jobs.TaskID]struct{}{}, map[jobs.TaskID]int{}
-	}
-	d.expiresAt = max(d.expiresAt, expiry)
-	if d.tasks[start.runner] == nil {
-		d.tasks[start.runner] = map[jobs.TaskID]struct{}{}
-	}
-	if _, known := d.tasks[start.runner][start.task]; !known {
-		d.tasks[start.runner][start.task] = struct{}{}
-		d.runners[start.task]++
+		coord.core.HoldTask(start.runner, heldTask{start.task, heldDelayed, coord.lateCallExpiry(start.runner)})
 	}
 }
-
-// list returns the starts.
-func (d *inheritedDelays) list() []delayedStart {
-	var starts []delayedStart
-	for runner, tasks := range d.tasks {
-		for task := range tasks {
-			starts = append(starts, delayedStart{runner, task})
-		}
-	}
-	return starts
-}
-
-// releaseRunner ends the waits for a runner that has reported.
-func (d *inheritedDelays) releaseRunner(id string) {
-	for task := range d.tasks[id] {
-		if d.runners[task]--; d.runners[task] == 0 {
-			delete(d.runners, task)
-		}
-	}
-	delete(d.tasks, id)
-}
-
-// releaseExpired ends the waits once they are over, but for runners that have answered: their reports
-// say what runs.
-func (d *inheritedDelays) releaseExpired(now time.Duration, hasAnswered func(runnerID string) bool) {
-	if now <= d.expiresAt {
-		return
-	}
-	for id := range d.tasks {
-		if !hasAnswered(id) {
-			d.releaseRunner(id)
-		}
-	}
-}
-
-// isEmpty reports whether no task waits.
-func (d *inheritedDelays) isEmpty() bool { return len(d.runners) == 0 }
-
-// isDelayed reports whether a task may run because of a predecessor's start without an answer.
-func (d *inheritedDelays) isDelayed(task jobs.TaskID) bool { return d.runners[task] > 0 }
--- a/coordinator/drain.go
+++ b/coordinator/drain.go
@@ -90,12 +90,13 @@
 // runner may already be on its machine, which the machine list does not show yet. Nor is it
 // known while leases on the runner can't be extended, the runner has blocked jobs or its last
 // report was incomplete, since the results that it has yet to list would be lost. The load
-// of a runner that the core does not have is known to be zero unless the runner is unresolved.
+// of a runner that the core does not have is known to be zero unless the runner is unresolved or tasks are
+// held for it.
 func (c *Core) RunnerLoad(id string) maintenance.Load {
 	r := c.runners[id]
 	if r == nil {
 		_, unresolved := c.unresolved[id]
-		return maintenance.Load{Known: !unresolved}
+		return maintenance.Load{Known: !unresolved && !c.heldTasks.hasRunner(id)}
 	}
 	load := maintenance.Load{Known: r.hasReported && !r.isUnfenced && !r.cannotExtendLeases && !r.results.isIncomplete && len(r.blockedJobs) == 0, Runs: len(r.runs), CPUMilli: r.held.CPUMilli}
 	for run := range r.runs {
@@ -115,6 +116,7 @@
 // process are ignored.
 func (c *Core) MarkRunnerEndedByMaintenance(id string, now time.Duration) {
 	c.resolveRunner(id)
+	c.heldTasks.releaseRunner(id)
 	delete(c.expiredTasks, id)
 	r := c.runners[id]
 	if r == nil {
--- a/coordinator/events.go
+++ b/coordinator/events.go
@@ -197,6 +197,9 @@
 		if expiry := l.unansweredExpiry(); expiry > 0 {
 			coord.core.RaiseInheritedExpiry(info.ID, expiry)
 		}
+		if l.suspectsRestart() {
+			coord.core.heldTasks.raiseUnconfirmed(info.ID, coord.lateCallExpiry(info.ID))
+		}
 		return
 	}
 	l := coord.createLink(info, now)
--- a/coordinator/handover_test.go
+++ b/coordinator/handover_test.go
@@ -45,7 +45,8 @@
 // call its methods themselves.
 func newCoordinatorWithoutLoop(env Environment, term *leadership.Term) *coordinator {
 	return &coordinator{env: env, core: New(Limits{}, discardLog(), nil), term: term,
-		links: map[string]*link{}, sharedRows: map[rowstore.Key]string{}, recordedExpiries: map[string]recordedExpiry{}, settledIncarnations: map[string]int64{}}
+		links: map[string]*link{}, sharedRows: map[rowstore.Key]string{}, recordedExpiries: map[string]recordedExpiry{}, settledIncarnations: map[string]int64{},
+		lateCallExpiries: map[string]time.Duration{}, fencedProcesses: map[string]fencedProcess{}}
 }
 
 // crashableEnvironment returns a copy of an environment and a flag. Once the flag is set,
--- a/coordinator/hiddenend.go
+++ b/coordinator/hiddenend.go
@@ -26,13 +26,12 @@
 }
 
 // startableTasks returns the indexes of the pending tasks that may be started now. It
-// leaves out the tasks that a predecessor may have started on unresolved runners, of whose
-// starts by a predecessor one had no answer, or that wait for a report of the runner on which
-// their leases expired; of a gang it returns all tasks or none. The result may share its memory
+// leaves out the tasks that a predecessor may have started on unresolved runners, that are held, or
+// that wait for a report of the runner on which their leases expired; of a gang it returns all tasks or none. The result may share its memory
 // with the pending tasks of the step.
 func (c *Core) startableTasks(s *openStep) []int {
 	awaitsRunners := s.job.inherited && len(c.unresolved) > 0 && !s.openedByHiddenEnd
-	if !awaitsRunners && c.inheritedDelays.isEmpty() && len(c.awaitedTasks) == 0 {
+	if !awaitsRunners && c.heldTasks.isEmpty() && len(c.awaitedTasks) == 0 {
 		return s.pending
 	}
 	var tasks []int
@@ -40,7 +39,7 @@
 		_, hidden := s.hiddenEnds[index]
 		task := s.taskID(index)
 		_, isAwaited := c.awaitedTasks[task]
-		if (hidden || !awaitsRunners) && !isAwaited && !c.inheritedDelays.isDelayed(task) {
+		if (hidden || !awaitsRunners) && !isAwaited && !c.heldTasks.isHeld(task) {
 			tasks = append(tasks, index)
 		}
 	}
--- a/coordinator/idlerunner_test.go
+++ b/coordinator/idlerunner_test.go
@@ -135,7 +135,7 @@
 // predecessor that can still act may be answered by them.
 func TestIdleRunnersCountTowardsTheMajority(t *testing.T) {
 	core := New(Limits{}, discardLog(), nil)
-	core.SetInheritedRunners([]InheritedRunner{{ID: "busy", ExpiredAt: time.Hour}, {ID: "idle", ExpiredAt: time.Hour, IsIdle: true}}, time.Hour)
+	core.SetInheritedRunners([]InheritedRunner{{ID: "busy", ExpiredAt: time.Hour}, {ID: "idle", ExpiredAt: time.Hour, TasksKnown: true}}, time.Hour)
 	core.markAnswered("busy")
 	if core.haveMostAnswered() {
 		t.Error("one of two runners counts as most of them")
--- a/coordinator/inherited.go
+++ b/coordinator/inherited.go
@@ -12,22 +12,22 @@
 const maxLoggedRunners = 6
 
 // InheritedRunner is a runner of a predecessor. ExpiredAt is the time by which the
-// predecessor's leases on it have expired for certain. IsIdle is set if none of the
-// predecessor's tasks runs there. MisdirectedExpiredAt is the time by which leases have expired
-// that calls of the predecessor to an earlier process of the runner granted to a later one; zero
-// if there can be none.
+// predecessor's leases on it have expired for certain. TasksKnown is set if none of the
+// predecessor's tasks runs there but those that HoldTask holds. MisdirectedExpiredAt is the
+// time by which leases have expired that calls of the predecessor to an earlier process of the
+// runner granted to a later one; zero if there can be none.
 type InheritedRunner struct {
 	ID                   string
 	ExpiredAt            time.Duration
 	MisdirectedExpiredAt time.Duration
-	IsIdle               bool
+	TasksKnown           bool
 }
 
 // SetInheritedRunners sets the runners of a predecessor, and the time by which its leases on
 // any other runner have expired.
 func (c *Core) SetInheritedRunners(runners []InheritedRunner, otherLeasesExpireAt time.Duration) {
 	for _, r := range runners {
-		if !r.IsIdle {
+		if !r.TasksKnown {
 			c.unresolved[r.ID] = max(r.ExpiredAt, r.MisdirectedExpiredAt)
 		}
 		if r.MisdirectedExpiredAt > 0 {
@@ -55,6 +55,15 @@
 	}
 }
 
+// HoldTask keeps a task that may run on a predecessor's runner from being started elsewhere.
+func (c *Core) HoldTask(runnerID string, t heldTask) { c.heldTasks.add(runnerID, t) }
+
+// ReleaseExpiredTasks ends the holds of the tasks whose runs have ended for certain. Like
+// ResolveExpiredRunners, it must be called only while no successor can have extended leases.
+func (c *Core) ReleaseExpiredTasks(now time.Duration, hasAnswered func(runnerID string) bool) {
+	c.heldTasks.releaseExpired(now, hasAnswered, c.recordExpiredTask)
+}
+
 // haveMostAnswered reports whether at least successorMajorityPercent percent of the
 // predecessor's runners have answered this coordinator.
 func (c *Core) haveMostAnswered() bool {
@@ -66,8 +75,8 @@
 func (c *Core) markAnswered(id string) { delete(c.unansweredInherited, id) }
 
 // LowerInheritedExpiry lowers the time by which a predecessor's leases have expired to
-// expiry on all runners, but not below the expiry of misdirected leases. It changes nothing and returns false if expiry is not earlier than
-// otherLeasesExpireAt.
+// expiry on all runners, but not below the expiry of misdirected leases. It changes nothing and
+// returns false if expiry is not earlier than otherLeasesExpireAt.
 func (c *Core) LowerInheritedExpiry(expiry time.Duration) bool {
 	if expiry >= c.otherLeasesExpireAt {
 		return false
--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -51,6 +51,7 @@
 	majorityUntil atomic.Int64
 	tokens        tokenIssuer
 	predecessor   predecessor
+	takenOverAt   time.Duration // when the takeover read what the predecessor had stored
 
 	// jobsAsOf is the time on the store's clock up to which all accepted jobs are known.
 	jobsAsOf   time.Duration
@@ -73,6 +74,11 @@
 	// settledIncarnations holds, by runner ID, the processes that the predecessor's roster names
 	// as those on which no misdirected call can hold a lease.
 	settledIncarnations map[string]int64
+	// lateCallExpiries holds, by runner ID, the local time at which the last lease has expired that
+	// a call without an answer by a predecessor can have granted.
+	lateCallExpiries map[string]time.Duration
+	fencedProcesses  map[string]fencedProcess // as in the predecessor's roster, by runner ID
+	storeTimes       storeTimes
 	// listedRunners holds the runners that the stored roster names, whatever becomes of a write that
 	// is under way. See listing.go.
 	listedRunners       runnerSet
@@ -106,6 +112,8 @@
 		sharedRows:          map[rowstore.Key]string{},
 		recordedExpiries:    map[string]recordedExpiry{},
 		settledIncarnations: map[string]int64{},
+		lateCallExpiries:    map[string]time.Duration{},
+		fencedProcesses:     map[string]fencedProcess{},
 		endedJobs:           map[jobs.ID]*endedJob{},
 		unreadableJobs:      map[jobs.ID]struct{}{},
 		heldWrites:          heldWrites{},
@@ -315,13 +323,15 @@
 
 // expireLeases records the runs on silent runners as lost once every lease there has
 // expired, also while a poll of the runner or an order to it still waits for an answer. It
-// also resolves the runners on which the predecessor's leases have expired. It does either
-// only while no other process can hold the coordinator's lease.
+// also resolves the runners on which the predecessor's leases have expired, and ends the holds
+// of tasks that are over. It does any of it only while no other process can hold the
+// coordinator's lease.
 func (coord *coordinator) expireLeases(now time.Duration) {
 	if coord.term.IsExclusive() {
 		coord.lowerInheritedExpiries(now)
 		coord.core.ResolveExpiredRunners(now, coord.hasAnswered)
 	}
+	coord.core.ReleaseExpiredTasks(now, coord.hasAnswered)
 	for id, l := range coord.links {
 		if l.markExpired(now) {
 			l.expiredAt = now
@@ -374,6 +384,7 @@
 	l.isExpiryRecorded, l.unansweredSince = isRecorded, now
 	l.awaitsListing = !coord.listedRunners.has(info.ID)
 	l.registeredIncarnation, l.settledIncarnation = info.Incarnation, coord.settledIncarnations[info.ID]
+	l.inheritedIncarnation = coord.fencedProcesses[info.ID].incarnation
 	l.lease.misdirectedExpiresBy = coord.core.misdirectedExpiries[info.ID]
 	if !coord.core.isInherited(info.ID) && !coord.tokens.hasIssuedBefore(info.ID) {
 		l.settledIncarnation = info.Incarnation // no call has been sent to an earlier process
--- a/coordinator/link.go
+++ b/coordinator/link.go
@@ -90,6 +90,9 @@
 	// settledIncarnation identifies the last process known to hold no lease of a misdirected call,
 	// from the roster or from this coordinator; zero if none is known.
 	settledIncarnation int64
+	// inheritedIncarnation identifies the fenced process that a predecessor's roster names; zero if it
+	// names none.
+	inheritedIncarnation int64
 }
 
 // newLink returns a link over which the runner has not answered yet. All leases that were
--- a/coordinator/listing.go
+++ b/coordinator/listing.go
@@ -75,9 +75,9 @@
 }
 
 // storeInheritedRoster stores the roster that a takeover begins with, if it differs from the stored
-// one, which it is given. It removes the expiries of the runners that were answering the predecessor
-// when it stopped, and adds the registered runners. It has to be called before the first poll of any
-// runner and the first order to any.
+// one, which it is given. It removes the expiries of the runners that were
+// answering the predecessor when it stopped, and adds the registered runners. It has to be called
+// before the first poll of any runner and the first order to any.
 func (coord *coordinator) storeInheritedRoster(ctx context.Context, stored []rosterEntry, registered map[string]RunnerInfo) error {
 	coord.listedRunners = rosterRunners(stored)
 	roster, hasRemoved := coord.withoutAnsweringExpiries(stored)
@@ -112,7 +112,7 @@
 	for _, e := range stored {
 		if e.wasAnswering {
 			delete(coord.recordedExpiries, e.id)
-			e = rosterEntry{id: e.id, settledIncarnation: e.settledIncarnation}
+			e = rosterEntry{id: e.id, settledIncarnation: e.settledIncarnation, fenced: e.fenced}
 			hasRemoved = true
 		}
 		roster = append(roster, e)
--- a/coordinator/recorded_test.go
+++ b/coordinator/recorded_test.go
@@ -29,7 +29,7 @@
 		Log: discardLog(), Count: func(string, int64) {}}
 	coord := newCoordinatorWithoutLoop(env, leadership.NewTerm(1, 24*time.Hour, clock.now))
 	coord.journal = newJournal(store, 1, discardLog())
-	coord.listedRunners = runnerSet{testRunnerID: {}}
+	coord.listedRunners, coord.takenOverAt = runnerSet{testRunnerID: {}}, clock.now()
 	coord.events, coord.fatalErrors, coord.ctx = make(chan queuedEvent, 16), make(chan error, 1), t.Context()
 	if _, err := coord.journal.fence(t.Context(), sharedPart); err != nil {
 		t.Fatal(err)
--- a/coordinator/restart.go
+++ b/coordinator/restart.go
@@ -45,6 +45,9 @@
 	if known == 0 {
 		known = l.settledIncarnation
 	}
+	if known == 0 {
+		known = l.inheritedIncarnation
+	}
 	if !changed || info.Incarnation == 0 || known == 0 || info.Incarnation == known {
 		return
 	}
@@ -88,6 +91,22 @@
 	}
 }
 
+// suspectsRestart reports whether the process that answered last, or that a predecessor's roster names,
+// is not the present one.
+func (l *link) suspectsRestart() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.restartSuspectedAt > 0
+}
+
+// fencedProcess returns the process that answers and the local time at which every misdirected lease
+// there has expired, and whether that process refuses misdirected calls.
+func (l *link) fencedProcess() (process fencedProcess, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return fencedProcess{l.incarnation, l.lease.misdirectedExpiresBy}, l.incarnation != 0 && l.isFenced && l.restartSuspectedAt == 0
+}
+
 // updateSettledIncarnation returns the incarnation of the process on which no misdirected call can
 // hold a lease any more, and records it. It returns zero if there may be such a call. Before the
 // first answer it returns the recorded one.
--- a/coordinator/roster.go
+++ b/coordinator/roster.go
@@ -3,9 +3,6 @@
 import (
 	"context"
 	"maps"
-	"slices"
-	"strconv"
-	"strings"
 	"time"
 
 	"bergamotstile/leadership"
@@ -18,6 +15,10 @@
 // is stopped as planned, or ends its term with ErrBehind, stores the expiries of all
 // runners. Its successor removes the expiries of those that were answering before it polls
 // any of them or sends orders to them.
+//
+// With an expiry, the roster names the tasks that may run on the runner, so that no other task
+// waits for it, and says by when the last lease of a late call has expired. These times are on
+// the store's clock and stay the same in each takeover that follows.
 
 // minRecordedSilence is how long a runner has to be silent before its expiry is stored.
 // A shorter time would cost more writes: if the runner answers after all, its expiry has to
@@ -27,97 +28,6 @@
 // handoverTimeout bounds the write of the roster when a term ends.
 const handoverTimeout = 500 * time.Millisecond
 
-// Markers that follow the expiry in the line of a runner. Readers ignore markers that they
-// do not know.
-const (
-	answeringMarker = "answering" // the runner was answering when its expiry was stored
-	idleMarker      = "idle"      // no run existed on the runner when its expiry was stored
-)
-
-// incarnationPrefix begins the marker with the runner's settled incarnation, in base 36. It may
-// follow the runner's ID without an expiry.
-const (
-	incarnationPrefix = "@"
-	incarnationBase   = 36
-)
-
-// rosterEntry is the line for one runner in the roster.
-type rosterEntry struct {
-	id string
-	// expiry is when every lease on the runner has expired, on the store's clock, or zero
-	// if none is stored.
-	expiry time.Duration
-	// wasAnswering is set if the runner was answering when the expiry was stored, just
-	// before the coordinator stopped.
-	wasAnswering bool
-	// isIdle is set if no run existed on the runner when the expiry was stored, and the end
-	// of every earlier run there was stored. It stays so while the expiry is stored, as no
-	// task is started on the runner meanwhile.
-	isIdle bool
-	// settledIncarnation identifies the runner's process if no misdirected call can hold a lease
-	// on it beyond those that its clock bounds; zero if that is not known. A runner that has
-	// started anew since, or only just before, may hold leases longer than those.
-	settledIncarnation int64
-}
-
-// encodeRoster returns one line for each runner, in the order of their IDs. It rounds
-// expiries up to milliseconds, and sorts entries.
-func encodeRoster(entries []rosterEntry) string {
-	slices.SortFunc(entries, func(a, b rosterEntry) int { return strings.Compare(a.id, b.id) })
-	lines := make([]string, 0, len(entries))
-	for _, e := range entries {
-		line := e.id
-		if e.expiry > 0 {
-			line += " " + strconv.FormatInt(int64((e.expiry+time.Millisecond-1)/time.Millisecond), 10)
-			if e.wasAnswering {
-				line += " " + answeringMarker
-			}
-			if e.isIdle {
-				line += " " + idleMarker
-			}
-		}
-		if e.settledIncarnation != 0 {
-			line += " " + incarnationPrefix + strconv.FormatInt(e.settledIncarnation, incarnationBase)
-		}
-		lines = append(lines, line)
-	}
-	return strings.Join(lines, "\n")
-}
-
-// decodeIncarnation returns the incarnation in the markers of a line, or zero.
-func decodeIncarnation(markers []string) int64 {
-	for _, marker := range markers {
-		if digits, ok := strings.CutPrefix(marker, incarnationPrefix); ok {
-			incarnation, err := strconv.ParseInt(digits, incarnationBase, 64)
-			if err == nil {
-				return incarnation
-			}
-		}
-	}
-	return 0
-}
-
-// decodeRoster is the inverse of encodeRoster. It ignores an unreadable expiry.
-func decodeRoster(value string) []rosterEntry {
-	var entries []rosterEntry
-	for line := range strings.Lines(value) {
-		fields := strings.Fields(line)
-		if len(fields) == 0 {
-			continue
-		}
-		e := rosterEntry{id: fields[0], settledIncarnation: decodeIncarnation(fields[1:])}
-		if len(fields) > 1 {
-			if ms, err := strconv.ParseInt(fields[1], 10, 64); err == nil && ms > 0 {
-				e.expiry = time.Duration(ms) * time.Millisecond
-				e.wasAnswering = slices.Contains(fields[2:], answeringMarker)
-				e.isIdle = slices.Contains(fields[2:], idleMarker)
-			}
-		}
-		entries = append(entries, e)
-	}
-	return entries
-}
-
 // recordedExpiry is an expiry that the store may hold, on both clocks.
 type recordedExpiry struct {
 	onLocalClock time.Duration
@@ -148,7 +58,8 @@
 		if e.settledIncarnation != 0 {
 			coord.settledIncarnations[e.id] = e.settledIncarnation
 		}
-		inherited = append(inherited, InheritedRunner{ID: e.id, ExpiredAt: expiry, IsIdle: e.isIdle})
+		isComplete := coord.inheritTasks(e, maxExpiry)
+		inherited = append(inherited, InheritedRunner{ID: e.id, ExpiredAt: expiry, TasksKnown: e.isIdle || isComplete})
 	}
 	return inherited
 }
@@ -173,11 +84,15 @@
 // coordinator is stopping, each runner has an expiry if the store's clock is known.
 func (coord *coordinator) buildRoster(now time.Duration, isStopping bool) (entries []rosterEntry, expiries map[string]recordedExpiry) {
 	expiries = map[string]recordedExpiry{}
+	coord.storeTimes.beginRoster(coord.env.StoreClockBounds)
 	for _, id := range coord.core.Roster() {
 		e := rosterEntry{id: id, settledIncarnation: coord.settledIncarnations[id]}
 		if l := coord.links[id]; l != nil {
 			e.settledIncarnation = l.updateSettledIncarnation(now)
 		}
+		if e.settledIncarnation == 0 {
+			e.fenced = coord.storedFencedProcess(id)
+		}
 		local, isAnswering, ok := coord.stopLeaseExtension(id, now, isStopping)
 		_, latest, known := coord.env.StoreClockBounds(local)
 		if ok && known {
@@ -187,6 +102,7 @@
 			}
 			expiries[id] = expiry
 			e.expiry, e.wasAnswering, e.isIdle = expiry.onStoreClock, isAnswering, coord.isIdle(id)
+			coord.addTasks(&e, local, isAnswering)
 		}
 		entries = append(entries, e)
 	}
@@ -200,8 +116,15 @@
 // out calls to an earlier process. isIdle may be called only while no lease on the runner is
 // extended, so that no task is started there either.
 func (coord *coordinator) isIdle(id string) bool {
+	r := coord.core.runners[id]
+	return r != nil && len(r.runs) == 0 && coord.knowsAllRuns(id)
+}
+
+// knowsAllRuns reports whether a runner has reported all of its runs to this coordinator, and the end
+// of every run there that it does not hold is stored.
+func (coord *coordinator) knowsAllRuns(id string) bool {
 	l, r := coord.links[id], coord.core.runners[id]
-	if l == nil || r == nil || !r.hasReported || r.isUnfenced || r.results.isIncomplete || len(r.runs) > 0 || len(r.blockedJobs) > 0 {
+	if l == nil || r == nil || !r.hasReported || r.isUnfenced || r.results.isIncomplete || len(r.blockedJobs) > 0 {
 		return false
 	}
 	return r.lastAppliedResult == 0 || l.isAcknowledged(Acknowledgement{r.incarnation, r.lastAppliedResult})
@@ -215,6 +138,12 @@
 	if l == nil {
 		// The runner is not registered, so this coordinator does not extend its leases.
 		expiry, ok = coord.core.unresolved[id]
+		if !ok && coord.core.heldTasks.hasRunner(id) {
+			expiry, ok = now, true
+			if recorded, isRecorded := coord.recordedExpiries[id]; isRecorded {
+				expiry = recorded.onLocalClock
+			}
+		}
 		return expiry, false, ok
 	}
 	return l.stopLeaseExtension(now, isStopping)
@@ -270,8 +199,3 @@
 	}
 	coord.env.Log.WithField("runners", len(entries)).Info("expiries of runner leases handed over")
 }
-
-// isInRoster reports whether a roster has an entry for a runner.
-func isInRoster(entries []rosterEntry, id string) bool {
-	return slices.ContainsFunc(entries, func(e rosterEntry) bool { return e.id == id })
-}
--- a/coordinator/rosterrows.go
+++ b/coordinator/rosterrows.go
@@ -8,8 +8,8 @@
 	"bergamotstile/rowstore"
 )
 
-// runnersPerRosterRow is the number of runners for which the roster gets another row. A line takes
-// some 50 bytes at the end of a term, so that this many fit into a row of the store.
+// runnersPerRosterRow is the number of runners for which the roster gets another row. A line without
+// tasks takes some 60 bytes at the end of a term, so that this many fit into a row of the store.
 const runnersPerRosterRow = 900
 
 // rosterRowKey returns the key of one of the rows of the roster.
@@ -46,11 +46,40 @@
 	}
 	rows := make(map[rowstore.Key]string, len(groups))
 	for i, group := range groups {
+		coord.leaveOutTasks(group)
 		rows[rosterRowKey(i)] = encodeRoster(group)
 	}
 	return rows
 }
 
+// leaveOutTasks leaves out the tasks of those runners in one row of the roster whose tasks do not fit
+// into it, if need be those of runners that answer. Every task of an older job then waits for such a
+// runner after a takeover.
+func (coord *coordinator) leaveOutTasks(group []rosterEntry) {
+	room := coord.env.Limits.maxRowBytes()
+	for _, e := range group {
+		room -= len(e.encode()) + 1
+	}
+	leftOut := 0
+	for _, takesAnswering := range []bool{false, true} {
+		for i := range group {
+			if group[i].tasks == nil || group[i].wasAnswering != takesAnswering {
+				continue
+			}
+			size := len(group[i].tasks.encode())
+			if size > room {
+				group[i].tasks = nil
+				leftOut++
+				continue
+			}
+			room -= size
+		}
+	}
+	if leftOut > 0 {
+		coord.env.Log.WithField("runners", leftOut).Warn("tasks of runners do not fit into their row of the roster")
+	}
+}
+
 // rosterRowOf returns which of a number of rows holds a runner.
 func rosterRowOf(id string, rows int) int {
 	hash := fnv.New32a()
--- a/coordinator/takeover.go
+++ b/coordinator/takeover.go
@@ -106,12 +106,14 @@
 			}
 		}
 	}
+	coord.takenOverAt = coord.env.Clock()
 	coord.predecessor = predecessor{lastRenewal: coord.term.PredecessorLastRenewal, actingUntil: coord.term.PredecessorActsUntil, leaseDuration: coord.env.LeaseDuration}
 	latest := coord.predecessor.latestExpiry(coord.env.Clock())
 	inherited := coord.inheritRoster(roster, latest)
 	registered := coord.decodeRegistry(registry)
+	known := rosterRunners(roster)
 	for id := range registered {
-		if !isInRoster(roster, id) {
+		if !known.has(id) {
 			inherited = append(inherited, InheritedRunner{ID: id, ExpiredAt: latest})
 		}
 	}
@@ -137,15 +139,21 @@
 }
 
 // setMisdirectedExpiries sets the expiry of misdirected leases on those runners whose registered
-// process the predecessor did not know as settled. The predecessor may have sent calls to an
-// earlier process of such a runner for as long as it acted.
+// process the predecessor did not know as settled. If it did not know either that this process
+// refuses misdirected calls, the predecessor may have sent calls to an earlier process of the runner
+// for as long as it granted leases there.
 func (coord *coordinator) setMisdirectedExpiries(inherited []InheritedRunner, registered map[string]RunnerInfo) {
-	expiry := misdirectedExpiry(max(coord.env.Clock(), coord.predecessor.actingUntil)+maxCallDelay, coord.env.MaxLeaseDuration)
 	for i, r := range inherited {
 		info, isRegistered := registered[r.ID]
-		if isRegistered && info.Incarnation != 0 && info.Incarnation != coord.settledIncarnations[r.ID] {
-			inherited[i].MisdirectedExpiredAt = expiry
+		if !isRegistered || info.Incarnation == 0 || info.Incarnation == coord.settledIncarnations[r.ID] {
+			continue
+		}
+		if process := coord.fencedProcesses[r.ID]; process.incarnation == info.Incarnation {
+			inherited[i].MisdirectedExpiredAt = process.expiry
+			continue
 		}
+		inherited[i].MisdirectedExpiredAt = coord.lateCallExpiry(r.ID)
+		coord.core.heldTasks.raiseUnconfirmed(r.ID, coord.lateCallExpiry(r.ID))
 	}
 }
 
