End the wait for a predecessor's start only as the lease holder

What callers could have seen: a task that runs twice at the same time. A coordinator that is cut off from the store ended the waits for the starts of its predecessor although its own successor might have extended the lease of such a run.

ResolveExpiredRunners, which does the same for runners, is called by the lease holder only.

Change: the waits end where runners are resolved.

Before: TestHeldTasksAreReleasedOnlyByTheLeaseHolder failed: the task was startable without the lease. Now it passes.

--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -330,8 +330,8 @@
 	if coord.term.IsExclusive() {
 		coord.lowerInheritedExpiries(now)
 		coord.core.ResolveExpiredRunners(now, coord.hasAnswered)
+		coord.core.ReleaseExpiredTasks(now, coord.hasAnswered)
 	}
-	coord.core.ReleaseExpiredTasks(now, coord.hasAnswered)
 	for id, l := range coord.links {
 		if l.markExpired(now) {
 			l.expiredAt = now
--- a/coordinator/takeoverchain_test.go
+++ b/coordinator/takeoverchain_test.go
@@ -352,3 +352,21 @@
 		t.Errorf("tasks of %d silent and %d answering runners are stored, want those of silent ones first", silent, answering)
 	}
 }
+
+// Guards against the end of a hold while a successor may have extended the leases on the runner, of
+// which this coordinator, cut off from the store, does not know.
+func TestHeldTasksAreReleasedOnlyByTheLeaseHolder(t *testing.T) {
+	h := newChainHarness(t)
+	task := taskID(firstID, 0, 0)
+	h.addJob(1, true)
+	h.coordinator.term = leadership.NewTerm(1, h.clock.now(), h.clock.now)
+	h.coordinator.core.HoldTask(testRunnerID, heldTask{task, heldDelayed, h.clock.now() + time.Second})
+	h.clock.advance(leadership.ExclusiveTime)
+	if got := h.startable(); len(got) > 0 {
+		t.Errorf("startable are %v without the coordinator's lease", got)
+	}
+	h.coordinator.term = leadership.NewTerm(1, h.clock.now(), h.clock.now)
+	if got := h.startable(); len(got) != 1 {
+		t.Errorf("startable are %v, want the task whose run has ended", got)
+	}
+}
