End the hold of a run on a lost runner only as the lease holder

What callers could have seen: a task that runs twice at the same time. A coordinator that is cut off from the store, and may have a successor, ended the holds of its own starts without an answer although the successor might have reached the runner and extended the lease of that run.

Cause: the leases on a silent runner are taken as expired by the lease holder only (link.markExpired), but the holds that follow ended without that condition.

Change: ExpireDelayedStarts is called by the lease holder only; what an answer of the runner ends is in ForgetAnsweredStarts.

Before: TestHoldEndsOnlyWhileNoSuccessorCanExist failed: the task was free although a successor may have extended its lease. Now it passes.

--- a/coordinator/delayedstart.go
+++ b/coordinator/delayedstart.go
@@ -114,23 +114,30 @@
 	}
 }
 
+// ForgetAnsweredStarts ends the hold of runs that have ended otherwise, and of those whose runner has
+// answered again, as hasAnswered tells: new leases may have been granted there, and the runner's
+// reports say what runs.
+func (c *Core) ForgetAnsweredStarts(hasAnswered func(runnerID string) bool) {
+	for run := range c.delayedStartRuns {
+		_, exists := run.runner.runs[run]
+		if !exists || hasAnswered(run.runner.ID) {
+			delete(c.delayedStartRuns, run)
+		}
+	}
+}
+
 // ExpireDelayedStarts removes the runs that were held for a start without an answer and have ended
-// for certain. Their tasks become pending again. A run is no longer held once its runner has answered
-// again, as hasAnswered tells: new leases may have been granted there, and the runner's reports say
-// what runs.
-func (c *Core) ExpireDelayedStarts(now time.Duration, hasAnswered func(runnerID string) bool) {
+// for certain. Their tasks become pending again. Like ResolveExpiredRunners, it must be called only
+// while no successor can have extended leases, and after ForgetAnsweredStarts.
+func (c *Core) ExpireDelayedStarts(now time.Duration) {
 	for run, expiry := range c.delayedStartRuns {
-		_, exists := run.runner.runs[run]
-		answered := hasAnswered(run.runner.ID)
-		if exists && !answered && now <= expiry {
+		if now <= expiry {
 			continue
 		}
 		delete(c.delayedStartRuns, run)
-		if exists && !answered {
-			c.removeLostRun(run, now, "delayed start expired")
-			c.recordExpiredTask(run.runner.ID, run.task)
-			c.removeIfGone(run.runner)
-		}
+		c.removeLostRun(run, now, "delayed start expired")
+		c.recordExpiredTask(run.runner.ID, run.task)
+		c.removeIfGone(run.runner)
 	}
 }
 
--- a/coordinator/delayedstart_test.go
+++ b/coordinator/delayedstart_test.go
@@ -58,6 +58,33 @@
 	}
 }
 
+// Guards against a task that runs twice: a coordinator that is cut off from the store ends the hold of
+// its run while a successor may have extended the lease of that run.
+func TestHoldEndsOnlyWhileNoSuccessorCanExist(t *testing.T) {
+	h := newLoopHarness(t)
+	coord, l := h.coordinator, h.link
+	coord.env.MaxLeaseDuration = 10 * time.Second
+	coord.term = leadership.NewTerm(1, 24*time.Hour, h.clock.now)
+	answer := func() { l.recordAnswer(1, time.Hour+h.clock.now(), h.clock.now(), h.clock.now(), l.token()) }
+	answer()
+	l.recordUnansweredOrder(Order{Kind: Start, Task: h.task}, h.clock.now(), errNoAnswer)
+	answer()
+	l.recordUnanswered(h.clock.now())
+	h.clock.advance(12 * time.Second)
+	coord.expireLeases(h.clock.now())
+	coord.term = leadership.NewTerm(1, 0, h.clock.now)
+	h.clock.advance(20 * time.Second)
+	coord.expireLeases(h.clock.now())
+	if len(coord.core.jobs[firstID].runs[h.task]) == 0 {
+		t.Error("the task is free although a successor may have extended its lease")
+	}
+	coord.term = leadership.NewTerm(1, 24*time.Hour, h.clock.now)
+	coord.expireLeases(h.clock.now())
+	if len(coord.core.jobs[firstID].runs[h.task]) != 0 {
+		t.Error("the task is not free once the coordinator holds its lease")
+	}
+}
+
 // Guards against a task that runs twice: its runner answers again and gets leases, and maybe the start
 // once more, while its task is held, but the report waits in the queue of a coordinator that is behind
 // when the hold is over.
@@ -105,7 +132,7 @@
 	if n := len(h.core.jobs[firstID].runs); n != 0 {
 		t.Errorf("%d tasks are held although their runner reports that it runs nothing", n)
 	}
-	h.core.ExpireDelayedStarts(h.now, neverAnswers)
+	h.core.ExpireDelayedStarts(h.now)
 	if n := len(h.core.delayedStartRuns); n != 0 {
 		t.Errorf("%d runs are still recorded as held", n)
 	}
@@ -125,7 +152,7 @@
 	if h.core.runners["a"] == nil {
 		t.Fatal("the runner was removed while a run on it is held")
 	}
-	h.core.ExpireDelayedStarts(expiry+time.Millisecond, neverAnswers)
+	h.core.ExpireDelayedStarts(expiry + time.Millisecond)
 	if h.core.runners["a"] != nil {
 		t.Error("the runner is still there")
 	}
--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -339,7 +339,10 @@
 			coord.core.ExpireRunnerLeases(id, now)
 		}
 	}
-	coord.core.ExpireDelayedStarts(now, coord.hasAnswered)
+	coord.core.ForgetAnsweredStarts(coord.hasAnswered)
+	if coord.term.IsExclusive() {
+		coord.core.ExpireDelayedStarts(now)
+	}
 }
 
 // lowerInheritedExpiries brings forward the times at which the predecessor's leases are
