Wait for no runner on which the predecessor can have started nothing

Cause: a successor that could not reach one runner held back all tasks of its predecessor for up to 31 s, as nobody stored where tasks were started. The other half: a runner that joined while the predecessor was cut off from the store is in the registry and not in the roster.

No lack of room: jobs accepted after the takeover were started.

Change: each coordinator stores at its takeover, after the roster, that it grants leases on listed runners only (lease/listing-epoch). A successor whose predecessor did so takes nothing to run on a registered runner that the roster does not name. A coordinator whose roster the store refuses clears the row before it uses runners that it can't list. Earlier versions leave the row, and their successors wait.

--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -51,7 +51,9 @@
 	majorityUntil atomic.Int64
 	tokens        tokenIssuer
 	predecessor   predecessor
-	takenOverAt   time.Duration // when the takeover read what the predecessor had stored
+	// predecessorLists is set if the predecessor granted leases on listed runners only.
+	predecessorLists bool
+	takenOverAt      time.Duration // when the takeover read what the predecessor had stored
 
 	// jobsAsOf is the time on the store's clock up to which all accepted jobs are known.
 	jobsAsOf   time.Duration
--- a/coordinator/listing.go
+++ b/coordinator/listing.go
@@ -3,6 +3,10 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"strconv"
+
+	"bergamotstile/rowstore"
 )
 
 // A runner is listed while the store holds a roster that names it. The coordinator grants no lease
@@ -11,6 +15,23 @@
 // coordinator was lost and its registry entry expired in an outage of the store. The roster is
 // written as soon as there is a runner to be listed, so that one write lists all that have joined
 // since the last one.
+//
+// A successor also knows that its predecessor has started nothing on a runner that is not listed,
+// unless the predecessor is of a version that did not wait or the store refused its roster. So each
+// coordinator stores its epoch before it calls any runner, and removes it in the latter case.
+
+// listingEpochKey is the key of the row with the epoch of the newest coordinator that grants leases
+// on listed runners only.
+var listingEpochKey = rowstore.Key{Table: rosterKey.Table, Part: sharedPart, Key: "listing-epoch"}
+
+// decodeListingEpoch decodes the row. It returns zero, which is no epoch, if it is unreadable.
+func decodeListingEpoch(value []byte) uint64 {
+	epoch, err := strconv.ParseUint(string(value), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return epoch
+}
 
 // runnerSet is a set of runner IDs.
 type runnerSet map[string]struct{}
@@ -74,8 +95,14 @@
 	return awaited
 }
 
+// withdrawListingEpoch stores that this coordinator may grant leases on runners that are not listed.
+func (coord *coordinator) withdrawListingEpoch() error {
+	_, err := coord.putSharedRows(map[rowstore.Key]string{listingEpochKey: ""})
+	return err
+}
+
 // storeInheritedRoster stores the roster that a takeover begins with, if it differs from the stored
-// one, which it is given. It removes the expiries of the runners that were
+// one, which it is given, and then the listing epoch. It removes the expiries of the runners that were
 // answering the predecessor when it stopped, and adds the registered runners. It has to be called
 // before the first poll of any runner and the first order to any.
 func (coord *coordinator) storeInheritedRoster(ctx context.Context, stored []rosterEntry, registered map[string]RunnerInfo) error {
@@ -86,24 +113,22 @@
 			roster = append(roster, rosterEntry{id: id})
 		}
 	}
-	if !hasRemoved && len(roster) == len(stored) {
-		return nil
-	}
-	rows := coord.encodeRosterRows(roster)
-	err := coord.journal.put(ctx, sharedPart, toPuts(rows))
-	rejected := &rejectedRowsError{}
-	if errors.As(err, &rejected) && !hasRemoved {
-		coord.recordRejectedSharedRows(rejected)
-		return nil // the runners wait to be listed by the first roster of the term
-	}
-	if err != nil {
-		return err
-	}
-	for key, value := range rows {
-		coord.sharedRows[key] = value
+	if hasRemoved || len(roster) > len(stored) {
+		rows := coord.encodeRosterRows(roster)
+		err := coord.journal.put(ctx, sharedPart, toPuts(rows))
+		rejected := &rejectedRowsError{}
+		if errors.As(err, &rejected) && !hasRemoved {
+			coord.recordRejectedSharedRows(rejected)
+			return nil // the runners wait to be listed by the first roster of the term
+		}
+		if err != nil {
+			return err
+		}
+		maps.Copy(coord.sharedRows, rows)
+		coord.confirmListed(roster)
 	}
-	coord.confirmListed(roster)
-	return nil
+	epoch := map[rowstore.Key]string{listingEpochKey: strconv.FormatUint(coord.term.Epoch, 10)}
+	return coord.journal.put(ctx, sharedPart, toPuts(epoch))
 }
 
 // withoutAnsweringExpiries returns a roster without the expiries of the runners that were answering
--- a/coordinator/listing_test.go
+++ b/coordinator/listing_test.go
@@ -137,6 +137,24 @@
 	}
 }
 
+// Guards against a successor that takes a runner for idle which its predecessor used although the store
+// refused to list it.
+func TestRefusedRosterWithdrawsTheListingEpoch(t *testing.T) {
+	h := newChainHarness(t)
+	h.addJob(1, false)
+	h.takeOver(1)
+	h.coordinator.journal.store = &limitedStore{Memory: h.store, maxRowBytes: 4}
+	h.coordinator.writeSharedRows(h.clock.now())
+	if e := <-h.coordinator.events; e.event != (sharedRowsRejectedEvent{}) {
+		t.Fatalf("event %T, want that the roster is refused", e.event)
+	}
+	h.registered = []RunnerInfo{{ID: "joined", Incarnation: 7, Service: testService}}
+	h.takeOver(1)
+	if got := h.startable(); len(got) > 0 {
+		t.Errorf("startable are %v although the predecessor may have started tasks on any runner", got)
+	}
+}
+
 // Guards against a takeover after which the fleet waits for the first roster of the term, and against
 // runners that an earlier roster does not name being polled with a lease before they are listed.
 func TestTakeoverListsTheRegisteredRunners(t *testing.T) {
--- a/coordinator/sharedrows.go
+++ b/coordinator/sharedrows.go
@@ -44,6 +44,9 @@
 	rosterStored := rosterStoredEvent{roster, expiries}
 	go func() {
 		rejected, err := coord.putSharedRows(rows)
+		if err == nil && rejected.hasRosterRow() {
+			err = coord.withdrawListingEpoch()
+		}
 		switch {
 		case err != nil:
 			coord.fail(err)
--- a/coordinator/takeover.go
+++ b/coordinator/takeover.go
@@ -96,6 +96,8 @@
 			delayed = append(delayed, string(row.Value))
 		}
 		switch row.Key {
+		case listingEpochKey:
+			coord.predecessorLists = decodeListingEpoch(row.Value)+1 == coord.term.Epoch
 		case wavesKey:
 			if err := coord.restoreWaves(ctx, store, row.Value); err != nil {
 				return err
@@ -114,7 +116,7 @@
 	known := rosterRunners(roster)
 	for id := range registered {
 		if !known.has(id) {
-			inherited = append(inherited, InheritedRunner{ID: id, ExpiredAt: latest})
+			inherited = append(inherited, coord.inheritUnlisted(registered[id], latest))
 		}
 	}
 	if coord.term.Epoch > 1 {
@@ -127,6 +129,15 @@
 	return coord.storeInheritedRoster(ctx, roster, registered)
 }
 
+// inheritUnlisted returns what is known of a registered runner that the stored roster does not name.
+// latest is when all leases have expired that a predecessor granted.
+func (coord *coordinator) inheritUnlisted(info RunnerInfo, latest time.Duration) InheritedRunner {
+	if !coord.predecessorLists {
+		return InheritedRunner{ID: info.ID, ExpiredAt: latest}
+	}
+	return InheritedRunner{ID: info.ID, ExpiredAt: coord.takenOverAt, TasksKnown: true}
+}
+
 // decodeRegistry returns the entries of the registry by runner ID, without unreadable ones.
 func (coord *coordinator) decodeRegistry(rows []rowstore.Row) map[string]RunnerInfo {
 	entries := make(map[string]RunnerInfo, len(rows))
--- a/coordinator/takeoverchain_test.go
+++ b/coordinator/takeoverchain_test.go
@@ -241,6 +241,25 @@
 	}
 }
 
+// Guards against a runner that joined just before a takeover, ran nothing and can't be reached, and for
+// which all tasks of the predecessor wait (review/13): it is in the registry and not in the roster. A
+// predecessor of an earlier version may have started tasks there.
+func TestUnlistedRunnerHoldsNothingBackUnlessThePredecessorIsOfAnEarlierVersion(t *testing.T) {
+	for _, isEarlier := range []bool{false, true} {
+		h := newChainHarness(t)
+		h.addJob(1, false)
+		h.takeOver(1)
+		h.registered = []RunnerInfo{{ID: "joined", Incarnation: 7, Service: testService}}
+		if isEarlier {
+			h.coordinator.term = leadership.NewTerm(h.coordinator.term.Epoch+1, 24*time.Hour, h.clock.now)
+		}
+		h.takeOver(1)
+		if got := h.startable(); (len(got) == 0) != isEarlier {
+			t.Errorf("predecessor of an earlier version: %v, startable are %v", isEarlier, got)
+		}
+	}
+}
+
 // scheduledStartsOn makes a runner the only usable one, schedules and returns the starts there.
 func (h *chainHarness) scheduledStartsOn(id string) []Order {
 	core := h.coordinator.core
