Apply the removal of a cancelled job's mark to that job only

Cause: jobRowsRemovedEvent.apply looked the job up by its ID. The new submission had deleted the entry, so the pointer was nil, or had an entry of its own, whose rows then counted as removed.

Change: the event carries the entry that the removal is about, and is ignored if another one or none has its place.

Before: TestJobSubmittedAgainWhileItsMarkIsBeingRemoved crashed with a nil pointer. Now it passes.

--- a/coordinator/retention.go
+++ b/coordinator/retention.go
@@ -77,7 +77,7 @@
 		case !ended.isBeingRemoved && coord.isRetentionOver(ended.endedAt) && len(expired[part]) < maxJobsPerRemoval:
 			ended.isBeingRemoved = true
 			delete(coord.heldWrites, id)
-			expired[part] = append(expired[part], expiredJob{id, ended.neverAccepted})
+			expired[part] = append(expired[part], expiredJob{id, ended, ended.neverAccepted})
 			if len(expired[part]) == maxJobsPerRemoval {
 				fullParts++
 			}
@@ -91,7 +91,8 @@
 // expiredJob is an ended job whose rows are to be removed.
 type expiredJob struct {
 	id            jobs.ID
-	neverAccepted bool // as in endedJob
+	ended         *endedJob // only the event loop uses it
+	neverAccepted bool      // as in endedJob
 }
 
 // removeJobRows removes the rows of ended jobs from one part of the store, and posts the
@@ -117,9 +118,10 @@
 		coord.nextJobRemoval = min(coord.nextJobRemoval, coord.env.Clock()+backlogRemovalPause)
 	}
 	for _, expired := range e.jobs {
-		ended := coord.endedJobs[expired.id]
+		ended := expired.ended
 		ended.isBeingRemoved = false
 		switch {
+		case coord.endedJobs[expired.id] != ended: // the job was submitted again meanwhile
 		case e.err != nil:
 		case expired.neverAccepted:
 			delete(coord.endedJobs, expired.id) // no row was read that would accept the job
--- a/coordinator/retention_test.go
+++ b/coordinator/retention_test.go
@@ -160,3 +160,35 @@
 		t.Error("the mark of an unreadable job is to be removed")
 	}
 }
+
+// Guards against a coordinator that crashes, or takes the rows of a job for removed, because the mark of a job
+// that was cancelled before it was accepted is being removed while a client submits the job once more.
+func TestJobSubmittedAgainWhileItsMarkIsBeingRemoved(t *testing.T) {
+	for name, endAgain := range map[string]func(h *retentionHarness){
+		"runs":           func(*retentionHarness) {},
+		"has ended":      func(h *retentionHarness) { h.coordinator.endedJobs[endedID] = &endedJob{} },
+		"removal failed": func(h *retentionHarness) { h.store.BeforeCall = func(string) error { return rowstore.ErrRefused } },
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newRetentionHarness(t)
+			coord := h.coordinator
+			coord.core.ForgetFinished(endedID)
+			coord.endedJobs[endedID] = &endedJob{neverAccepted: true}
+			coord.removeExpiredJobRows(h.clock.now())
+			jobsEvent{rows: []rowstore.Row{h.acceptedRow}}.apply(coord)
+			endAgain(h)
+			select {
+			case queued := <-coord.events:
+				coord.applyEvent(queued)
+			case <-time.After(awaitTimeout):
+				t.Fatal("no outcome of the removal")
+			}
+			if !coord.core.HasJob(endedID) {
+				t.Error("the job that was submitted again is not accepted")
+			}
+			if ended := coord.endedJobs[endedID]; ended != nil && ended.removedAt > 0 {
+				t.Error("the rows of the job that was submitted again count as removed")
+			}
+		})
+	}
+}
