Count the stop of a task that starts up against the disruption budget

Cause: the stop of a task that the last report did not show as available was always allowed. The report may be half a second old, and the task at work since.

Ruled out: stops that are checked one by one without those planned beside them; tasks that have been at work for long were not concerned, and planned stops are counted.

Change: each stop is checked against the other tasks of the step that are away.

--- a/coordinator/budget.go
+++ b/coordinator/budget.go
@@ -60,12 +60,13 @@
 	return false
 }
 
-// countUnavailable returns the number of tasks that use up the disruption budget of a step.
-func (c *Core) countUnavailable(s *openStep, now time.Duration) int {
+// countOthersUnavailable returns the number of tasks that use up the disruption budget of a run's
+// step, without the run's own.
+func (c *Core) countOthersUnavailable(run *taskRun, now time.Duration) int {
 	countedAfter := time.Duration(countedGraceShare * float64(c.limits.UnavailableGrace))
 	n := 0
-	for _, u := range s.unavailable {
-		if u.stoppedByCoordinator || now-u.since >= countedAfter {
+	for index, u := range run.openStep.unavailable {
+		if index != run.task.Index && (u.stoppedByCoordinator || now-u.since >= countedAfter) {
 			n++
 		}
 	}
@@ -73,18 +74,17 @@
 }
 
 // mayStop reports whether the disruption budget of a run's step allows the run to be
-// stopped. The stop of an unavailable task is always allowed, as it makes no more tasks
-// unavailable.
+// stopped. That the last report does not show the task as available makes no difference: it may
+// have started up since.
 func (c *Core) mayStop(run *taskRun, now time.Duration) bool { return c.mayStopBeside(run, 0, now) }
 
 // mayStopBeside reports whether the disruption budget allows the run to be stopped in addition to
 // a number of planned stops of other tasks of the step.
 func (c *Core) mayStopBeside(run *taskRun, planned int, now time.Duration) bool {
-	s := run.openStep
-	if !hasDisruptionBudget(run.step) || s == nil || !s.isAvailable(run.task.Index) {
+	if !hasDisruptionBudget(run.step) || run.openStep == nil {
 		return true
 	}
-	return c.countUnavailable(s, now)+planned < run.step.MaxUnavailable
+	return c.countOthersUnavailable(run, now)+planned < run.step.MaxUnavailable
 }
 
 // evictRun stops a run so that its task continues elsewhere, and counts the task against
--- a/coordinator/budget_test.go
+++ b/coordinator/budget_test.go
@@ -90,6 +90,30 @@
 	}
 }
 
+// Guards against stopping all tasks of a step at once that are starting up by the last report: they may have
+// come to work since (review/standin3-budget). The first may be stopped whatever the others do.
+func TestTasksThatStartUpAreStoppedWithinTheBudget(t *testing.T) {
+	h, orders := newBudgetHarness(t, 1)
+	h.report(Report{Runner: "a", Incarnation: 1, Running: runStatuses(60, orders...)})
+	h.drainRunner("a", 3000, 10*time.Second)
+	stops := h.checkRuns()
+	if len(stops) != 1 {
+		t.Fatalf("%d stops, want 1 as the budget allows", len(stops))
+	}
+	h.report(Report{Runner: "a", Incarnation: 1, Running: runStatuses(60, ordersExcept(orders, stops[0].Task)...),
+		Ended: []RunResult{{Number: 1, Task: stops[0].Task, Run: 1, Kind: EndedStopped}}})
+	restart := startOrders(h.schedule())[0]
+	h.answer(restart, Accepted, false)
+	h.report(Report{Runner: "b", Incarnation: 1, Running: runStatuses(60, restart)})
+	if n := len(h.checkRuns()); n != 0 {
+		t.Errorf("%d stops before the replacement is available", n)
+	}
+	h.report(Report{Runner: "b", Incarnation: 1, Running: runStatuses(100, restart)})
+	if n := len(h.checkRuns()); n != 1 {
+		t.Errorf("%d stops after the first task is available again, want 1", n)
+	}
+}
+
 // Guards against tasks that are lost with their runner because of their disruption budget.
 // When the runner is about to stop, waiting gains nothing, and the tasks must be stopped in
 // time for their checkpoints to be saved. With 0.5 s for that, tasks were lost on days on
