Send no start to a runner that drains

Cause: a start without an answer was sent again until it was answered, whether or not the runner had begun to drain meanwhile.

Change: the link asks before each attempt whether the runner drains, and gives the start back.

--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -386,6 +386,7 @@
 		expiry = recorded.onLocalClock
 	}
 	l := newLink(coord, info.ID, info.Address, expiry)
+	l.isDraining = info.Draining
 	l.isExpiryRecorded, l.unansweredSince = isRecorded, now
 	l.awaitsListing = !coord.listedRunners.has(info.ID)
 	l.registeredIncarnation, l.settledIncarnation = info.Incarnation, coord.settledIncarnations[info.ID]
--- a/coordinator/link.go
+++ b/coordinator/link.go
@@ -42,6 +42,7 @@
 	expiredAt              time.Duration
 	mu                     sync.Mutex // guards the fields below
 	address                string
+	isDraining             bool // as the registry entry says; nothing is started on the runner then
 	lease                  leaseState
 	isSilent               bool          // the last poll that has ended failed
 	lastAnsweredPollSentAt time.Duration // when the last answered poll was sent
--- a/coordinator/restart.go
+++ b/coordinator/restart.go
@@ -38,7 +38,7 @@
 func (l *link) setRegistration(info RunnerInfo, now time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.address = info.Address
+	l.address, l.isDraining = info.Address, info.Draining
 	changed := info.Incarnation != l.registeredIncarnation
 	l.registeredIncarnation = info.Incarnation
 	known := l.incarnation
--- a/coordinator/sendorder.go
+++ b/coordinator/sendorder.go
@@ -43,6 +43,10 @@
 // decided has ended. The new one may differ in service, capacity and labels.
 var errOtherProcess = fmt.Errorf("%w: runner has restarted", ErrNotSent)
 
+// errRunnerDraining means that a start was not sent because the runner is draining. An earlier attempt
+// may have reached it before that.
+var errRunnerDraining = fmt.Errorf("%w: runner is draining", ErrNotSent)
+
 // findOrderTarget returns where to send an order. It returns errAttemptSkipped for a start while
 // no lease can be granted: if the start carried an old deadline, a process of the runner that has
 // started since would compare the deadline with its own, new clock.
@@ -56,6 +60,9 @@
 	if order.Incarnation != 0 && l.incarnation != 0 && order.Incarnation != l.incarnation {
 		return target, errOtherProcess
 	}
+	if l.isDraining {
+		return target, errRunnerDraining
+	}
 	until := l.newLeaseEnd()
 	if until == 0 {
 		return target, errAttemptSkipped
@@ -88,6 +95,9 @@
 		case errors.Is(err, errOtherProcess):
 			l.coordinator.post(ctx, answerEvent{Answer{Order: order, Outcome: RunnerRestarted, Repeated: repeated}})
 			return
+		case errors.Is(err, errRunnerDraining):
+			l.coordinator.post(ctx, answerEvent{Answer{Order: order, Outcome: RunnerDraining, Repeated: repeated}})
+			return
 		case err == nil && order.Kind == Pace:
 			return // the core ignores the answer
 		case err == nil:
--- a/coordinator/types.go
+++ b/coordinator/types.go
@@ -137,11 +137,12 @@
 	RefusedOther              // the runner refused for another reason, for example because it takes no orders at present
 	WrongRunner               // another runner has the address
 	RunnerRestarted           // the runner's process for which the start was decided has ended
+	RunnerDraining            // the start is not sent any more because the runner is draining
 )
 
 // String returns the name for log lines and counters.
 func (o Outcome) String() string {
-	return [...]string{"accepted", "old", "late", "room", "ticket", "unhealthy", "wrong_runner", "restarted"}[o]
+	return [...]string{"accepted", "old", "late", "room", "ticket", "unhealthy", "wrong_runner", "restarted", "draining"}[o]
 }
 
 // MarshalText implements encoding.TextMarshaler, for log lines.
