--- a/coordinator/copies.go
+++ b/coordinator/copies.go
@@ -191,8 +191,8 @@
 }
 
 // mayCopy reports whether the run's task may get a copy. A copy needs a run number that no run of
-// the task has, so none is started while a runner may run unknown tasks of the predecessor, or may run the
-// task. None is started either if one more failed run would fail the job.
+// the task has, so none is started while a runner may run unknown tasks of the predecessor, or may
+// run the task. None is started either if one more failed run would fail the job.
 func (c *Core) mayCopy(run *taskRun) bool {
 	j := run.job
 	if !mayHaveCopies(run.step) || run.openStep == nil || run.state != stateRunning || j.State.IsTerminal() || len(j.runs[run.task]) > 1 {
--- a/coordinator/drain.go
+++ b/coordinator/drain.go
@@ -90,8 +90,8 @@
 // runner may already be on its machine, which the machine list does not show yet. Nor is it
 // known while leases on the runner can't be extended, the runner has blocked jobs or its last
 // report was incomplete, since the results that it has yet to list would be lost. The load
-// of a runner that the core does not have is known to be zero unless the runner is unresolved or tasks are
-// held for it.
+// of a runner that the core does not have is known to be zero unless the runner is unresolved or
+// tasks are held for it.
 func (c *Core) RunnerLoad(id string) maintenance.Load {
 	r := c.runners[id]
 	if r == nil {
--- a/coordinator/hiddenend.go
+++ b/coordinator/hiddenend.go
@@ -27,8 +27,8 @@
 
 // startableTasks returns the indexes of the pending tasks that may be started now. It
 // leaves out the tasks that a predecessor may have started on unresolved runners, that are held, or
-// that wait for a report of the runner on which their leases expired; of a gang it returns all tasks or none. The result may share its memory
-// with the pending tasks of the step.
+// that wait for a report of the runner on which their leases expired. Of a gang it returns all tasks
+// or none. The result may share its memory with the pending tasks of the step.
 func (c *Core) startableTasks(s *openStep) []int {
 	awaitsRunners := s.job.inherited && len(c.unresolved) > 0 && !s.openedByHiddenEnd
 	if !awaitsRunners && c.heldTasks.isEmpty() && len(c.awaitedTasks) == 0 {
--- a/coordinator/listing.go
+++ b/coordinator/listing.go
@@ -122,9 +122,9 @@
 }
 
 // storeInheritedRoster stores the roster that a takeover begins with, if it differs from the stored
-// one, which it is given, and then the listing epoch if the fence has not. It removes the expiries of the runners that were
-// answering the predecessor when it stopped, and adds the registered runners. It has to be called
-// before the first poll of any runner and the first order to any.
+// one, which it is given, and then the listing epoch if the fence has not. It removes the expiries of
+// the runners that were answering the predecessor when it stopped, and adds the registered runners. It
+// has to be called before the first poll of any runner and the first order to any.
 func (coord *coordinator) storeInheritedRoster(ctx context.Context, stored []rosterEntry, registered map[string]RunnerInfo) error {
 	coord.listedRunners = rosterRunners(stored)
 	roster, hasRemoved := coord.withoutAnsweringExpiries(stored)
