Prepare the run that is held in one place of the tests

TestHoldEndsOnlyWhileNoSuccessorCanExist repeated the first lines of its neighbour. Both take newHeldRunHarness now, which asks that one run is held; what they ask is unchanged.

--- a/coordinator/delayedstart_test.go
+++ b/coordinator/delayedstart_test.go
@@ -58,20 +58,32 @@
 	}
 }
 
-// Guards against a task that runs twice: a coordinator that is cut off from the store ends the hold of
-// its run while a successor may have extended the lease of that run.
-func TestHoldEndsOnlyWhileNoSuccessorCanExist(t *testing.T) {
-	h := newLoopHarness(t)
+// newHeldRunHarness returns a harness in which the run of a start without an answer is held, as the leases
+// on its silent runner have expired, and a function by which the runner answers again.
+func newHeldRunHarness(t *testing.T) (h *loopHarness, answer func()) {
+	t.Helper()
+	h = newLoopHarness(t)
 	coord, l := h.coordinator, h.link
 	coord.env.MaxLeaseDuration = 10 * time.Second
 	coord.term = leadership.NewTerm(1, 24*time.Hour, h.clock.now)
-	answer := func() { l.recordAnswer(1, time.Hour+h.clock.now(), h.clock.now(), h.clock.now(), l.token()) }
+	answer = func() { l.recordAnswer(1, time.Hour+h.clock.now(), h.clock.now(), h.clock.now(), l.token()) }
 	answer()
 	l.recordUnansweredOrder(Order{Kind: Start, Task: h.task}, h.clock.now(), errNoAnswer)
 	answer()
 	l.recordUnanswered(h.clock.now())
 	h.clock.advance(12 * time.Second)
 	coord.expireLeases(h.clock.now())
+	if len(coord.core.delayedStartRuns) != 1 {
+		t.Fatalf("%d runs are held, want 1", len(coord.core.delayedStartRuns))
+	}
+	return h, answer
+}
+
+// Guards against a task that runs twice: a coordinator that is cut off from the store ends the hold of
+// its run while a successor may have extended the lease of that run.
+func TestHoldEndsOnlyWhileNoSuccessorCanExist(t *testing.T) {
+	h, _ := newHeldRunHarness(t)
+	coord := h.coordinator
 	coord.term = leadership.NewTerm(1, 0, h.clock.now)
 	h.clock.advance(20 * time.Second)
 	coord.expireLeases(h.clock.now())
@@ -89,20 +101,8 @@
 // once more, while its task is held, but the report waits in the queue of a coordinator that is behind
 // when the hold is over.
 func TestHoldEndsWithoutEffectOnceTheRunnerAnswersAgain(t *testing.T) {
-	h := newLoopHarness(t)
-	coord, l := h.coordinator, h.link
-	coord.env.MaxLeaseDuration = 10 * time.Second
-	coord.term = leadership.NewTerm(1, 24*time.Hour, h.clock.now)
-	answer := func() { l.recordAnswer(1, time.Hour+h.clock.now(), h.clock.now(), h.clock.now(), l.token()) }
-	answer()
-	l.recordUnansweredOrder(Order{Kind: Start, Task: h.task}, h.clock.now(), errNoAnswer)
-	answer()
-	l.recordUnanswered(h.clock.now())
-	h.clock.advance(12 * time.Second)
-	coord.expireLeases(h.clock.now())
-	if len(coord.core.delayedStartRuns) != 1 {
-		t.Fatalf("%d runs are held, want 1", len(coord.core.delayedStartRuns))
-	}
+	h, answer := newHeldRunHarness(t)
+	coord := h.coordinator
 	answer()
 	h.clock.advance(20 * time.Second)
 	coord.expireLeases(h.clock.now())
--- a/maintenance/calls_test.go
+++ b/maintenance/calls_test.go
@@ -49,7 +49,7 @@
 	return 0
 }
 
-// Guards against two coordinators in touch that call for one machine too soon after each other
+// Guards against two live coordinators that call for one machine too soon after each other
 // (review/12): the call of the first was refused as busy, so the machine was waiting again. Takeovers in a
 // row don't prolong the wait.
 func TestSuccessorDoesNotCallSoonAfterARefusedCall(t *testing.T) {
