Charge nothing for the close of a forgotten connection

Callers would see an instance that takes more memory than its budget by what it counts so.

Cause: a guard that can't parse what it has read closes its connection, also after the connection has been closed and removed from the account. markClosing charged it again.

Ruled out: a connection that is removed without its charge; held and the connections were zero.

Change: markClosing charges nothing for a forgotten connection.

Before: TestCloseOfAForgottenConnectionIsNotCharged failed with one connection closing and 2,382 bytes. Now it passes.

--- a/httpserver/account.go
+++ b/httpserver/account.go
@@ -225,13 +225,16 @@
 	return a.guards[conn]
 }
 
-// markClosing marks a connection as one that is being closed. The caller holds mu and calls
-// shutDown after it has released it.
+// markClosing marks a connection as one that is being closed. It charges nothing for one that has
+// been forgotten. The caller holds mu and calls shutDown after it has released it.
 func (a *Account) markClosing(g *guard) {
 	if g.isClosing {
 		return
 	}
 	g.isClosing = true
+	if g.isForgotten {
+		return
+	}
 	a.closing++
 	a.closingHeld += g.charged
 	a.releasedHeld += g.released
--- a/httpserver/guard_test.go
+++ b/httpserver/guard_test.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/lesismal/nbio"
 )
 
 // startEcho starts a server that answers with the size of the body, and returns it with the
@@ -174,6 +176,31 @@
 	}
 }
 
+// Guards against an account that keeps for ever what a connection held, because its guard closes it, for
+// data that can't be parsed, when the connection has been closed and forgotten already.
+func TestCloseOfAForgottenConnectionIsNotCharged(t *testing.T) {
+	account := NewAccount(Limits{}, nil, nil)
+	server, _ := startEcho(t, account)
+	client := dial(t, server)
+	_, _ = io.WriteString(client, "POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\na")
+	var conn *nbio.Conn
+	for deadline := time.Now().Add(10 * time.Second); conn == nil && time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		account.mu.Lock()
+		for c := range account.guards {
+			conn = c
+		}
+		account.mu.Unlock()
+	}
+	g := account.guardOf(conn)
+	account.forget(conn)
+	g.close()
+	account.mu.Lock()
+	defer account.mu.Unlock()
+	if account.closing != 0 || account.closingHeld != 0 || account.releasedHeld != 0 || account.held != 0 {
+		t.Errorf("%d connections are closing and hold %d bytes, %d of them released; all hold %d", account.closing, account.closingHeld, account.releasedHeld, account.held)
+	}
+}
+
 // Guards against an ordinary caller that is closed before those that hold more.
 func TestLargestConnectionsAreClosedFirst(t *testing.T) {
 	account := NewAccount(Limits{MemoryBytes: 8 << 20}, nil, nil)
